--- /dev/null
+++ b/tools/testreport/main.go
@@ -0,0 +1,168 @@
+// Command testreport reads the output of "go test -json" from standard input,
+// prints what failed, counts tests and Ginkgo specs, and passes over just the
+// failures that KNOWN-RED.txt lists. Its exit code is 1 if anything else
+// failed.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// maxLineBytes is the longest line of test output that is read.
+const maxLineBytes = 16 << 20
+
+// event is one line of "go test -json".
+type event struct {
+	Action  string
+	Package string
+	Test    string
+	Output  string
+}
+
+// packageResult gathers the events of one package.
+type packageResult struct {
+	output   strings.Builder
+	passed   int
+	failures []string
+	failed   bool
+	specs    bool
+}
+
+var (
+	specCounts  = regexp.MustCompile(`(\d+) Passed \| (\d+) Failed`)
+	specFailure = regexp.MustCompile(`^\s*\[(?:FAIL|PANICKED!|TIMEDOUT|INTERRUPTED)\] (.*\S)\s*$`)
+)
+
+func main() {
+	known := readKnownRed("KNOWN-RED.txt")
+	results := readEvents(os.Stdin)
+	os.Exit(report(results, known))
+}
+
+// readKnownRed returns the test names of the entries, the lines that begin
+// with "test: ".
+func readKnownRed(path string) []string {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil
+	}
+	var names []string
+	for _, line := range strings.Split(string(data), "\n") {
+		if name, ok := strings.CutPrefix(line, "test: "); ok {
+			names = append(names, strings.TrimSpace(name))
+		}
+	}
+	return names
+}
+
+func readEvents(f *os.File) map[string]*packageResult {
+	results := make(map[string]*packageResult)
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(make([]byte, 0, 1<<16), maxLineBytes)
+	for scanner.Scan() {
+		var ev event
+		if err := json.Unmarshal(scanner.Bytes(), &ev); err != nil {
+			fmt.Println(scanner.Text())
+			continue
+		}
+		result, ok := results[ev.Package]
+		if !ok {
+			result = &packageResult{}
+			results[ev.Package] = result
+		}
+		result.add(ev)
+	}
+	return results
+}
+
+func (r *packageResult) add(ev event) {
+	switch ev.Action {
+	case "output", "build-output":
+		r.output.WriteString(ev.Output)
+		r.addSpecs(ev.Output)
+	case "pass":
+		if ev.Test != "" {
+			r.passed++
+		}
+	case "fail", "build-fail":
+		if ev.Test != "" {
+			r.failures = append(r.failures, ev.Test)
+		}
+		r.failed = true
+	}
+}
+
+func (r *packageResult) addSpecs(line string) {
+	if m := specCounts.FindStringSubmatch(line); m != nil {
+		n, _ := strconv.Atoi(m[1])
+		r.passed += n
+		r.specs = true
+	}
+	if m := specFailure.FindStringSubmatch(line); m != nil {
+		r.failures = append(r.failures, m[1])
+	}
+}
+
+func report(results map[string]*packageResult, known []string) int {
+	var names []string
+	for name := range results {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	passed, failed := 0, 0
+	for _, name := range names {
+		result := results[name]
+		passed += result.passed
+		if !result.failed {
+			continue
+		}
+		unknown := unlisted(result, known)
+		if len(unknown) == 0 && len(result.failures) > 0 {
+			fmt.Printf("KNOWN RED in %s: %s\n", name, strings.Join(result.failures, "; "))
+			continue
+		}
+		failed += max(1, len(unknown))
+		fmt.Printf("FAILED %s\n%s\n", name, result.output.String())
+	}
+	for _, name := range known {
+		fmt.Printf("KNOWN-RED.txt lists: %s\n", name)
+	}
+	fmt.Printf("%d passed, %d failed\n", passed, failed)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
+
+// unlisted returns the failures that no entry names. The Go test function of
+// a Ginkgo suite fails with its specs and is left out.
+func unlisted(result *packageResult, known []string) []string {
+	seen := make(map[string]bool)
+	var unknown []string
+	for _, failure := range result.failures {
+		if seen[failure] || (result.specs && !strings.Contains(failure, " ")) {
+			continue
+		}
+		seen[failure] = true
+		if !matches(failure, known) {
+			unknown = append(unknown, failure)
+		}
+	}
+	return unknown
+}
+
+func matches(failure string, known []string) bool {
+	for _, name := range known {
+		if strings.Contains(failure, name) {
+			return true
+		}
+	}
+	return false
+}
