--- /dev/null
+++ b/internal/standin/platformserver/objects.go
@@ -0,0 +1,132 @@
+package platformserver
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/standin/control"
+)
+
+// target returns the kind and name that the path names.
+func target(c echo.Context) (platform.Kind, string) {
+	kind := c.Param("kind")
+	name := strings.TrimPrefix(c.Request().URL.Path, "/v1/objects/"+kind+"/")
+	return platform.Kind(kind), name
+}
+
+func (s *Server) get(c echo.Context) error {
+	kind, name := target(c)
+	s.count(kind, func(calls *Calls) { calls.Get++ })
+	obj, err := s.store.Get(c.Request().Context(), kind, name)
+	if err != nil {
+		return answerError(c, err)
+	}
+	return c.JSON(http.StatusOK, obj)
+}
+
+func (s *Server) list(c echo.Context) error {
+	kind := platform.Kind(c.Param("kind"))
+	s.count(kind, func(calls *Calls) { calls.List++ })
+	listing, err := s.store.List(c.Request().Context(), kind, c.QueryParam("prefix"))
+	if err != nil {
+		return answerError(c, err)
+	}
+	return c.JSON(http.StatusOK, listing)
+}
+
+func (s *Server) put(c echo.Context) error {
+	kind, name := target(c)
+	value, err := io.ReadAll(io.LimitReader(c.Request().Body, maxValueBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(value) > maxValueBytes {
+		return c.NoContent(http.StatusRequestEntityTooLarge)
+	}
+	if !json.Valid(value) {
+		return echo.NewHTTPError(http.StatusBadRequest, "the value is not JSON")
+	}
+	status, obj, err := s.write(c, kind, name, value)
+	if err != nil {
+		return answerError(c, err)
+	}
+	s.loseAnswer(kind)
+	return c.JSON(status, obj)
+}
+
+func (s *Server) write(c echo.Context, kind platform.Kind, name string, value json.RawMessage) (int, platform.Object, error) {
+	ctx, writeID := c.Request().Context(), c.Request().Header.Get("X-Write-Id")
+	if c.Request().Header.Get("If-None-Match") == "*" {
+		s.count(kind, func(calls *Calls) { calls.Create++ })
+		obj, err := s.store.Create(ctx, kind, name, writeID, value)
+		return http.StatusCreated, obj, err
+	}
+	version, err := ifMatch(c)
+	if err != nil {
+		return 0, platform.Object{}, err
+	}
+	s.count(kind, func(calls *Calls) { calls.Update++ })
+	obj, err := s.store.Update(ctx, kind, name, version, writeID, value)
+	return http.StatusOK, obj, err
+}
+
+func (s *Server) remove(c echo.Context) error {
+	kind, name := target(c)
+	version, err := ifMatch(c)
+	if err != nil {
+		return err
+	}
+	s.count(kind, func(calls *Calls) { calls.Delete++ })
+	if err := s.store.Delete(c.Request().Context(), kind, name, version); err != nil {
+		return answerError(c, err)
+	}
+	s.loseAnswer(kind)
+	return c.NoContent(http.StatusNoContent)
+}
+
+// loseAnswer ends the connection where the switch asks for it.
+func (s *Server) loseAnswer(kind platform.Kind) {
+	only := s.switches.Get().LoseAnswersKind
+	if only != "" && only != kind {
+		return
+	}
+	if s.switches.Take(func(f *Faults) *int { return &f.LoseAnswers }) {
+		control.Abort()
+	}
+}
+
+func ifMatch(c echo.Context) (platform.Version, error) {
+	text := strings.Trim(c.Request().Header.Get("If-Match"), `"`)
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, echo.NewHTTPError(http.StatusBadRequest, "send If-Match with a version, or If-None-Match: *")
+	}
+	return platform.Version(version), nil
+}
+
+func answerError(c echo.Context, err error) error {
+	var notFound *platform.NotFoundError
+	var conflict *platform.ConflictError
+	var gone *platform.GoneError
+	switch {
+	case errors.As(err, &notFound):
+		return c.NoContent(http.StatusNotFound)
+	case errors.As(err, &conflict):
+		return c.JSON(http.StatusPreconditionFailed, conflict.Current)
+	case errors.As(err, &gone):
+		return c.JSON(http.StatusGone, goneAnswer{Oldest: gone.Oldest})
+	default:
+		return err
+	}
+}
+
+type goneAnswer struct {
+	Oldest platform.Version `json:"oldest"`
+}
--- /dev/null
+++ b/internal/standin/platformserver/watch.go
@@ -0,0 +1,106 @@
+package platformserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
+)
+
+func (s *Server) watch(c echo.Context) error {
+	kind := platform.Kind(c.Param("kind"))
+	s.count(kind, func(calls *Calls) { calls.Watch++ })
+	after, err := strconv.ParseInt(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "after is not a version")
+	}
+	w, err := s.store.Watch(c.Request().Context(), kind, platform.Version(after))
+	if err != nil {
+		return answerError(c, err)
+	}
+	defer w.Stop()
+	s.countWaiting(1)
+	defer s.countWaiting(-1)
+	stream := watchStream{server: s, response: c.Response(), delivered: platform.Version(after)}
+	return stream.run(c, w)
+}
+
+// watchStream writes the events of one watch and applies the watch faults.
+type watchStream struct {
+	server    *Server
+	response  *echo.Response
+	delivered platform.Version
+	held      []platform.Event
+	silent    bool
+}
+
+func (w *watchStream) run(c echo.Context, source platform.Watch) error {
+	w.response.Header().Set("Content-Type", "application/x-ndjson")
+	w.response.WriteHeader(http.StatusOK)
+	w.response.Flush()
+	cuts := w.server.switches.Get().CutWatches
+	for {
+		changed := w.server.switches.Changed()
+		faults := w.server.switches.Get()
+		if faults.CutWatches != cuts || faults.Down {
+			return nil
+		}
+		w.silent = w.silent || faults.SilentWatches
+		if err := w.release(faults); err != nil {
+			return err
+		}
+		select {
+		case <-c.Request().Context().Done():
+			return nil
+		case <-changed:
+		case event, ok := <-source.Events():
+			if !ok {
+				return nil
+			}
+			if err := w.handle(faults, event); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// release sends what was held back, once events are no longer withheld.
+func (w *watchStream) release(faults Faults) error {
+	if faults.StaleWatches || w.silent {
+		return nil
+	}
+	for _, event := range w.held {
+		if err := w.send(event); err != nil {
+			return err
+		}
+	}
+	w.held = nil
+	return nil
+}
+
+func (w *watchStream) handle(faults Faults, event platform.Event) error {
+	if w.silent {
+		return nil
+	}
+	if !faults.StaleWatches {
+		return w.send(event)
+	}
+	if event.Type != platform.EventBookmark {
+		w.held = append(w.held, event)
+		return nil
+	}
+	event.Version = w.delivered
+	return w.send(event)
+}
+
+func (w *watchStream) send(event platform.Event) error {
+	if err := json.NewEncoder(w.response).Encode(event); err != nil {
+		return err
+	}
+	w.response.Flush()
+	w.delivered = event.Version
+	return nil
+}
