--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,178 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"sort"
+	"strings"
+)
+
+// Fault is one thing that is wrong with a settings file.
+type Fault struct {
+	// Path names the field, for example platform.call_timeout.
+	Path string
+	// Problem says what is wrong.
+	Problem string
+	// Remedy says what to write instead.
+	Remedy string
+}
+
+// String returns the fault as one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: %s; %s", f.Path, f.Problem, f.Remedy)
+}
+
+// InvalidError reports all faults of a settings file.
+type InvalidError struct {
+	Faults []Fault
+}
+
+// Error implements error, with one line for each fault.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file. Its error is *InvalidError.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &InvalidError{Faults: []Fault{{Path: path, Problem: err.Error(), Remedy: "name a readable settings file"}}}
+	}
+	return Parse(data)
+}
+
+// Parse reads and checks settings in JSON. Its error is *InvalidError.
+func Parse(data []byte) (Settings, error) {
+	s := Default()
+	p := &parser{}
+	p.object("", data, reflect.ValueOf(&s).Elem())
+	faults := p.faults
+	if !p.broken {
+		faults = append(faults, s.validate(p.failed)...)
+	}
+	if len(faults) > 0 {
+		return Settings{}, &InvalidError{Faults: faults}
+	}
+	return s, nil
+}
+
+// parser decodes field by field, so that one fault does not hide another.
+type parser struct {
+	faults []Fault
+	// broken means that the document as a whole could not be read.
+	broken bool
+	paths  []string
+}
+
+// failed reports whether a fault was found at the path or below it.
+func (p *parser) failed(path string) bool {
+	for _, seen := range p.paths {
+		if seen == path || strings.HasPrefix(seen, path+".") || strings.HasPrefix(path, seen+".") {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *parser) fault(path, problem, remedy string) {
+	p.paths = append(p.paths, path)
+	p.faults = append(p.faults, Fault{Path: path, Problem: problem, Remedy: remedy})
+}
+
+func (p *parser) object(path string, data []byte, target reflect.Value) {
+	var raw map[string]json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		p.broken = p.broken || path == ""
+		p.fault(orRoot(path), "not a JSON object: "+err.Error(), "write an object in braces")
+		return
+	}
+	fields := fieldsByName(target)
+	for _, name := range sortedNames(raw) {
+		field, ok := fields[name]
+		if !ok {
+			p.fault(join(path, name), "unknown field", "remove it or correct its name; known are "+strings.Join(sortedNames(fields), ", "))
+			continue
+		}
+		p.value(join(path, name), raw[name], field)
+	}
+}
+
+func (p *parser) value(path string, data []byte, target reflect.Value) {
+	_, isUnmarshaler := target.Addr().Interface().(json.Unmarshaler)
+	switch {
+	case !isUnmarshaler && target.Kind() == reflect.Struct:
+		p.object(path, data, target)
+	case target.Kind() == reflect.Slice && target.Type().Elem().Kind() == reflect.Struct:
+		p.list(path, data, target)
+	default:
+		if err := json.Unmarshal(data, target.Addr().Interface()); err != nil {
+			p.fault(path, "wrong type or form", "write "+describe(target.Type()))
+		}
+	}
+}
+
+func (p *parser) list(path string, data []byte, target reflect.Value) {
+	var raw []json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		p.fault(path, "wrong type", "write a list in brackets")
+		return
+	}
+	target.Set(reflect.MakeSlice(target.Type(), len(raw), len(raw)))
+	for i, item := range raw {
+		p.object(fmt.Sprintf("%s[%d]", path, i), item, target.Index(i))
+	}
+}
+
+func describe(t reflect.Type) string {
+	switch {
+	case t == reflect.TypeOf(Duration(0)):
+		return `a duration in quotes, such as "250ms" or "24h"`
+	case t.Kind() == reflect.String:
+		return "a text in quotes"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	case t.Kind() == reflect.Slice:
+		return "a list of texts in brackets"
+	case t.Kind() == reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
+
+func fieldsByName(target reflect.Value) map[string]reflect.Value {
+	fields := make(map[string]reflect.Value, target.NumField())
+	for i := range target.NumField() {
+		fields[target.Type().Field(i).Tag.Get("json")] = target.Field(i)
+	}
+	return fields
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func orRoot(path string) string {
+	if path == "" {
+		return "settings"
+	}
+	return path
+}
