--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+)
+
+// attemptTimeout is the longest wait for one host's answer.
+const attemptTimeout = 8 * time.Second
+
+// client calls the first host that answers.
+type client struct {
+	admins []apiv1.Admin
+	header http.Header
+}
+
+func newClient(servers []string, tokenFile string) (*client, error) {
+	c := &client{header: make(http.Header)}
+	if tokenFile != "" {
+		token, err := os.ReadFile(tokenFile)
+		if err != nil {
+			return nil, &usageFault{errors.Wrap(err, "read the operator token")}
+		}
+		c.header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
+	}
+	httpClient := &http.Client{Timeout: attemptTimeout}
+	for _, list := range servers {
+		for _, server := range strings.Split(list, ",") {
+			c.admins = append(c.admins, apiv1.NewAdminProtobufClient(server, httpClient))
+		}
+	}
+	return c, nil
+}
+
+// call tries the hosts in turn until one answers. Every request that writes
+// carries a change identifier, so that a repeat takes effect once.
+func call[T any](ctx context.Context, c *client, do func(ctx context.Context, admin apiv1.Admin) (T, error)) (T, error) {
+	var result T
+	if len(c.admins) == 0 {
+		return result, &usageFault{errors.New("no host is named; pass --server or set BILBERRYSLIP_SERVER")}
+	}
+	ctx, err := twirp.WithHTTPRequestHeaders(ctx, c.header)
+	if err != nil {
+		return result, errors.Wrap(err, "prepare the request")
+	}
+	for _, admin := range c.admins {
+		result, err = do(ctx, admin)
+		var transport *url.Error
+		if err == nil || !errors.As(err, &transport) {
+			return result, err
+		}
+	}
+	return result, twirp.NewError(twirp.Unavailable, "no host answered: "+err.Error()+"; check --server and the hosts' health")
+}
--- /dev/null
+++ b/internal/cli/kinds.go
@@ -0,0 +1,51 @@
+package cli
+
+import (
+	"strings"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+
+	"github.com/cockroachdb/errors"
+)
+
+// kindNames are the words that operators write for the kinds.
+var kindNames = []struct {
+	name string
+	kind apiv1.Kind
+}{
+	{"organisation", apiv1.Kind_KIND_ORGANISATION},
+	{"key", apiv1.Kind_KIND_KEY},
+	{"model", apiv1.Kind_KIND_MODEL},
+	{"version", apiv1.Kind_KIND_VERSION},
+	{"adapter", apiv1.Kind_KIND_ADAPTER},
+	{"endpoint", apiv1.Kind_KIND_ENDPOINT},
+	{"route", apiv1.Kind_KIND_ROUTE},
+	{"placement-policy", apiv1.Kind_KIND_PLACEMENT_POLICY},
+	{"rate-policy", apiv1.Kind_KIND_RATE_POLICY},
+}
+
+// parseKind accepts a kind's name in singular or plural.
+func parseKind(text string) (apiv1.Kind, error) {
+	var known []string
+	for _, entry := range kindNames {
+		plural := entry.name + "s"
+		if strings.HasSuffix(entry.name, "y") && entry.name != "key" {
+			plural = strings.TrimSuffix(entry.name, "y") + "ies"
+		}
+		if text == entry.name || text == plural {
+			return entry.kind, nil
+		}
+		known = append(known, entry.name)
+	}
+	return 0, &usageFault{errors.Newf("kind %q is not known; write one of %s", text, strings.Join(known, ", "))}
+}
+
+// kindName returns the word for a kind.
+func kindName(kind apiv1.Kind) string {
+	for _, entry := range kindNames {
+		if entry.kind == kind {
+			return entry.name
+		}
+	}
+	return kind.String()
+}
--- /dev/null
+++ b/internal/cli/manifest.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/config"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// manifest is the form of a file of objects.
+type manifest struct {
+	Objects []json.RawMessage `json:"objects"`
+}
+
+// readManifest reads all objects of a file, or reports the first that can't
+// be read.
+func readManifest(name string, in io.Reader) ([]*apiv1.Object, error) {
+	data, err := readInput(name, in)
+	if err != nil {
+		return nil, &usageFault{errors.Wrapf(err, "read %s", name)}
+	}
+	var m manifest
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, &usageFault{errors.Wrapf(err, `%s is not a manifest; write {"objects": [...]}`, name)}
+	}
+	objects := make([]*apiv1.Object, len(m.Objects))
+	for i, raw := range m.Objects {
+		objects[i] = &apiv1.Object{}
+		if err := protojson.Unmarshal(raw, objects[i]); err != nil {
+			return nil, &usageFault{errors.Wrapf(err, "%s: objects[%d]", name, i)}
+		}
+		if config.KeyOf(objects[i]).Name == "" {
+			return nil, &usageFault{errors.Newf("%s: objects[%d] has no kind or no name; give it both", name, i)}
+		}
+	}
+	return objects, nil
+}
+
+func readInput(name string, in io.Reader) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(in)
+	}
+	return os.ReadFile(name)
+}
+
+// mutationsFor compares the objects with those in force and returns what has
+// to change, each with the version it replaces.
+func mutationsFor(ctx context.Context, c *client, objects []*apiv1.Object) ([]*apiv1.Mutation, error) {
+	current, err := currentObjects(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	var mutations []*apiv1.Mutation
+	for _, object := range objects {
+		key := config.KeyOf(object)
+		old := current[key]
+		if sameSpec(old, object) {
+			continue
+		}
+		mutations = append(mutations, &apiv1.Mutation{Kind: key.Kind, Name: key.Name, ExpectedVersion: old.GetVersion(), Object: object})
+	}
+	return mutations, nil
+}
+
+func currentObjects(ctx context.Context, c *client) (map[config.ObjectKey]*apiv1.Object, error) {
+	response, err := call(ctx, c, func(ctx context.Context, admin apiv1.Admin) (*apiv1.ListResponse, error) {
+		return admin.List(ctx, &apiv1.ListRequest{})
+	})
+	if err != nil {
+		return nil, err
+	}
+	current := make(map[config.ObjectKey]*apiv1.Object, len(response.Objects))
+	for _, object := range response.Objects {
+		current[config.KeyOf(object)] = object
+	}
+	return current, nil
+}
+
+// sameSpec compares two objects apart from their versions.
+func sameSpec(a, b *apiv1.Object) bool {
+	if a == nil {
+		return false
+	}
+	left, _ := proto.Clone(a).(*apiv1.Object)
+	left.Version = b.GetVersion()
+	return proto.Equal(left, b)
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,21 @@
+// Package version tells the version of the programs.
+package version
+
+import "runtime/debug"
+
+// Number is the version of this source tree.
+const Number = "0.1.0"
+
+// String returns the version and, where known, the revision it was built from.
+func String() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return Number
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return Number + "+" + setting.Value
+		}
+	}
+	return Number
+}
