--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,216 @@
+#!/usr/bin/env bash
+# Runs the whole path of both example deployments on stand-ins: builds,
+# starts, configures, sends requests, prints PASS or FAIL lines, and ends what
+# it started. Uses free ports, so that several copies can run at once.
+set -u
+cd "$(dirname "$0")/.."
+run=$(mktemp -d)
+pids=()
+failures=0
+
+# Ends the processes that this script started, by id.
+stop_all() {
+  if [ "${#pids[@]}" -gt 0 ]; then
+    kill "${pids[@]}" 2>/dev/null
+    wait "${pids[@]}" 2>/dev/null
+  fi
+  pids=()
+}
+trap 'stop_all; rm -rf "$run"' EXIT
+
+# start NAME COMMAND...: runs a process with its log in a file.
+start() {
+  local name=$1
+  shift
+  "$@" >"$run/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+# wait_file FILE: waits until a process has written its address.
+wait_file() {
+  for _ in $(seq 200); do
+    [ -s "$1" ] && return 0
+    sleep 0.05
+  done
+  echo "no address in $1 after 10 s; the logs follow"
+  tail -n 5 "$run"/*.log
+  exit 1
+}
+
+# check NAME TEXT PATTERN: prints PASS if the text matches the pattern.
+check() {
+  if grep -Eq -- "$3" <<<"$2"; then
+    echo "PASS $1"
+  else
+    echo "FAIL $1: $2"
+    failures=$((failures + 1))
+  fi
+}
+
+# engine_object NAME ZONE POOL ADDRESS: the configuration of an engine.
+engine_object() {
+  printf '{"endpoint":{"name":"%s","zone":"%s","kind":"ENDPOINT_KIND_ENGINE","url":"http://%s","memoryBytes":"160000000000","adapterMemoryBytes":"16000000000","maxConcurrent":16,"pool":"%s"}}' "$1" "$2" "$4" "$3"
+}
+
+# service_object NAME ZONE SERVICE ADDRESS: the configuration of a service.
+service_object() {
+  printf '{"endpoint":{"name":"%s","zone":"%s","kind":"ENDPOINT_KIND_SERVICE","url":"http://%s","service":"%s","maxConcurrent":16,"pool":"%s"}}' "$1" "$2" "$4" "$3" "$3"
+}
+
+# settings HOST ZONE REGION: the settings of a host.
+settings() {
+  cat <<JSON
+{
+  "host": {"name": "$1", "zone": "$2", "region": "$3"},
+  "listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0", "debug": "127.0.0.1:0",
+             "address_file": "$run/$1.json"},
+  "platform": {"addresses": ["http://$platform"]},
+  "peers": {"secret_file": "$run/secret"},
+  "operators": [{"name": "demo", "token_sha256": "$token_sha256"}],
+  "placement": {"loads_per_second": 20, "parallel_loads": 8},
+  "shutdown": {"balancer_delay": "100ms", "limit": "20s"}
+}
+JSON
+}
+
+# address HOST FIELD: one of the addresses that a host listens on.
+address() {
+  sed -n "s/.*\"$2\": *\"\([^\"]*\)\".*/\1/p" "$run/$1.json"
+}
+
+# complete HOST KEY BODY [CURL OPTION...]: sends a completion.
+complete() {
+  local host=$1 key=$2 body=$3
+  shift 3
+  curl -sS -m 20 -H "Authorization: Bearer $key" -H 'Content-Type: application/json' "$@" -d "$body" "http://$(address "$host" callers)/v1/completions"
+}
+
+# start_endpoints ZONE... : engines and services of each zone, and their objects.
+start_endpoints() {
+  local zone i name objects=()
+  for zone in "$@"; do
+    for i in 1 2 3; do
+      name=$zone-$pool-$i
+      start "$name" "$run/bin/bilberryslip-standin" engine --listen 127.0.0.1:0 --address-file "$run/$name.addr" \
+        --memory 160000000000 --weights "http://$platform" --first-token 20ms --token-interval 5ms
+    done
+    name=$zone-$service
+    start "$name" "$run/bin/bilberryslip-standin" service --listen 127.0.0.1:0 --address-file "$run/$name.addr"
+  done
+  for zone in "$@"; do
+    for i in 1 2 3; do
+      name=$zone-$pool-$i
+      wait_file "$run/$name.addr"
+      objects+=("$(engine_object "$name" "$zone" "$pool" "$(cat "$run/$name.addr")")")
+    done
+    name=$zone-$service
+    wait_file "$run/$name.addr"
+    objects+=("$(service_object "$name" "$zone" "$service" "$(cat "$run/$name.addr")")")
+  done
+  local IFS=,
+  echo "{\"objects\": [${objects[*]}]}" >"$run/endpoints.json"
+}
+
+# start_hosts REGION ZONE...: two hosts in each zone.
+start_hosts() {
+  local region=$1 zone letter
+  shift
+  hosts=()
+  for zone in "$@"; do
+    for letter in a b; do
+      hosts+=("$zone-$letter")
+      settings "$zone-$letter" "$zone" "$region" >"$run/$zone-$letter.settings"
+      start "$zone-$letter" "$run/bin/bilberryslipd" --settings "$run/$zone-$letter.settings"
+    done
+  done
+  for host in "${hosts[@]}"; do
+    wait_file "$run/$host.json"
+  done
+  local listed=()
+  for host in "${hosts[@]}"; do
+    listed+=("{\"name\":\"$host\",\"zone\":\"${host%-*}\",\"peerUrl\":\"http://$(address "$host" peers)\",\"state\":\"live\"}")
+  done
+  local IFS=,
+  curl -sS -X POST -d "{\"hosts\": [${listed[*]}]}" "http://$platform/control" >/dev/null
+}
+
+# wait_complete KEY MODEL: waits until every host serves the model.
+wait_complete() {
+  local host
+  for host in "${hosts[@]}"; do
+    for _ in $(seq 300); do
+      complete "$host" "$1" "{\"model\":\"$2\",\"prompt\":\"ready?\",\"max_tokens\":1}" | grep -q '"choices"' && continue 2
+      sleep 0.1
+    done
+    echo "FAIL $2 is not served by $host after 30 s"
+    failures=$((failures + 1))
+  done
+}
+
+# deployment NAME REGION POOL SERVICE ORGANISATION MODEL ADAPTER CALL ZONE...
+deployment() {
+  local name=$1 region=$2 organisation=$5 model=$6 adapter=$7 path=$8
+  pool=$3 service=$4
+  shift 8
+  echo "== $name"
+  start platform "$run/bin/bilberryslip-standin" platform --listen 127.0.0.1:0 --address-file "$run/platform.addr" \
+    --loads-per-second 20 --parallel-loads 8
+  wait_file "$run/platform.addr"
+  platform=$(cat "$run/platform.addr")
+  start_endpoints "$@"
+  start_hosts "$region" "$@"
+  export BILBERRYSLIP_SERVER="http://$(address "${hosts[0]}" operators)"
+  local cli="$run/bin/bilberryslip"
+  check "$name: the configuration is accepted" "$("$cli" apply -f "$run/endpoints.json" -f "examples/$name/config.json" --wait-millis 8000 2>&1)" 'accepted as revision 1; in force on 6 hosts'
+  local key withdrawn
+  key=$("$cli" key grant demo --organisation "$organisation" 2>/dev/null)
+  withdrawn=$("$cli" key grant lost --organisation "$organisation" 2>/dev/null)
+  wait_complete "$key" "$model"
+  wait_complete "$key" "$adapter"
+  check "$name: a completion" "$(complete "${hosts[0]}" "$key" "{\"model\":\"$model\",\"prompt\":\"a ring\",\"max_tokens\":8}")" '"finish_reason"'
+  check "$name: a streamed completion" "$(complete "${hosts[2]}" "$key" "{\"model\":\"$model\",\"prompt\":\"a ring\",\"max_tokens\":8,\"stream\":true}" -N)" '^data: \[DONE\]'
+  check "$name: an adapter's completion" "$(complete "${hosts[4]}" "$key" "{\"model\":\"$adapter\",\"prompt\":\"a ring\",\"max_tokens\":8}")" "$adapter"
+  check_service "$name" "$key" "$path"
+  check "$name: a key that works" "$(complete "${hosts[1]}" "$withdrawn" "{\"model\":\"$model\",\"prompt\":\"a\",\"max_tokens\":1}")" '"choices"'
+  "$cli" key withdraw lost >/dev/null
+  check "$name: the withdrawn key" "$(complete "${hosts[1]}" "$withdrawn" "{\"model\":\"$model\",\"prompt\":\"a\",\"max_tokens\":1}")" '"run": ?"not run"'
+  check "$name: the status" "$("$cli" status)" 'highest revision 4'
+  stop_all
+  rm -f "$run"/*.addr "$run"/*.json
+}
+
+# check_service NAME KEY PATH: a call that may not be repeated, sent twice.
+check_service() {
+  local first second
+  first=$(call_service "${hosts[0]}" "$2" "$3")
+  second=$(call_service "${hosts[3]}" "$2" "$3")
+  check "$1: a call that may not be repeated" "$first" '"number"'
+  if [ "$first" = "$second" ]; then
+    echo "PASS $1: its repeat on another host gets the recorded answer"
+  else
+    echo "FAIL $1: the repeat got $second after $first"
+    failures=$((failures + 1))
+  fi
+}
+
+# call_service HOST KEY PATH: one call with a fixed idempotency key.
+call_service() {
+  curl -sS -m 20 -X POST -H "Authorization: Bearer $2" -H 'Idempotency-Key: ring-1847' -H 'Content-Type: application/json' \
+    -d '{"request":"ring-1847"}' "http://$(address "$1" callers)/services/$service$3"
+}
+
+go build -o "$run/bin/" ./cmd/... || exit 1
+token=$(head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n')
+token_sha256=$(printf %s "$token" | sha256sum | cut -d' ' -f1)
+printf %s "$token" >"$run/token"
+head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$run/secret"
+export BILBERRYSLIP_TOKEN_FILE="$run/token"
+
+deployment aqej qc-east drafting registry quebec-jewellers draft-fr draft-fr-sapphire-0 /certificates qce-1 qce-2 qce-3
+deployment souffle-solidaire tn-nord desk ledger coast-welders counter-fr counter-fr-argon-0 /deposits tn-nord-a tn-nord-b tn-nord-c
+
+if [ "$failures" -gt 0 ]; then
+  echo "$failures checks failed"
+  exit 1
+fi
+echo "all checks passed"
