Add the membership table and the peer protocol's server and clients

Hosts have to know each other without a coordination service, and a peer call must not hang on a connection that went silent.

Membership takes liveness from heartbeat counters on the local clock and keeps 'leaving' for the rest of an incarnation. Ruled out: a message that describes all hosts (its size grows with the fleet), and purely random targets with a fixed timeout of 10 s, which at 370 hosts and 16 hosts per message took living hosts for dead:

[FAILED] hears of every living host within the failure timeout at 370 hosts Expected <int>: 277700 to be zero-valued (of 2,730,600 observations)

Now the timeout grows by 1 s per 16 hosts, and hosts not heard of for half of it are contacted first: 0 of them in the same test. A peer call that misses its limit closes its connection and the idle ones to that peer.

--- /dev/null
+++ b/internal/membership/service.go
@@ -0,0 +1,230 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
+)
+
+const (
+	gossipInterval = time.Second
+	gossipFanOut   = 3
+	listInterval   = 10 * time.Second
+	listTimeout    = 3 * time.Second
+)
+
+// Gossiper sends a gossip message to a peer.
+type Gossiper interface {
+	Gossip(ctx context.Context, baseURL string, request *peerv1.GossipRequest) (*peerv1.GossipResponse, error)
+}
+
+// Extension adds another package's state to gossip messages.
+type Extension interface {
+	// FillRequest adds to a message that this host is about to send.
+	FillRequest(request *peerv1.GossipRequest)
+	// HandleRequest takes what a peer sent and adds to the answer.
+	HandleRequest(request *peerv1.GossipRequest, response *peerv1.GossipResponse)
+	// HandleResponse takes a peer's answer to a request sent at sentAt.
+	HandleResponse(response *peerv1.GossipResponse, sentAt time.Time)
+	// Targets returns base URLs that have to be gossiped with now.
+	Targets() []string
+}
+
+// ServiceConfig sets up a Service.
+type ServiceConfig struct {
+	Table *Table
+	Peers Gossiper
+	// Lister reads the platform's host list. Nil means none.
+	Lister platform.HostLister
+	// Now reads the clock. Nil means time.Now.
+	Now func() time.Time
+	// Interval is the time between rounds of gossip. Zero means 1 s.
+	Interval time.Duration
+}
+
+// Service keeps a Table current. It is safe for concurrent use.
+type Service struct {
+	config     ServiceConfig
+	mu         sync.Mutex
+	table      *Table
+	random     *rand.Rand
+	extensions []Extension
+	revision   func() int64
+}
+
+// NewService returns a service around the table, which it then owns.
+func NewService(config ServiceConfig) *Service {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Interval == 0 {
+		config.Interval = gossipInterval
+	}
+	return &Service{
+		config: config, table: config.Table,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// Extend adds an extension. It must be called before Serve.
+func (s *Service) Extend(extension Extension) { s.extensions = append(s.extensions, extension) }
+
+// ReportRevision makes the host report the configuration revision that the
+// function returns. It must be called before Serve.
+func (s *Service) ReportRevision(revision func() int64) { s.revision = revision }
+
+// Self returns this host.
+func (s *Service) Self() Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Self()
+}
+
+// Hosts returns the other hosts by name.
+func (s *Service) Hosts() []Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Hosts(s.config.Now())
+}
+
+// SetLeaving makes this host report that it is leaving, for good.
+func (s *Service) SetLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetLeaving()
+}
+
+// Gossip answers a peer's gossip message.
+func (s *Service) Gossip(_ context.Context, request *peerv1.GossipRequest) (*peerv1.GossipResponse, error) {
+	response := &peerv1.GossipResponse{}
+	s.mu.Lock()
+	s.learn(request.GetSelf(), request.GetHosts())
+	response.Self = s.selfDigest()
+	response.Hosts = s.table.Digests(s.config.Now(), s.random)
+	s.mu.Unlock()
+	for _, extension := range s.extensions {
+		extension.HandleRequest(request, response)
+	}
+	return response, nil
+}
+
+// Serve gossips until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	gossip := time.NewTicker(s.config.Interval)
+	defer gossip.Stop()
+	list := time.NewTicker(listInterval)
+	defer list.Stop()
+	go s.readList(ctx)
+	s.Round(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-list.C:
+			go s.readList(ctx)
+		case <-gossip.C:
+			s.Round(ctx)
+		}
+	}
+}
+
+// Round beats the heartbeat and gossips with a few peers, not waiting for
+// their answers.
+func (s *Service) Round(ctx context.Context) {
+	s.mu.Lock()
+	s.table.Beat(s.config.Now())
+	targets := s.table.Targets(s.config.Now(), gossipFanOut, s.random)
+	s.mu.Unlock()
+	for _, extension := range s.extensions {
+		targets = append(targets, extension.Targets()...)
+	}
+	sent := make(map[string]bool, len(targets))
+	for _, url := range targets {
+		if !sent[url] {
+			sent[url] = true
+			go s.gossipWith(ctx, url)
+		}
+	}
+}
+
+func (s *Service) gossipWith(ctx context.Context, url string) {
+	request := &peerv1.GossipRequest{}
+	s.mu.Lock()
+	request.Self = s.selfDigest()
+	request.Hosts = s.table.Digests(s.config.Now(), s.random)
+	s.mu.Unlock()
+	for _, extension := range s.extensions {
+		extension.FillRequest(request)
+	}
+	sentAt := s.config.Now()
+	response, err := s.config.Peers.Gossip(ctx, url, request)
+	if err != nil {
+		logrus.WithFields(logrus.Fields{"peer": url, "error": err.Error()}).Debug("gossip failed")
+		return
+	}
+	s.mu.Lock()
+	s.learn(response.GetSelf(), response.GetHosts())
+	s.mu.Unlock()
+	for _, extension := range s.extensions {
+		extension.HandleResponse(response, sentAt)
+	}
+}
+
+func (s *Service) selfDigest() *peerv1.HostDigest {
+	if s.revision != nil {
+		s.table.SetConfigRevision(s.revision())
+	}
+	return s.table.SelfDigest()
+}
+
+func (s *Service) learn(self *peerv1.HostDigest, hosts []*peerv1.HostDigest) {
+	now := s.config.Now()
+	s.table.Learn(now, self)
+	for _, digest := range hosts[:min(len(hosts), MaxDigests)] {
+		s.table.Learn(now, digest)
+	}
+}
+
+func (s *Service) readList(ctx context.Context) {
+	if s.config.Lister == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listed, err := s.config.Lister.Hosts(ctx)
+	if err != nil {
+		logrus.WithError(err).Debug("host list unavailable")
+		return
+	}
+	urls := make(map[string]string, len(listed))
+	for _, host := range listed {
+		urls[host.Name] = host.PeerURL
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetListed(urls)
+}
+
+// State is a dump of the service's state.
+type State struct {
+	Self  Host   `json:"self"`
+	Hosts []Host `json:"hosts"`
+	// AgeSeconds maps a host to the seconds since it was last heard of.
+	AgeSeconds map[string]float64 `json:"ageSeconds"`
+}
+
+// DumpState returns the service's state with ages.
+func (s *Service) DumpState() any {
+	now := s.config.Now()
+	state := State{Self: s.Self(), Hosts: s.Hosts(), AgeSeconds: make(map[string]float64)}
+	for _, host := range state.Hosts {
+		state.AgeSeconds[host.Name] = now.Sub(host.LastHeard).Seconds()
+	}
+	return state
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,114 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	"bilberryslip.example/bilberryslip/internal/peer"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peer")
+}
+
+type echoGossip struct{}
+
+func (echoGossip) Gossip(_ context.Context, r *peerv1.GossipRequest) (*peerv1.GossipResponse, error) {
+	return &peerv1.GossipResponse{Self: r.GetSelf()}, nil
+}
+
+var _ = Describe("Pool and server", func() {
+	request := &peerv1.GossipRequest{Self: &peerv1.HostDigest{Host: "a"}}
+	var server *httptest.Server
+	BeforeEach(func() {
+		server = httptest.NewServer(peer.NewServer("secret", peer.Handlers{Gossip: echoGossip{}}))
+		DeferCleanup(server.Close)
+	})
+
+	It("answers a peer that knows the secret, and no other", func() {
+		pool := peer.NewPool(peer.PoolConfig{Secret: "secret"})
+		DeferCleanup(pool.Close)
+		response, err := pool.Gossip(context.Background(), server.URL, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.GetSelf().GetHost()).To(Equal("a"))
+		_, err = pool.Drain(context.Background(), server.URL, &peerv1.DrainRequest{})
+		Expect(err).To(MatchError(ContainSubstring("not served by this host")))
+		stranger := peer.NewPool(peer.PoolConfig{Secret: "other"})
+		DeferCleanup(stranger.Close)
+		_, err = stranger.Gossip(context.Background(), server.URL, request)
+		Expect(err).To(MatchError(ContainSubstring("set the same peer secret")))
+	})
+
+	It("dials anew after a connection went silent", func() {
+		relay := newSilencingRelay(server.Listener.Addr().String())
+		DeferCleanup(relay.listener.Close)
+		pool := peer.NewPool(peer.PoolConfig{Secret: "secret", CallTimeout: 200 * time.Millisecond})
+		DeferCleanup(pool.Close)
+		_, err := pool.Gossip(context.Background(), relay.url(), request)
+		Expect(err).NotTo(HaveOccurred())
+		relay.generation.Add(1)
+		_, err = pool.Gossip(context.Background(), relay.url(), request)
+		Expect(err).To(HaveOccurred())
+		_, err = pool.Gossip(context.Background(), relay.url(), request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(relay.accepted.Load()).To(BeEquivalentTo(2))
+	})
+})
+
+// silencingRelay forwards TCP; connections from before the present
+// generation stay open but pass nothing.
+type silencingRelay struct {
+	listener             net.Listener
+	target               string
+	generation, accepted atomic.Int64
+}
+
+func newSilencingRelay(target string) *silencingRelay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	r := &silencingRelay{listener: listener, target: target}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r.accepted.Add(1)
+			upstream, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			generation := r.generation.Load()
+			go r.pipe(upstream, conn, generation)
+			go r.pipe(conn, upstream, generation)
+		}
+	}()
+	return r
+}
+
+func (r *silencingRelay) url() string { return "http://" + r.listener.Addr().String() }
+
+func (r *silencingRelay) pipe(to, from net.Conn, generation int64) {
+	defer to.Close()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if r.generation.Load() == generation {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,137 @@
+// Package peer is the protocol between hosts: a twirp server whose calls are
+// handled by other packages, and a pool of clients with time limits on
+// progress.
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+)
+
+// SecretHeader carries the secret that all hosts share.
+const SecretHeader = "X-Peer-Secret"
+
+// maxRequestBytes limits the body of a peer's call.
+const maxRequestBytes = 1 << 20
+
+// Gossiper answers gossip.
+type Gossiper interface {
+	Gossip(ctx context.Context, request *peerv1.GossipRequest) (*peerv1.GossipResponse, error)
+}
+
+// Lender answers requests for rate and tokens.
+type Lender interface {
+	BorrowRate(ctx context.Context, request *peerv1.BorrowRateRequest) (*peerv1.BorrowRateResponse, error)
+}
+
+// ChangeSource gives configuration changes.
+type ChangeSource interface {
+	Changes(ctx context.Context, request *peerv1.ChangesRequest) (*peerv1.ChangesResponse, error)
+}
+
+// DecisionSource queries the host's own decisions.
+type DecisionSource interface {
+	Decisions(ctx context.Context, request *apiv1.DecisionsRequest) (*apiv1.DecisionsResponse, error)
+}
+
+// StateSource dumps the host's state.
+type StateSource interface {
+	State(ctx context.Context, request *apiv1.StateRequest) (*apiv1.StateResponse, error)
+}
+
+// Drainer makes the host leave.
+type Drainer interface {
+	Drain(ctx context.Context, request *peerv1.DrainRequest) (*peerv1.DrainResponse, error)
+}
+
+// Handlers handle the calls of peers. A call whose handler is nil is answered
+// as unimplemented.
+type Handlers struct {
+	Gossip    Gossiper
+	Lender    Lender
+	Changes   ChangeSource
+	Decisions DecisionSource
+	State     StateSource
+	Drainer   Drainer
+}
+
+// NewServer returns the HTTP handler of the peer service. It refuses calls
+// without the secret. It must be mounted at PathPrefix.
+func NewServer(secret string, handlers Handlers) http.Handler {
+	next := peerv1.NewPeerServer(&server{handlers})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := []byte(r.Header.Get(SecretHeader))
+		if subtle.ConstantTimeCompare(given, []byte(secret)) != 1 {
+			refusal := twirp.NewError(twirp.Unauthenticated, "peer secret missing or wrong; set the same peer secret on all hosts")
+			_ = twirp.WriteError(w, refusal)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// PathPrefix is the path below which the peer service is mounted.
+const PathPrefix = peerv1.PeerPathPrefix
+
+type server struct{ handlers Handlers }
+
+var _ peerv1.Peer = (*server)(nil)
+
+func unimplemented(call string) error {
+	return twirp.NewError(twirp.Unimplemented, call+" is not served by this host; run the same version on all hosts")
+}
+
+// Gossip implements peerv1.Peer.
+func (s *server) Gossip(ctx context.Context, r *peerv1.GossipRequest) (*peerv1.GossipResponse, error) {
+	if s.handlers.Gossip == nil {
+		return nil, unimplemented("Gossip")
+	}
+	return s.handlers.Gossip.Gossip(ctx, r)
+}
+
+// BorrowRate implements peerv1.Peer.
+func (s *server) BorrowRate(ctx context.Context, r *peerv1.BorrowRateRequest) (*peerv1.BorrowRateResponse, error) {
+	if s.handlers.Lender == nil {
+		return nil, unimplemented("BorrowRate")
+	}
+	return s.handlers.Lender.BorrowRate(ctx, r)
+}
+
+// Changes implements peerv1.Peer.
+func (s *server) Changes(ctx context.Context, r *peerv1.ChangesRequest) (*peerv1.ChangesResponse, error) {
+	if s.handlers.Changes == nil {
+		return nil, unimplemented("Changes")
+	}
+	return s.handlers.Changes.Changes(ctx, r)
+}
+
+// Decisions implements peerv1.Peer.
+func (s *server) Decisions(ctx context.Context, r *apiv1.DecisionsRequest) (*apiv1.DecisionsResponse, error) {
+	if s.handlers.Decisions == nil {
+		return nil, unimplemented("Decisions")
+	}
+	return s.handlers.Decisions.Decisions(ctx, r)
+}
+
+// State implements peerv1.Peer.
+func (s *server) State(ctx context.Context, r *apiv1.StateRequest) (*apiv1.StateResponse, error) {
+	if s.handlers.State == nil {
+		return nil, unimplemented("State")
+	}
+	return s.handlers.State.State(ctx, r)
+}
+
+// Drain implements peerv1.Peer.
+func (s *server) Drain(ctx context.Context, r *peerv1.DrainRequest) (*peerv1.DrainResponse, error) {
+	if s.handlers.Drainer == nil {
+		return nil, unimplemented("Drain")
+	}
+	return s.handlers.Drainer.Drain(ctx, r)
+}
