--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -154,7 +154,7 @@
   shift 8
   echo "== $name"
   start platform "$run/bin/bilberryslip-standin" platform --listen 127.0.0.1:0 --address-file "$run/platform.addr" \
-    --loads-per-second 20 --parallel-loads 8
+    --loads-per-second 20 --parallel 8
   wait_file "$run/platform.addr"
   platform=$(cat "$run/platform.addr")
   start_endpoints "$@"
