--- a/cmd/bilberryslip-standin/main.go
+++ b/cmd/bilberryslip-standin/main.go
@@ -1,6 +1,6 @@
 // Command bilberryslip-standin stands in for what surrounds the system, for
-// the demo, tests and measurements: the platform, a model engine or a plain
-// service.
+// the demo, tests and measurements: the platform, a model engine, a plain
+// service or callers.
 package main
 
 import (
@@ -24,6 +24,7 @@
 	Platform *platformCommand `arg:"subcommand:platform" help:"run the platform: object API, host list, weight store"`
 	Engine   *engineCommand   `arg:"subcommand:engine" help:"run a model engine"`
 	Service  *serviceCommand  `arg:"subcommand:service" help:"run a plain service"`
+	Load     *loadCommand     `arg:"subcommand:load" help:"send a load of requests to hosts"`
 }
 
 // command is one subcommand.
@@ -43,11 +44,19 @@
 func main() {
 	var args arguments
 	parser := arg.MustParse(&args)
+	if args.Load != nil {
+		exitOnError(args.Load.run())
+		return
+	}
 	chosen, ok := parser.Subcommand().(command)
 	if !ok {
-		parser.Fail("name a subcommand: platform, engine or service")
+		parser.Fail("name a subcommand: platform, engine, service or load")
 	}
-	if err := run(chosen); err != nil {
+	exitOnError(run(chosen))
+}
+
+func exitOnError(err error) {
+	if err != nil {
 		logrus.WithError(err).Error("stand-in failed")
 		os.Exit(1)
 	}
