Add the platform client, the configuration log, claims and the operators' service

The configuration is a dense log of conditional creates, so that hosts agree on the order and operators race through the platform; claims are conditional creates of a hash of the idempotency key. The peer answer to Changes gains the host's revision and the age of its proof, so that freshness can be relayed.

--- /dev/null
+++ b/internal/claims/metrics.go
@@ -0,0 +1,39 @@
+package claims
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type bookMetrics struct {
+	begins  *prometheus.CounterVec
+	pending prometheus.Gauge
+	deleted prometheus.Counter
+}
+
+func newBookMetrics() *bookMetrics {
+	return &bookMetrics{
+		begins: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberryslip_claims_begins_total",
+			Help: "Requests that were to be claimed, by result.",
+		}, []string{"result"}),
+		pending: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "bilberryslip_claims_pending_writes",
+			Help: "Final states of claims that the platform has not confirmed yet.",
+		}),
+		deleted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bilberryslip_claims_deleted_total",
+			Help: "Claims deleted by this host after their retention.",
+		}),
+	}
+}
+
+func (m *bookMetrics) observe(outcome Outcome, err error) {
+	result := string(outcome.State)
+	if err != nil {
+		result = "unavailable"
+	}
+	m.begins.WithLabelValues(result).Inc()
+}
+
+// Collectors returns the book's metrics, for registration.
+func (b *Book) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{b.metrics.begins, b.metrics.pending, b.metrics.deleted}
+}
--- /dev/null
+++ b/internal/config/snapshots.go
@@ -0,0 +1,186 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+const (
+	// maxChunkBytes bounds one chunk as stored, below the platform's 1 MiB a
+	// value.
+	maxChunkBytes = 512 << 10
+	// snapshotTimeout bounds the writing of one snapshot.
+	snapshotTimeout = time.Minute
+	// manifestPrefix begins the names of manifests.
+	manifestPrefix = "manifest-"
+)
+
+// manifest says which chunks make up a snapshot. It is written last, so a
+// snapshot with a manifest is whole.
+type manifest struct {
+	Revision int64 `json:"revision"`
+	// ChunkPrefix begins the names of the chunks, which are the writer's own.
+	ChunkPrefix string `json:"chunkPrefix"`
+	Chunks      int    `json:"chunks"`
+}
+
+func (m manifest) name() string { return manifestPrefix + changeName(m.Revision) }
+
+// wakeSnapshots wakes the snapshot loop when the revision passes a multiple
+// of the interval.
+func (l *Log) wakeSnapshots(before, after int64) {
+	if before/l.config.SnapshotInterval == after/l.config.SnapshotInterval {
+		return
+	}
+	select {
+	case l.accepted <- struct{}{}:
+	default:
+	}
+}
+
+// serveSnapshots writes a snapshot where a new one is due. Every host is
+// woken; each waits for a random time and the first to write saves the others
+// the work.
+func (l *Log) serveSnapshots(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.accepted:
+		}
+		if !wait(ctx, rand.N(l.config.SnapshotDelay)) {
+			return ctx.Err()
+		}
+		if err := l.WriteSnapshot(ctx); err != nil && ctx.Err() == nil {
+			logrus.WithError(err).Warn("configuration snapshot not written; it is tried again after the next changes")
+		}
+	}
+}
+
+// WriteSnapshot writes the snapshot in force to the platform and compacts
+// what it replaces, unless there is a snapshot newer than one interval.
+func (l *Log) WriteSnapshot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	manifests, err := l.listManifests(ctx)
+	if err != nil {
+		return err
+	}
+	snapshot := l.Current()
+	if len(manifests) > 0 && manifests[len(manifests)-1].Revision+l.config.SnapshotInterval > snapshot.revision {
+		return nil
+	}
+	m, err := l.writeChunks(ctx, snapshot)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "encoding a snapshot manifest")
+	}
+	if _, err := platform.CreateSettled(ctx, l.config.Store, platform.KindConfigSnapshot, m.name(), uuid.NewString(), value); err != nil {
+		return err
+	}
+	logrus.WithFields(logrus.Fields{"revision": m.Revision, "chunks": m.Chunks}).Info("configuration snapshot written")
+	return l.compact(ctx, append(manifests, m))
+}
+
+func (l *Log) writeChunks(ctx context.Context, snapshot *Snapshot) (manifest, error) {
+	m := manifest{
+		Revision:    snapshot.revision,
+		ChunkPrefix: fmt.Sprintf("chunk-%s-%s-", changeName(snapshot.revision), uuid.NewString()),
+	}
+	for _, chunk := range splitSnapshot(snapshot) {
+		value, err := protojson.Marshal(chunk)
+		if err != nil {
+			return m, errors.Wrap(err, "encoding a snapshot chunk")
+		}
+		name := fmt.Sprintf("%s%04d", m.ChunkPrefix, m.Chunks)
+		if _, err := platform.CreateSettled(ctx, l.config.Store, platform.KindConfigSnapshot, name, uuid.NewString(), value); err != nil {
+			return m, err
+		}
+		m.Chunks++
+	}
+	return m, nil
+}
+
+// splitSnapshot divides a snapshot into chunks that the platform can hold.
+func splitSnapshot(snapshot *Snapshot) []*apiv1.ConfigSnapshot {
+	current := &apiv1.ConfigSnapshot{Revision: snapshot.revision}
+	chunks := []*apiv1.ConfigSnapshot{current}
+	size := 0
+	for _, obj := range snapshot.Objects(apiv1.Kind_KIND_UNSPECIFIED) {
+		added := encodedSize(obj)
+		if size > 0 && size+added > maxChunkBytes {
+			current = &apiv1.ConfigSnapshot{Revision: snapshot.revision}
+			chunks = append(chunks, current)
+			size = 0
+		}
+		current.Objects = append(current.Objects, obj)
+		size += added
+	}
+	return chunks
+}
+
+// listManifests returns the manifests by revision.
+func (l *Log) listManifests(ctx context.Context) ([]manifest, error) {
+	listing, err := l.config.Store.List(ctx, platform.KindConfigSnapshot, manifestPrefix)
+	if err != nil {
+		return nil, err
+	}
+	manifests := make([]manifest, len(listing.Items))
+	for i, item := range listing.Items {
+		if err := json.Unmarshal(item.Value, &manifests[i]); err != nil {
+			return nil, errors.Wrapf(err, "decoding snapshot manifest %q; delete the object", item.Name)
+		}
+	}
+	return manifests, nil
+}
+
+// loadSnapshot reads the newest snapshot from the platform.
+func (l *Log) loadSnapshot(ctx context.Context) error {
+	manifests, err := l.listManifests(ctx)
+	if err != nil {
+		return err
+	}
+	if len(manifests) == 0 {
+		return errors.New("the configuration log begins late and there is no snapshot; restore the snapshot objects")
+	}
+	m := manifests[len(manifests)-1]
+	listing, err := l.config.Store.List(ctx, platform.KindConfigSnapshot, m.ChunkPrefix)
+	if err != nil {
+		return err
+	}
+	if len(listing.Items) != m.Chunks {
+		return errors.Newf("configuration snapshot %d has %d chunks of %d; list again", m.Revision, len(listing.Items), m.Chunks)
+	}
+	objects, err := decodeChunks(listing)
+	if err != nil {
+		return err
+	}
+	l.update(func(r *replica, _ time.Time) { r.offerSnapshot(NewSnapshot(m.Revision, objects)) })
+	return nil
+}
+
+func decodeChunks(listing platform.Listing) ([]*apiv1.Object, error) {
+	var objects []*apiv1.Object
+	options := protojson.UnmarshalOptions{DiscardUnknown: true}
+	for _, item := range listing.Items {
+		chunk := &apiv1.ConfigSnapshot{}
+		if err := options.Unmarshal(item.Value, chunk); err != nil {
+			return nil, errors.Wrapf(err, "decoding snapshot chunk %q; delete the snapshot's manifest", item.Name)
+		}
+		objects = append(objects, chunk.Objects...)
+	}
+	return objects, nil
+}
--- /dev/null
+++ b/internal/config/sync.go
@@ -0,0 +1,225 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"github.com/cenkalti/backoff/v4"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// changesLimit is the number of changes asked of a peer at once.
+	changesLimit = 256
+	// retryInterval is the first pause after a failed list or watch.
+	retryInterval = 100 * time.Millisecond
+	// retryMaxInterval is the longest such pause.
+	retryMaxInterval = 2 * time.Second
+)
+
+// serveWatch lists and watches the log, again and again.
+func (l *Log) serveWatch(ctx context.Context) error {
+	pause := backoff.NewExponentialBackOff(
+		backoff.WithInitialInterval(retryInterval),
+		backoff.WithMaxInterval(retryMaxInterval),
+		backoff.WithMaxElapsedTime(0),
+	)
+	for {
+		started := l.config.Clock()
+		err := l.watchOnce(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if l.config.Clock().Sub(started) > retryMaxInterval {
+			pause.Reset()
+		}
+		logrus.WithError(err).Warn("configuration watch ended; listing again")
+		if !wait(ctx, pause.NextBackOff()) {
+			return ctx.Err()
+		}
+	}
+}
+
+// wait reports false if the context ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Log) watchOnce(ctx context.Context) error {
+	version, err := l.load(ctx)
+	if err != nil {
+		return err
+	}
+	watch, err := l.config.Store.Watch(ctx, platform.KindConfigChange, version)
+	if err != nil {
+		return err
+	}
+	defer watch.Stop()
+	for ev := range watch.Events() {
+		if ev.Type != platform.EventPut {
+			continue
+		}
+		change, err := decodeChange(ev.Object)
+		if err != nil {
+			return err
+		}
+		l.learn(change)
+	}
+	return watch.Err()
+}
+
+// load reads the newest snapshot, if this host needs it, and the log, and
+// returns the version from which to watch.
+func (l *Log) load(ctx context.Context) (platform.Version, error) {
+	sentAt := l.config.Clock()
+	listing, err := l.config.Store.List(ctx, platform.KindConfigChange, "")
+	if err != nil {
+		return 0, err
+	}
+	changes, err := decodeChanges(listing)
+	if err != nil {
+		return 0, err
+	}
+	if l.needsSnapshot(changes) {
+		if err := l.loadSnapshot(ctx); err != nil {
+			return 0, err
+		}
+	}
+	l.update(func(r *replica, now time.Time) {
+		r.offer(now, changes...)
+		r.backfill(now, changes)
+	})
+	if err := l.checkReached(changes); err != nil {
+		return 0, err
+	}
+	l.noteListed()
+	l.prove(sentAt, lastRevision(changes))
+	return listing.Version, nil
+}
+
+func decodeChanges(listing platform.Listing) ([]*apiv1.Change, error) {
+	changes := make([]*apiv1.Change, 0, len(listing.Items))
+	for _, item := range listing.Items {
+		change, err := decodeChange(item)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
+
+func lastRevision(changes []*apiv1.Change) int64 {
+	if len(changes) == 0 {
+		return 0
+	}
+	return changes[len(changes)-1].Revision
+}
+
+// needsSnapshot reports whether the changes don't follow on what this host
+// has.
+func (l *Log) needsSnapshot(changes []*apiv1.Change) bool {
+	return len(changes) > 0 && changes[0].Revision > l.Current().Revision()+1
+}
+
+// checkReached fails where the listed changes have a gap.
+func (l *Log) checkReached(changes []*apiv1.Change) error {
+	if revision, last := l.Current().Revision(), lastRevision(changes); revision < last {
+		return errors.Newf("the configuration log has revision %d but not %d; restore the missing object", last, revision+1)
+	}
+	return nil
+}
+
+func (l *Log) noteListed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loaded = true
+	l.listed = true
+}
+
+// serveProofs proves at intervals that the revision in force is the latest.
+func (l *Log) serveProofs(ctx context.Context) error {
+	for wait(ctx, l.config.ProofInterval) {
+		if err := l.Prove(ctx); err != nil && ctx.Err() == nil {
+			logrus.WithError(err).Debug("no proof that the configuration is the latest")
+		}
+	}
+	return ctx.Err()
+}
+
+// Prove reads the entry after the last one known. The log is dense, so its
+// absence proves that this host is up to date. Entries are deleted only long
+// after they were written (see MinChangeAge); a host that had no proof for
+// half of that time lists the log instead.
+func (l *Log) Prove(ctx context.Context) error {
+	for {
+		sentAt := l.config.Clock()
+		revision, proof := l.Current().Revision(), l.Freshness()
+		if sentAt.Sub(proof) > l.config.MinChangeAge/2 {
+			_, err := l.load(ctx)
+			return err
+		}
+		obj, err := l.config.Store.Get(ctx, platform.KindConfigChange, changeName(revision+1))
+		if l.config.Clock().Sub(proof) > l.config.MinChangeAge {
+			continue
+		}
+		var missing *platform.NotFoundError
+		if errors.As(err, &missing) {
+			l.prove(sentAt, revision)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		change, err := decodeChange(obj)
+		if err != nil {
+			return err
+		}
+		l.learn(change)
+	}
+}
+
+// servePeers asks a peer while the platform gives no proof, and at once when
+// a peer is known to be ahead.
+func (l *Log) servePeers(ctx context.Context) error {
+	if l.config.Peers == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	ticker := time.NewTicker(l.config.PeerInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.hints:
+			l.askPeer(ctx)
+		case <-ticker.C:
+			if l.config.Clock().Sub(l.Freshness()) > 2*l.config.ProofInterval {
+				l.askPeer(ctx)
+			}
+		}
+	}
+}
+
+func (l *Log) askPeer(ctx context.Context) {
+	req := &peerv1.ChangesRequest{AfterRevision: l.Current().Revision(), Limit: changesLimit}
+	askedAt := l.config.Clock()
+	resp, err := l.config.Peers.Changes(ctx, req)
+	if err != nil {
+		logrus.WithError(err).Debug("no peer answered about the configuration")
+		return
+	}
+	l.Learn(resp, askedAt)
+}
--- /dev/null
+++ b/internal/platform/call.go
@@ -0,0 +1,240 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// headerWriteID carries the identifier of a write.
+	headerWriteID = "X-Write-Id"
+	// headerNotApplied marks a 503 whose call certainly had no effect.
+	headerNotApplied = "X-Not-Applied"
+	// maxAnswerBytes bounds the answer to one call.
+	maxAnswerBytes = 64 << 20
+	// maxErrorBytes bounds how much of an error's text is kept.
+	maxErrorBytes = 512
+)
+
+// The names of calls in metrics.
+const (
+	callGet    = "get"
+	callList   = "list"
+	callCreate = "create"
+	callUpdate = "update"
+	callDelete = "delete"
+	callWatch  = "watch"
+	callHosts  = "hosts"
+)
+
+// call is one call of the object API.
+type call struct {
+	name        string
+	method      string
+	path        string
+	kind        Kind
+	object      string
+	writeID     string
+	ifNoneMatch bool
+	// ifMatch is the version demanded. Zero means none.
+	ifMatch Version
+	body    json.RawMessage
+}
+
+func (c call) isWrite() bool { return c.method != http.MethodGet }
+
+// RejectedError reports a call that the platform refused as wrong. It had no
+// effect.
+type RejectedError struct {
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("platform rejected the call with status %d: %s; check the platform token and the size of the value (at most 1 MiB)", e.Status, e.Message)
+}
+
+func objectPath(kind Kind, name string) string {
+	return "/v1/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
+
+func listPath(kind Kind, prefix string) string {
+	return "/v1/objects/" + url.PathEscape(string(kind)) + "?prefix=" + url.QueryEscape(prefix)
+}
+
+// do makes a call, at each address in turn while that is safe: a read until
+// one answers, a write only as long as nothing was sent.
+func (c *Client) do(ctx context.Context, cl call, answer any) error {
+	started := c.config.Clock()
+	err := c.tryAddresses(ctx, cl, answer)
+	c.metrics.observe(cl.name, err, c.config.Clock().Sub(started))
+	return err
+}
+
+func (c *Client) tryAddresses(ctx context.Context, cl call, answer any) error {
+	err := error(&UnavailableError{Outcome: OutcomeNotSent, Cause: errors.New("no platform address is set")})
+	for range c.config.Addresses {
+		index := c.preferred.Load()
+		address := c.config.Addresses[int(index)%len(c.config.Addresses)]
+		err = c.tryAddress(ctx, address, cl, answer)
+		var unavailable *UnavailableError
+		if !errors.As(err, &unavailable) {
+			c.noteAnswer()
+			return err
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		c.available.Store(false)
+		c.preferred.CompareAndSwap(index, index+1)
+		if unavailable.RetryAfter > 0 || cl.isWrite() && unavailable.Outcome != OutcomeNotSent {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *Client) noteAnswer() {
+	now := c.config.Clock()
+	c.answered.Store(&now)
+	c.available.Store(true)
+}
+
+// tryAddress makes one attempt at one address.
+func (c *Client) tryAddress(ctx context.Context, address string, cl call, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.config.CallTimeout)
+	defer cancel()
+	var connected atomic.Bool
+	req, err := c.newRequest(traceConnection(ctx, &connected), address, cl)
+	if err != nil {
+		return &UnavailableError{Outcome: OutcomeNotSent, Cause: err}
+	}
+	resp, err := c.calls.Do(req)
+	if err != nil {
+		// Other idle connections may be as dead as this one.
+		c.transport.CloseIdleConnections()
+		return &UnavailableError{Outcome: outcomeOf(&connected), Cause: err}
+	}
+	defer resp.Body.Close()
+	err = decodeAnswer(resp, cl, answer)
+	if ctx.Err() != nil {
+		c.transport.CloseIdleConnections()
+	}
+	return err
+}
+
+// traceConnection sets connected once the call has a connection, from when
+// on bytes may have left.
+func traceConnection(ctx context.Context, connected *atomic.Bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+}
+
+func outcomeOf(connected *atomic.Bool) WriteOutcome {
+	if connected.Load() {
+		return OutcomeUnknown
+	}
+	return OutcomeNotSent
+}
+
+// newRequest builds a request that net/http can't send twice by itself: a
+// write's body can't be rewound.
+func (c *Client) newRequest(ctx context.Context, address string, cl call) (*http.Request, error) {
+	var body io.Reader
+	if cl.body != nil {
+		body = io.NopCloser(bytes.NewReader(cl.body))
+	}
+	req, err := http.NewRequestWithContext(ctx, cl.method, strings.TrimSuffix(address, "/")+cl.path, body)
+	if err != nil {
+		return nil, err
+	}
+	if cl.body != nil {
+		req.ContentLength = int64(len(cl.body))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.config.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.config.Token)
+	}
+	if cl.writeID != "" {
+		req.Header.Set(headerWriteID, cl.writeID)
+	}
+	if cl.ifNoneMatch {
+		req.Header.Set("If-None-Match", "*")
+	}
+	if cl.ifMatch != 0 {
+		req.Header.Set("If-Match", strconv.Quote(strconv.FormatInt(int64(cl.ifMatch), 10)))
+	}
+	return req, nil
+}
+
+func decodeAnswer(resp *http.Response, cl call, answer any) error {
+	switch {
+	case resp.StatusCode == http.StatusNoContent:
+		return nil
+	case resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated:
+		return decodeBody(resp, answer)
+	case resp.StatusCode == http.StatusNotFound:
+		return &NotFoundError{Kind: cl.kind, Name: cl.object}
+	case resp.StatusCode == http.StatusPreconditionFailed:
+		var current Object
+		if err := decodeBody(resp, &current); err != nil {
+			return err
+		}
+		return &ConflictError{Current: current}
+	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode >= http.StatusInternalServerError:
+		return unavailableStatus(resp)
+	default:
+		return &RejectedError{Status: resp.StatusCode, Message: errorText(resp)}
+	}
+}
+
+func decodeBody(resp *http.Response, answer any) error {
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(answer)
+	if err != nil {
+		return &UnavailableError{Outcome: OutcomeUnknown, Cause: errors.Wrap(err, "decoding the platform's answer")}
+	}
+	// Reading to the end lets the connection be used again.
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
+	return nil
+}
+
+func unavailableStatus(resp *http.Response) error {
+	outcome := OutcomeUnknown
+	notApplied := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotApplied) == "true"
+	if resp.StatusCode == http.StatusTooManyRequests || notApplied {
+		outcome = OutcomeNotSent
+	}
+	return &UnavailableError{
+		Outcome:    outcome,
+		RetryAfter: retryAfter(resp),
+		Cause:      errors.Newf("status %d: %s", resp.StatusCode, errorText(resp)),
+	}
+}
+
+// retryAfter reads the header Retry-After, in seconds.
+func retryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 || seconds > time.Hour.Seconds() {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func errorText(resp *http.Response) string {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	return strings.TrimSpace(string(text))
+}
--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,181 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// watchBuffer is the number of events read ahead of the consumer.
+const watchBuffer = 256
+
+// SilentWatchError reports a watch that sent nothing for too long.
+type SilentWatchError struct {
+	Kind  Kind
+	After time.Duration
+}
+
+// Error implements error.
+func (e *SilentWatchError) Error() string {
+	return fmt.Sprintf("watch of %s was silent for %v and was closed; it is dialled anew", e.Kind, e.After)
+}
+
+// Watch implements Store. Each watch has a connection of its own, which is
+// closed with it. A watch that sends neither event nor bookmark for the
+// watch timeout ends with *SilentWatchError.
+func (c *Client) Watch(ctx context.Context, kind Kind, after Version) (Watch, error) {
+	started := c.config.Clock()
+	w, err := c.openWatch(ctx, kind, after)
+	c.metrics.observe(callWatch, err, c.config.Clock().Sub(started))
+	if err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+func (c *Client) openWatch(ctx context.Context, kind Kind, after Version) (*clientWatch, error) {
+	err := error(&UnavailableError{Outcome: OutcomeNotSent, Cause: errors.New("no platform address is set")})
+	for range c.config.Addresses {
+		index := c.preferred.Load()
+		var w *clientWatch
+		w, err = c.openWatchAt(ctx, c.config.Addresses[int(index)%len(c.config.Addresses)], kind, after)
+		var unavailable *UnavailableError
+		if !errors.As(err, &unavailable) {
+			c.noteAnswer()
+			return w, err
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		c.available.Store(false)
+		c.preferred.CompareAndSwap(index, index+1)
+	}
+	return nil, err
+}
+
+func (c *Client) openWatchAt(parent context.Context, address string, kind Kind, after Version) (*clientWatch, error) {
+	ctx, cancel := context.WithCancelCause(parent)
+	progress := time.AfterFunc(c.config.WatchTimeout, func() {
+		cancel(&SilentWatchError{Kind: kind, After: c.config.WatchTimeout})
+	})
+	fail := func(err error) (*clientWatch, error) {
+		progress.Stop()
+		cancel(nil)
+		return nil, err
+	}
+	var connected atomic.Bool
+	path := "/v1/watch/" + string(kind) + "?after=" + strconv.FormatInt(int64(after), 10)
+	req, err := c.newRequest(traceConnection(ctx, &connected), address, call{name: callWatch, method: http.MethodGet, path: path})
+	if err != nil {
+		return fail(&UnavailableError{Outcome: OutcomeNotSent, Cause: err})
+	}
+	resp, err := c.watches.Do(req)
+	if err != nil {
+		return fail(&UnavailableError{Outcome: outcomeOf(&connected), Cause: err})
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return fail(watchRefusal(resp, kind))
+	}
+	w := &clientWatch{
+		kind: kind, events: make(chan Event, watchBuffer), ctx: ctx, cancel: cancel,
+		progress: progress, timeout: c.config.WatchTimeout, client: c,
+	}
+	c.metrics.watches.Inc()
+	go w.read(resp)
+	return w, nil
+}
+
+func watchRefusal(resp *http.Response, kind Kind) error {
+	if resp.StatusCode != http.StatusGone {
+		err := decodeAnswer(resp, call{kind: kind}, &struct{}{})
+		if err == nil {
+			err = &RejectedError{Status: resp.StatusCode, Message: "unexpected status for a watch"}
+		}
+		return err
+	}
+	var gone struct {
+		Oldest Version `json:"oldest"`
+	}
+	if err := decodeBody(resp, &gone); err != nil {
+		return err
+	}
+	return &GoneError{Oldest: gone.Oldest}
+}
+
+// clientWatch is a Watch over one connection.
+type clientWatch struct {
+	kind     Kind
+	client   *Client
+	events   chan Event
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	progress *time.Timer
+	timeout  time.Duration
+
+	mu  sync.Mutex
+	err error
+}
+
+// Events implements Watch.
+func (w *clientWatch) Events() <-chan Event { return w.events }
+
+// Err implements Watch.
+func (w *clientWatch) Err() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
+// Stop implements Watch.
+func (w *clientWatch) Stop() { w.cancel(nil) }
+
+func (w *clientWatch) read(resp *http.Response) {
+	defer close(w.events)
+	defer w.cancel(nil)
+	defer w.progress.Stop()
+	defer resp.Body.Close()
+	defer w.client.metrics.watches.Dec()
+	decoder := json.NewDecoder(resp.Body)
+	for {
+		var ev Event
+		if err := decoder.Decode(&ev); err != nil {
+			w.end(err)
+			return
+		}
+		w.client.noteAnswer()
+		if !w.deliver(ev) {
+			w.end(w.ctx.Err())
+			return
+		}
+	}
+}
+
+// deliver hands an event on; a slow consumer does not count as silence.
+func (w *clientWatch) deliver(ev Event) bool {
+	w.progress.Stop()
+	defer w.progress.Reset(w.timeout)
+	select {
+	case w.events <- ev:
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
+
+func (w *clientWatch) end(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var silent *SilentWatchError
+	if errors.As(context.Cause(w.ctx), &silent) {
+		err = silent
+	}
+	w.err = &UnavailableError{Outcome: OutcomeUnknown, Cause: err}
+}
