Add decision records, leases and the placement owner with recorded intents

Placement needs one owner per availability zone that a paused or replaced host can't undermine. The lease only saves work: each order is written to the endpoint's intent object by conditional update before it is sent, and an endpoint's account counts its newest report plus every order that may yet take effect. A new owner claims each object with its higher term, so an earlier owner's write fails.

Ruled out: resting on the lease (a pause fits between check and send), and dropping an intent when its call times out (the order may still arrive).

The plan loads each model where it must be, makes room, spreads load and keeps adapters in their reserved memory.

--- /dev/null
+++ b/internal/decisions/recorder.go
@@ -0,0 +1,237 @@
+// Package decisions records what the system decided (place, refuse, move,
+// stop, route) with the inputs of each decision, answers queries, and writes
+// all but routing decisions to the platform in segments.
+package decisions
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
+)
+
+// Defaults of Config.
+const (
+	DefaultCapacity      = 8192
+	DefaultFlushInterval = 10 * time.Second
+	DefaultRetention     = 24 * time.Hour
+	// DefaultQueryLimit is the number of records of a query without a limit.
+	DefaultQueryLimit = 100
+)
+
+// Config sets up a Recorder.
+type Config struct {
+	// Host and Zone are put on each record.
+	Host string
+	Zone string
+	// Store receives the segments. Nil keeps records in memory only.
+	Store platform.Store
+	// Now is the clock. Nil means time.Now.
+	Now func() time.Time
+	// Capacity is the number of records kept in memory, and of those that
+	// wait for the platform. Zero means DefaultCapacity.
+	Capacity int
+	// FlushInterval is the least time between two segments. Zero means
+	// DefaultFlushInterval.
+	FlushInterval time.Duration
+	// Retention is how long segments are kept. Zero means DefaultRetention.
+	Retention time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Capacity <= 0 {
+		c.Capacity = DefaultCapacity
+	}
+	if c.FlushInterval <= 0 {
+		c.FlushInterval = DefaultFlushInterval
+	}
+	if c.Retention <= 0 {
+		c.Retention = DefaultRetention
+	}
+	return c
+}
+
+// Recorder keeps the newest decisions in memory. The zero value is not
+// usable; call New.
+type Recorder struct {
+	cfg     Config
+	metrics recorderMetrics
+
+	mu      sync.Mutex
+	entropy *ulid.MonotonicEntropy
+	ring    []*apiv1.Decision
+	next    int
+	// pending waits for the next segment, oldest first.
+	pending []*apiv1.Decision
+	// stored is when the newest segment was written; zero before the first.
+	stored time.Time
+
+	sweep sweepState
+}
+
+// New returns a recorder. Run its Serve to have segments written.
+func New(cfg Config) *Recorder {
+	cfg = cfg.withDefaults()
+	return &Recorder{
+		cfg:     cfg,
+		metrics: newRecorderMetrics(),
+		entropy: ulid.Monotonic(newEntropy(), 0),
+		ring:    make([]*apiv1.Decision, cfg.Capacity),
+	}
+}
+
+// newEntropy returns a source of random bytes for identifiers, seeded by the
+// runtime.
+func newEntropy() *rand.ChaCha8 {
+	var seed [32]byte
+	for i := range seed {
+		seed[i] = byte(rand.Uint32())
+	}
+	return rand.NewChaCha8(seed)
+}
+
+// Record keeps a copy of the decision, with its identifier, host, zone and
+// time set, and returns the identifier.
+func (r *Recorder) Record(decision *apiv1.Decision) string {
+	kept := proto.Clone(decision).(*apiv1.Decision)
+	now := r.cfg.Now()
+	kept.Host = r.cfg.Host
+	kept.Zone = r.cfg.Zone
+	kept.UnixMillis = now.UnixMilli()
+	r.metrics.recorded.WithLabelValues(kindLabel(kept.Kind)).Inc()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept.Id = ulid.MustNew(ulid.Timestamp(now), r.entropy).String()
+	r.ring[r.next] = kept
+	r.next = (r.next + 1) % len(r.ring)
+	if r.cfg.Store != nil && kept.Kind != apiv1.DecisionKind_DECISION_KIND_ROUTE {
+		r.enqueue(kept)
+	}
+	return kept.Id
+}
+
+// enqueue drops the oldest waiting record where the platform has been away
+// for too long.
+func (r *Recorder) enqueue(decision *apiv1.Decision) {
+	if len(r.pending) >= r.cfg.Capacity {
+		r.pending = r.pending[1:]
+		r.metrics.dropped.Inc()
+	}
+	r.pending = append(r.pending, decision)
+}
+
+// Query returns the records in memory that match, newest first.
+func (r *Recorder) Query(req *apiv1.DecisionsRequest) []*apiv1.Decision {
+	limit := queryLimit(req)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []*apiv1.Decision
+	for i := 1; i <= len(r.ring) && len(found) < limit; i++ {
+		decision := r.ring[(r.next-i+len(r.ring))%len(r.ring)]
+		if decision == nil {
+			break
+		}
+		if matches(req, decision) {
+			found = append(found, decision)
+		}
+	}
+	return found
+}
+
+func queryLimit(req *apiv1.DecisionsRequest) int {
+	if req.GetLimit() <= 0 {
+		return DefaultQueryLimit
+	}
+	return int(req.GetLimit())
+}
+
+func matches(req *apiv1.DecisionsRequest, d *apiv1.Decision) bool {
+	return (req.GetKind() == apiv1.DecisionKind_DECISION_KIND_UNSPECIFIED || req.GetKind() == d.Kind) &&
+		matchesText(req.GetId(), d.Id) &&
+		matchesText(req.GetOrganisation(), d.Organisation) &&
+		matchesText(req.GetModel(), d.Model) &&
+		matchesText(req.GetEndpoint(), d.Endpoint) &&
+		matchesText(req.GetRequestId(), d.RequestId) &&
+		d.UnixMillis >= req.GetSinceUnixMillis() &&
+		(req.GetUntilUnixMillis() == 0 || d.UnixMillis <= req.GetUntilUnixMillis())
+}
+
+func matchesText(wanted, got string) bool { return wanted == "" || wanted == got }
+
+func kindLabel(kind apiv1.DecisionKind) string {
+	switch kind {
+	case apiv1.DecisionKind_DECISION_KIND_PLACE:
+		return "place"
+	case apiv1.DecisionKind_DECISION_KIND_REFUSE:
+		return "refuse"
+	case apiv1.DecisionKind_DECISION_KIND_MOVE:
+		return "move"
+	case apiv1.DecisionKind_DECISION_KIND_STOP:
+		return "stop"
+	case apiv1.DecisionKind_DECISION_KIND_ROUTE:
+		return "route"
+	default:
+		return "unspecified"
+	}
+}
+
+// recorderState is the recorder's part of the state dump.
+type recorderState struct {
+	Kept             int   `json:"kept"`
+	Waiting          int   `json:"waiting"`
+	SegmentAgeMillis int64 `json:"segmentAgeMillis"`
+}
+
+// DumpState returns the number of records kept and waiting, and the age of
+// the newest segment in milliseconds, -1 where there is none.
+func (r *Recorder) DumpState() any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := recorderState{Waiting: len(r.pending), SegmentAgeMillis: -1}
+	for _, d := range r.ring {
+		if d != nil {
+			state.Kept++
+		}
+	}
+	if !r.stored.IsZero() {
+		state.SegmentAgeMillis = r.cfg.Now().Sub(r.stored).Milliseconds()
+	}
+	return state
+}
+
+type recorderMetrics struct {
+	recorded *prometheus.CounterVec
+	dropped  prometheus.Counter
+	segments prometheus.Counter
+}
+
+func newRecorderMetrics() recorderMetrics {
+	return recorderMetrics{
+		recorded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberryslip_decisions_total",
+			Help: "Decisions recorded, by kind.",
+		}, []string{"kind"}),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bilberryslip_decisions_dropped_total",
+			Help: "Decisions dropped before they were written to the platform.",
+		}),
+		segments: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bilberryslip_decision_segments_total",
+			Help: "Segments of decisions written to the platform.",
+		}),
+	}
+}
+
+// Collectors returns the recorder's metrics.
+func (r *Recorder) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{r.metrics.recorded, r.metrics.dropped, r.metrics.segments}
+}
--- /dev/null
+++ b/internal/placement/owner/fleet_test.go
@@ -0,0 +1,342 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/config"
+	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/lease"
+	"bilberryslip.example/bilberryslip/internal/placement"
+)
+
+const (
+	gib      = int64(1) << 30
+	loadTime = 3 * time.Second
+)
+
+// engine is a fake model engine that allocates whatever it is told to, and
+// keeps its own account of bytes.
+type engine struct {
+	config      *apiv1.Endpoint
+	incarnation int
+	sequence    int64
+	fence       int64
+	items       map[placement.Item]*heldItem
+	settled     []engineapi.SettledOrder
+	down        bool
+	state       endpoint.State
+}
+
+type heldItem struct {
+	bytes   int64
+	readyAt time.Time
+	orderID string
+	ready   bool
+}
+
+func (e *engine) used() int64 {
+	total := int64(0)
+	for _, item := range e.items {
+		total += item.bytes
+	}
+	return total
+}
+
+func (e *engine) settle(id string, done bool) {
+	e.settled = append(e.settled, engineapi.SettledOrder{ID: id, Done: done})
+}
+
+// fate is what the network does to one order.
+type fate struct {
+	// lost means that no copy arrives by the call itself.
+	lost bool
+	// answerLost means that the sender does not hear of it.
+	answerLost bool
+	// late holds the delays of further copies.
+	late []time.Duration
+	// block, where set, keeps the sender from sending until it is closed.
+	block chan struct{}
+}
+
+type delivery struct {
+	at    time.Time
+	name  string
+	order engineapi.Order
+}
+
+// fleet is a set of fake engines on virtual time.
+type fleet struct {
+	mu       sync.Mutex
+	now      time.Time
+	engines  []*engine
+	pending  []delivery
+	fate     func(name string, order engineapi.Order) fate
+	lag      time.Duration
+	failures []string
+	orders   []engineapi.Order
+}
+
+func newFleet() *fleet {
+	return &fleet{now: time.Unix(1_700_000_000, 0)}
+}
+
+func (f *fleet) clock() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+func (f *fleet) add(name, zone string, memory, adapters int64, fencing bool) *engine {
+	e := &engine{
+		config: &apiv1.Endpoint{
+			Name: name, Zone: zone, Kind: apiv1.EndpointKind_ENDPOINT_KIND_ENGINE,
+			MemoryBytes: memory, AdapterMemoryBytes: adapters, ChecksFencing: fencing,
+		},
+		items: make(map[placement.Item]*heldItem),
+	}
+	f.engines = append(f.engines, e)
+	return e
+}
+
+func (f *fleet) engine(name string) *engine {
+	for _, e := range f.engines {
+		if e.config.Name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+// Order implements owner.Endpoints.
+func (f *fleet) Order(ctx context.Context, name string, order engineapi.Order) (engineapi.OrderResult, error) {
+	f.mu.Lock()
+	what := fate{}
+	if f.fate != nil {
+		what = f.fate(name, order)
+	}
+	f.orders = append(f.orders, order)
+	for _, delay := range what.late {
+		f.pending = append(f.pending, delivery{f.now.Add(delay), name, order})
+	}
+	f.mu.Unlock()
+	if what.block != nil {
+		<-what.block
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engine(name)
+	if what.lost || e.down || ctx.Err() != nil {
+		return engineapi.OrderResult{}, errors.New("no answer")
+	}
+	accepted := f.deliver(e, order)
+	if what.answerLost {
+		return engineapi.OrderResult{}, errors.New("no answer")
+	}
+	return engineapi.OrderResult{Accepted: accepted}, nil
+}
+
+// deliver carries an order out. The engine checks neither memory nor
+// incarnation nor identifiers, and the fence only where configured.
+func (f *fleet) deliver(e *engine, order engineapi.Order) bool {
+	if e.config.ChecksFencing {
+		if order.Fence < e.fence {
+			return false
+		}
+		e.fence = order.Fence
+	}
+	item := placement.Item{Model: order.Model, Version: order.Version, Adapter: order.Adapter}
+	held := e.items[item]
+	switch order.Action {
+	case engineapi.ActionLoadModel, engineapi.ActionLoadAdapter:
+		if held != nil {
+			e.settle(order.ID, true)
+			return true
+		}
+		e.items[item] = &heldItem{bytes: order.Bytes, readyAt: f.now.Add(loadTime), orderID: order.ID}
+		if e.used() > e.config.MemoryBytes {
+			f.failures = append(f.failures, fmt.Sprintf("%s overcommitted by %s: %d of %d bytes", e.config.Name, item, e.used(), e.config.MemoryBytes))
+		}
+	default:
+		if held != nil && !held.ready {
+			e.settle(held.orderID, false)
+		}
+		delete(e.items, item)
+		e.settle(order.ID, true)
+	}
+	return true
+}
+
+// advance moves time on, delivers late orders and finishes loads.
+func (f *fleet) advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+	var rest []delivery
+	for _, late := range f.pending {
+		e := f.engine(late.name)
+		switch {
+		case late.at.After(f.now):
+			rest = append(rest, late)
+		case !e.down:
+			f.deliver(e, late.order)
+		}
+	}
+	f.pending = rest
+	for _, e := range f.engines {
+		for _, held := range e.items {
+			if !held.ready && !held.readyAt.After(f.now) {
+				held.ready = true
+				e.settle(held.orderID, true)
+			}
+		}
+	}
+}
+
+// poll takes a new report of each engine that is up.
+func (f *fleet) poll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		if e.down {
+			e.state.Reachable = false
+			continue
+		}
+		e.sequence++
+		e.state = endpoint.State{Config: e.config, Reachable: true, ReportedAt: f.now, Report: e.report()}
+	}
+}
+
+func (e *engine) report() engineapi.Report {
+	report := engineapi.Report{
+		Incarnation: fmt.Sprintf("%s-%d", e.config.Name, e.incarnation),
+		Sequence:    e.sequence,
+		MemoryBytes: e.config.MemoryBytes,
+		UsedBytes:   e.used(),
+		Settled:     append([]engineapi.SettledOrder(nil), e.settled...),
+	}
+	for item, held := range e.items {
+		state := engineapi.ItemLoading
+		if held.ready {
+			state = engineapi.ItemReady
+		}
+		if item.IsAdapter() {
+			report.Adapters = append(report.Adapters, engineapi.HeldAdapter{Adapter: item.Adapter, Model: item.Model, State: state, Bytes: held.bytes})
+			continue
+		}
+		report.Models = append(report.Models, engineapi.HeldModel{Model: item.Model, Version: item.Version, State: state, Bytes: held.bytes})
+	}
+	return report
+}
+
+// restart empties an engine.
+func (f *fleet) restart(e *engine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.incarnation++
+	e.sequence, e.fence, e.settled = 0, 0, nil
+	e.items = make(map[placement.Item]*heldItem)
+}
+
+// States implements owner.Endpoints.
+func (f *fleet) States() []endpoint.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	states := make([]endpoint.State, 0, len(f.engines))
+	for _, e := range f.engines {
+		state := e.state
+		state.Config = e.config
+		states = append(states, state)
+	}
+	return states
+}
+
+// ready counts the ready replicas of a model, of any version, on engines that
+// are up.
+func (f *fleet) ready(model string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, e := range f.engines {
+		for item, held := range e.items {
+			if item.Model == model && !item.IsAdapter() && held.ready && !e.down {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (f *fleet) holds(name string, item placement.Item) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := f.engine(name).items[item]
+	return held != nil && held.ready
+}
+
+// fixedLease is a lease whose holding the test sets.
+type fixedLease struct {
+	mu      sync.Mutex
+	holding lease.Holding
+}
+
+func (l *fixedLease) Holding() lease.Holding {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holding
+}
+
+func (l *fixedLease) set(held bool, term int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding = lease.Holding{Held: held, Term: term}
+}
+
+// source is a config.Source that the test replaces.
+type source struct {
+	mu       sync.Mutex
+	snapshot *config.Snapshot
+}
+
+func (s *source) Current() *config.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *source) Changed() <-chan struct{} { return nil }
+
+func (s *source) set(objects []*apiv1.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshot = config.NewSnapshot(1, objects)
+}
+
+func modelObjects(name, version string, bytes int64) []*apiv1.Object {
+	return []*apiv1.Object{
+		{Spec: &apiv1.Object_Model{Model: &apiv1.Model{Name: name, ServingVersion: version}}},
+		{Spec: &apiv1.Object_ModelVersion{ModelVersion: &apiv1.Version{Name: version, Model: name, MemoryBytes: bytes, Weights: version}}},
+	}
+}
+
+func adapterObject(name, model string, bytes int64) *apiv1.Object {
+	return &apiv1.Object{Spec: &apiv1.Object_Adapter{Adapter: &apiv1.Adapter{Name: name, Model: model, MemoryBytes: bytes}}}
+}
+
+func (f *fleet) objects() []*apiv1.Object {
+	var objects []*apiv1.Object
+	for _, e := range f.engines {
+		objects = append(objects, &apiv1.Object{Spec: &apiv1.Object_Endpoint{Endpoint: e.config}})
+	}
+	return objects
+}
+
+// recorder drops decisions.
+type recorder struct{}
+
+func (recorder) Record(*apiv1.Decision) string { return "" }
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,283 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+)
+
+// Plan returns the steps that this zone's owner should take now, most urgent
+// first. It is advice: the owner checks each step against the newest account
+// before it commits it. Loads beyond the budget are left for later plans, but
+// their memory is set aside, so that less urgent loads don't take it.
+func Plan(in *Input) []Step {
+	p := newPlanner(in)
+	p.removeUnconfigured()
+	p.placeUnreachable()
+	p.switchVersions()
+	p.placeMinimum()
+	p.placeWanted()
+	p.placeAdapters()
+	p.spreadLoad()
+	p.spreadFree()
+	return p.steps
+}
+
+// node is an endpoint of the planned zone while a plan is made.
+type node struct {
+	*Endpoint
+	// free is the model memory that is free, or will be once unloads that
+	// are under way are done, less what the plan set aside.
+	free int64
+	// freeNow is the model memory that a load may take at once.
+	freeNow        int64
+	freeAdapter    int64
+	freeAdapterNow int64
+	// items is the plan's view of what the endpoint holds.
+	items map[Item]Holding
+	// load is the projected demand on the endpoint, in tokens per second.
+	load float64
+}
+
+func (n *node) orderable() bool { return n.Orderable && n.Serves() }
+
+// placed is a model with its replicas while a plan is made.
+type placed struct {
+	*Model
+	item Item
+	// here are the zone's endpoints that hold or are loading the serving
+	// version and are to keep it.
+	here []*node
+	// old are the zone's serving replicas of other versions.
+	old []oldReplica
+	// elsewhere is the number of ready replicas of the serving version in
+	// other zones; keeperReady tells whether the keeper zone has one.
+	elsewhere   int
+	oldReady    bool
+	keeper      string
+	keeperReady bool
+	// demand is this zone's part, in tokens per second.
+	demand   float64
+	adapters []*Adapter
+}
+
+type oldReplica struct {
+	node *node
+	item Item
+}
+
+type planner struct {
+	in     *Input
+	tuning Tuning
+	nodes  []*node
+	models []*placed
+	byName map[string]*placed
+	zones  []zoneRoom
+	alive  int
+	budget Budget
+	steps  []Step
+}
+
+func newPlanner(in *Input) *planner {
+	p := &planner{
+		in:     in,
+		tuning: in.Tuning.withDefaults(),
+		byName: make(map[string]*placed, len(in.Models)),
+		budget: in.Budget,
+	}
+	p.indexZones()
+	p.indexModels()
+	for i := range in.Endpoints {
+		p.indexEndpoint(&in.Endpoints[i])
+	}
+	p.projectLoad()
+	return p
+}
+
+func (p *planner) indexZones() {
+	for i := range p.in.Endpoints {
+		p.zones = addRoom(p.zones, &p.in.Endpoints[i])
+	}
+	for i := range p.zones {
+		if p.zones[i].alive {
+			p.alive++
+		}
+	}
+}
+
+func (p *planner) indexModels() {
+	p.models = make([]*placed, 0, len(p.in.Models))
+	for i := range p.in.Models {
+		model := &p.in.Models[i]
+		m := &placed{
+			Model:  model,
+			item:   Item{Model: model.Name, Version: model.Version},
+			keeper: keeperZone(model, p.zones),
+			demand: model.Demand / float64(max(1, p.alive)),
+		}
+		p.models = append(p.models, m)
+		p.byName[model.Name] = m
+	}
+	for i := range p.in.Adapters {
+		if m := p.byName[p.in.Adapters[i].Model]; m != nil {
+			m.adapters = append(m.adapters, &p.in.Adapters[i])
+		}
+	}
+}
+
+func (p *planner) indexEndpoint(endpoint *Endpoint) {
+	if endpoint.Zone != p.in.Zone {
+		p.indexElsewhere(endpoint)
+		return
+	}
+	account := &endpoint.Account
+	n := &node{Endpoint: endpoint, items: make(map[Item]Holding, len(account.Items)+4)}
+	n.freeNow = account.Limits.ModelBytes - account.Models
+	n.freeAdapterNow = account.Limits.AdapterBytes - account.Adapter
+	n.free, n.freeAdapter = n.freeNow, n.freeAdapterNow
+	for item, holding := range account.Items {
+		n.items[item] = holding
+		if holding.Going && !item.IsAdapter() {
+			n.free += holding.Bytes
+		}
+		if holding.Going && item.IsAdapter() {
+			n.freeAdapter += holding.Bytes
+		}
+		p.indexHolding(n, item, holding)
+	}
+	p.nodes = append(p.nodes, n)
+}
+
+func (p *planner) indexHolding(n *node, item Item, holding Holding) {
+	m := p.byName[item.Model]
+	if m == nil || item.IsAdapter() || !n.Serves() || !holding.Present() {
+		return
+	}
+	if item == m.item {
+		m.here = append(m.here, n)
+		return
+	}
+	if holding.State == engineapi.ItemReady {
+		m.old = append(m.old, oldReplica{n, item})
+		m.oldReady = true
+	}
+}
+
+func (p *planner) indexElsewhere(endpoint *Endpoint) {
+	if !endpoint.Serves() {
+		return
+	}
+	for item, holding := range endpoint.Account.Items {
+		m := p.byName[item.Model]
+		if m == nil || item.IsAdapter() || holding.State != engineapi.ItemReady {
+			continue
+		}
+		if item != m.item {
+			m.oldReady = true
+			continue
+		}
+		m.elsewhere++
+		m.keeperReady = m.keeperReady || endpoint.Zone == m.keeper
+	}
+}
+
+func (p *planner) projectLoad() {
+	for _, m := range p.models {
+		// The endpoints were visited in the input's order, items were not.
+		slices.SortFunc(m.here, func(a, b *node) int { return cmp.Compare(a.Name, b.Name) })
+		slices.SortFunc(m.old, func(a, b oldReplica) int {
+			return cmp.Or(cmp.Compare(a.node.Name, b.node.Name), cmp.Compare(a.item.Version, b.item.Version))
+		})
+		for _, n := range m.here {
+			n.load += m.share()
+		}
+	}
+}
+
+// share is the demand that each of the model's replicas in the zone takes.
+func (m *placed) share() float64 {
+	return m.demand / float64(max(1, len(m.here)))
+}
+
+// secure counts the zone's replicas of the serving version that are ready and
+// stay, without the node given.
+func (m *placed) secure(without *node) int {
+	count := 0
+	for _, n := range m.here {
+		if n != without && n.Accounted && n.items[m.item].Secure() {
+			count++
+		}
+	}
+	return count
+}
+
+// replicas counts the replicas over all zones, those under way included.
+func (m *placed) replicas() int { return len(m.here) + m.elsewhere }
+
+func (m *placed) full() bool { return m.MaxReplicas > 0 && m.replicas() >= m.MaxReplicas }
+
+func (m *placed) allows(n *node) bool {
+	return (len(m.Pools) == 0 || slices.Contains(m.Pools, n.Pool)) && m.Bytes <= n.Account.Limits.ModelBytes
+}
+
+// load adds a replica to the plan: its memory is set aside, and the step is
+// emitted if memory is free now and the budget allows.
+func (p *planner) load(m *placed, n *node, reason Reason) {
+	counted := n.items[m.item].Bytes
+	needed := max(0, m.Bytes-counted)
+	before := m.share()
+	fitsNow := needed <= n.freeNow
+	n.free -= needed
+	n.freeNow -= needed
+	holding := n.items[m.item]
+	holding.Coming = true
+	holding.Bytes = max(holding.Bytes, m.Bytes)
+	n.items[m.item] = holding
+	for _, other := range m.here {
+		other.load -= before
+	}
+	m.here = append(m.here, n)
+	for _, other := range m.here {
+		other.load += m.share()
+	}
+	if !fitsNow || p.budget.ModelLoads <= 0 {
+		return
+	}
+	p.budget.ModelLoads--
+	p.emit(Step{
+		Endpoint: n.Name, Action: engineapi.ActionLoadModel, Item: m.item,
+		Bytes: m.Bytes, Weights: m.Weights, Reason: reason,
+	})
+}
+
+// unload removes a replica of any version from the plan's view.
+func (p *planner) unload(n *node, item Item, reason Reason) {
+	holding := n.items[item]
+	holding.Going, holding.MayVanish = true, true
+	n.items[item] = holding
+	action := engineapi.ActionUnloadModel
+	if item.IsAdapter() {
+		action = engineapi.ActionUnloadAdapter
+		n.freeAdapter += holding.Bytes
+	} else {
+		n.free += holding.Bytes
+	}
+	if m := p.byName[item.Model]; m != nil && item == m.item {
+		p.forgetReplica(m, n)
+	}
+	p.emit(Step{Endpoint: n.Name, Action: action, Item: item, Bytes: holding.Bytes, Reason: reason})
+}
+
+func (p *planner) forgetReplica(m *placed, n *node) {
+	before := m.share()
+	for _, other := range m.here {
+		other.load -= before
+	}
+	m.here = slices.DeleteFunc(m.here, func(other *node) bool { return other == n })
+	for _, other := range m.here {
+		other.load += m.share()
+	}
+}
+
+func (p *planner) emit(step Step) { p.steps = append(p.steps, step) }
--- /dev/null
+++ b/internal/placement/reachable.go
@@ -0,0 +1,31 @@
+package placement
+
+// MayUnload reports whether a model's replica may be removed, given the newest
+// state of all endpoints: its model stays reachable without it. It is checked
+// again right before an unload is committed.
+func MayUnload(in *Input, endpoints []Endpoint, replica Replica) bool {
+	now := *in
+	now.Endpoints = endpoints
+	for i := range in.Models {
+		if in.Models[i].Name == replica.Item.Model {
+			now.Models = in.Models[i : i+1]
+			now.Adapters = nil
+			return mayUnload(newPlanner(&now), replica)
+		}
+	}
+	return true
+}
+
+func mayUnload(p *planner, replica Replica) bool {
+	m := p.models[0]
+	for _, n := range p.nodes {
+		if n.Name != replica.Endpoint {
+			continue
+		}
+		if replica.Item != m.item {
+			return m.secure(n) > 0
+		}
+		return p.reachableWithout(m, n)
+	}
+	return false
+}
