Test the engine's die and silent-report switches; let a relay's target change

Cause: these were the two switches without a test, and a relay in front of a host has to exist before the host's port is known.

--- a/internal/standin/engineserver/orders_test.go
+++ b/internal/standin/engineserver/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -111,4 +112,20 @@
 		Expect(time.Since(began)).To(BeNumerically(">=", wait))
 		Expect(events()[1].Sequence).To(BeEquivalentTo(3))
 	})
+
+	It("go silent, and the engine dies", func() {
+		exits := make(chan int, 1)
+		e := start(engineserver.Options{Exit: func(code int) { exits <- code }})
+		e.Switches().Update(func(f *engineserver.Faults) { f.SilentReports = true })
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.url+"/engine/report", nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = http.DefaultClient.Do(req)
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		resp, err := e.post(context.Background(), control.Path, engineserver.Faults{Die: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(exits).To(Receive())
+	})
 })
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -17,17 +17,18 @@
 // Relay forwards the connections it accepts to a target. The zero value is
 // not usable; call New.
 type Relay struct {
-	target   string
 	listener net.Listener
 	done     chan struct{}
 
 	mu      sync.Mutex
+	target  string
 	blocked bool
 	closed  bool
 	links   map[*link]struct{}
 }
 
-// New returns a running relay to the target on a free port of 127.0.0.1.
+// New returns a running relay to the target on a free port of 127.0.0.1. The
+// target may be empty until SetTarget.
 func New(target string) (*Relay, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -49,6 +50,13 @@
 // URL returns the base URL to use in place of the target's.
 func (r *Relay) URL() string { return "http://" + r.Addr() }
 
+// SetTarget changes where new connections go.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
 // Cut resets the open connections. New ones work.
 func (r *Relay) Cut() {
 	for _, open := range r.take() {
@@ -123,7 +131,8 @@
 
 func (r *Relay) connect(near *net.TCPConn) {
 	open := &link{near: near}
-	if !r.add(open) {
+	target, ok := r.add(open)
+	if !ok {
 		open.reset()
 		return
 	}
@@ -131,7 +140,7 @@
 		swallow(near)
 		return
 	}
-	far, err := net.Dial("tcp", r.target)
+	far, err := net.Dial("tcp", target)
 	if err != nil || !open.join(far.(*net.TCPConn)) {
 		r.drop(open)
 		open.reset()
@@ -141,16 +150,17 @@
 	r.pump(open, near, open.far)
 }
 
-// add registers a link and reports whether the relay is open.
-func (r *Relay) add(open *link) bool {
+// add registers a link and returns where it goes; ok is false once the relay
+// is closed.
+func (r *Relay) add(open *link) (target string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
-		return false
+		return "", false
 	}
 	open.silent.Store(r.blocked)
 	r.links[open] = struct{}{}
-	return true
+	return r.target, true
 }
 
 func (r *Relay) drop(open *link) {
