Test the configuration log under lost, late, reordered and repeated events

Property tests let replicas see the log in any order, and a fleet of three hosts apply changes through a store that loses requests and answers or lets them take effect late. Revisions never decrease, equal revisions mean equal states, and a change takes effect at most once and as reported.

--- /dev/null
+++ b/internal/config/property_test.go
@@ -0,0 +1,220 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
+	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+// fingerprint writes a snapshot as text, to compare states.
+func fingerprint(s *Snapshot) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "revision %d\n", s.Revision())
+	for _, obj := range s.Objects(apiv1.Kind_KIND_UNSPECIFIED) {
+		raw, _ := proto.MarshalOptions{Deterministic: true}.Marshal(obj)
+		fmt.Fprintf(&text, "%x\n", raw)
+	}
+	return text.String()
+}
+
+// Whatever order, repetition or loss of events and snapshots, a replica's
+// revision never decreases, and its state at a revision is that of the log.
+func TestReplicaFollowsLogInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 25).Draw(t, "changes")
+		changes, states := randomLog(t, count)
+		r := newReplica()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			before := r.revision()
+			if rapid.IntRange(0, 9).Draw(t, "kind") == 0 {
+				r.offerSnapshot(states[rapid.IntRange(0, count).Draw(t, "snapshot")])
+			} else {
+				r.offer(time.Time{}, changes[rapid.IntRange(0, count-1).Draw(t, "change")])
+			}
+			if r.revision() < before {
+				t.Fatalf("revision went from %d to %d", before, r.revision())
+			}
+			checkReplica(t, r, states, changes)
+		}
+		r.offer(time.Time{}, changes...)
+		if r.revision() != int64(count) {
+			t.Fatalf("revision %d after the whole log, want %d", r.revision(), count)
+		}
+		checkReplica(t, r, states, changes)
+	})
+}
+
+func checkReplica(t *rapid.T, r *replica, states []*Snapshot, changes []*apiv1.Change) {
+	if got, want := fingerprint(r.snapshot), fingerprint(states[r.revision()]); got != want {
+		t.Fatalf("state at revision %d differs from the log:\n%s\nwant\n%s", r.revision(), got, want)
+	}
+	for revision := r.oldest(); revision <= r.revision(); revision++ {
+		if r.changeAt(revision) != changes[revision-1] {
+			t.Fatalf("history at revision %d holds another change", revision)
+		}
+	}
+	if r.forked {
+		t.Fatal("a fork was reported for one log")
+	}
+}
+
+// randomLog returns dense changes and the state at each revision from 0.
+func randomLog(t *rapid.T, count int) ([]*apiv1.Change, []*Snapshot) {
+	states := []*Snapshot{NewSnapshot(0, nil)}
+	var changes []*apiv1.Change
+	for i := range count {
+		before := states[i]
+		name := fmt.Sprintf("org-%d", rapid.IntRange(0, 3).Draw(t, "name"))
+		mutation := putOrganisation(name, before.Object(apiv1.Kind_KIND_ORGANISATION, name).GetVersion(), float64(i))
+		if mutation.ExpectedVersion > 0 && rapid.Bool().Draw(t, "delete") {
+			mutation.Object, mutation.Delete = nil, true
+		}
+		after, err := Validate(before, []*apiv1.Mutation{mutation})
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes = append(changes, &apiv1.Change{Revision: int64(i + 1), ChangeId: fmt.Sprint(i), Mutations: []*apiv1.Mutation{mutation}})
+		states = append(states, after)
+	}
+	return changes, states
+}
+
+// fleet is several hosts before one faulty store.
+type fleet struct {
+	store *platformtest.Store
+	inner *objectstore.Store
+	logs  []*Log
+	last  []int64
+	// accepted and refused are the identifiers of changes whose last attempt
+	// had a sure outcome.
+	accepted map[string]int64
+	refused  map[string]bool
+}
+
+// Hosts apply changes at random, with lost, late and repeated writes, learn
+// from each other and are replaced. Every change takes effect at most once
+// and as reported, revisions never decrease, and equal revisions mean equal
+// states.
+func TestFleetAgreesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			f.step(t, step)
+			f.check(t)
+		}
+		f.store.SetFault(nil)
+		f.store.Release()
+		for _, log := range f.logs {
+			if err := log.Prove(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.check(t)
+		f.checkOutcomes(t)
+	})
+}
+
+func newFleet() *fleet {
+	inner := objectstore.New()
+	f := &fleet{
+		inner: inner, store: platformtest.New(inner), last: make([]int64, 3),
+		accepted: make(map[string]int64), refused: make(map[string]bool),
+	}
+	for range 3 {
+		f.logs = append(f.logs, NewLog(LogConfig{Store: f.store}))
+	}
+	return f
+}
+
+func (f *fleet) step(t *rapid.T, step int) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	host := rapid.IntRange(0, len(f.logs)-1).Draw(t, "host")
+	log := f.logs[host]
+	f.store.SetFault(func(platformtest.Op, platform.Kind, string) platformtest.Fault {
+		if rapid.IntRange(0, 2).Draw(t, "faulty") > 0 {
+			return platformtest.None
+		}
+		return platformtest.Fault(rapid.IntRange(0, int(platformtest.Delayed)).Draw(t, "fault"))
+	})
+	switch rapid.IntRange(0, 5).Draw(t, "action") {
+	case 0, 1, 2:
+		f.apply(ctx, t, log)
+	case 3:
+		_ = log.Prove(ctx)
+	case 4:
+		other := f.logs[rapid.IntRange(0, len(f.logs)-1).Draw(t, "peer")]
+		log.Learn(other.ChangesAfter(log.Current().Revision(), rapid.IntRange(1, 5).Draw(t, "limit")), time.Now())
+	case 5:
+		f.logs[host], f.last[host] = NewLog(LogConfig{Store: f.store}), 0
+		f.store.Release()
+	}
+}
+
+// apply makes one attempt of one of a few changes, so that repeats are
+// common.
+func (f *fleet) apply(ctx context.Context, t *rapid.T, log *Log) {
+	n := rapid.IntRange(0, 9).Draw(t, "id")
+	id := fmt.Sprint(n)
+	name := fmt.Sprintf("org-%d", n%3)
+	// The version is fixed by the identifier, so that a repeat is the same.
+	revision, err := log.Apply(ctx, []*apiv1.Mutation{putOrganisation(name, int64(n/3), float64(n))}, id, "operator")
+	if err == nil {
+		f.accepted[id] = revision
+		f.refused[id] = false
+		return
+	}
+	var conflict *ConflictError
+	f.refused[id] = errors.As(err, &conflict)
+}
+
+func (f *fleet) check(t *rapid.T) {
+	states := make(map[int64]string)
+	for i, log := range f.logs {
+		snapshot := log.Current()
+		if snapshot.Revision() < f.last[i] {
+			t.Fatalf("host %d went from revision %d to %d", i, f.last[i], snapshot.Revision())
+		}
+		f.last[i] = snapshot.Revision()
+		state := fingerprint(snapshot)
+		if other, ok := states[snapshot.Revision()]; ok && other != state {
+			t.Fatalf("two states at revision %d:\n%s\n%s", snapshot.Revision(), other, state)
+		}
+		states[snapshot.Revision()] = state
+	}
+}
+
+func (f *fleet) checkOutcomes(t *rapid.T) {
+	listing, _ := f.inner.List(context.Background(), platform.KindConfigChange, "")
+	revisions := make(map[string]int64)
+	for _, item := range listing.Items {
+		change, err := decodeChange(item)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if earlier, twice := revisions[change.ChangeId]; twice {
+			t.Fatalf("change %s is accepted at revisions %d and %d", change.ChangeId, earlier, change.Revision)
+		}
+		revisions[change.ChangeId] = change.Revision
+	}
+	for id, revision := range revisions {
+		if f.refused[id] {
+			t.Fatalf("change %s was refused by a conflict and is at revision %d", id, revision)
+		}
+	}
+	for id, revision := range f.accepted {
+		if revisions[id] != revision {
+			t.Fatalf("change %s was reported at revision %d and is at %d", id, revision, revisions[id])
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/platformtest/store.go
@@ -0,0 +1,156 @@
+// Package platformtest has a platform.Store that fails on demand, for tests.
+package platformtest
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"github.com/cockroachdb/errors"
+)
+
+// Fault is how a call fails.
+type Fault int
+
+// The faults of a call.
+const (
+	// None makes the call.
+	None Fault = iota
+	// NotSent fails the call before anything is sent.
+	NotSent
+	// RequestLost fails the call with an unknown outcome; it has no effect.
+	RequestLost
+	// AnswerLost fails the call with an unknown outcome; it takes effect.
+	AnswerLost
+	// Delayed fails the call with an unknown outcome; it takes effect when
+	// Release is called.
+	Delayed
+)
+
+// Op names a method of platform.Store.
+type Op string
+
+// The methods of platform.Store.
+const (
+	OpGet    Op = "get"
+	OpList   Op = "list"
+	OpCreate Op = "create"
+	OpUpdate Op = "update"
+	OpDelete Op = "delete"
+	OpWatch  Op = "watch"
+)
+
+// IsWrite reports whether the method changes the store.
+func (op Op) IsWrite() bool { return op == OpCreate || op == OpUpdate || op == OpDelete }
+
+// Store wraps another store and injects faults.
+type Store struct {
+	inner platform.Store
+
+	mu      sync.Mutex
+	fault   func(op Op, kind platform.Kind, name string) Fault
+	delayed []func()
+	counts  map[Op]int
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New returns a store without faults.
+func New(inner platform.Store) *Store {
+	return &Store{inner: inner, counts: make(map[Op]int)}
+}
+
+// SetFault sets what decides the fault of each call. Nil means no faults.
+func (s *Store) SetFault(fault func(op Op, kind platform.Kind, name string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// Release lets the delayed calls take effect, in the order they were made.
+func (s *Store) Release() {
+	s.mu.Lock()
+	delayed := s.delayed
+	s.delayed = nil
+	s.mu.Unlock()
+	for _, call := range delayed {
+		call()
+	}
+}
+
+// Count returns how often a method was called.
+func (s *Store) Count(op Op) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[op]
+}
+
+// Writes returns how often any method that writes was called.
+func (s *Store) Writes() int { return s.Count(OpCreate) + s.Count(OpUpdate) + s.Count(OpDelete) }
+
+// do makes a call or fails it.
+func (s *Store) do(op Op, kind platform.Kind, name string, call func() error) error {
+	s.mu.Lock()
+	s.counts[op]++
+	fault := None
+	if s.fault != nil {
+		fault = s.fault(op, kind, name)
+	}
+	if fault == Delayed {
+		s.delayed = append(s.delayed, func() { _ = call() })
+	}
+	s.mu.Unlock()
+	switch fault {
+	case None:
+		return call()
+	case NotSent:
+		return &platform.UnavailableError{Outcome: platform.OutcomeNotSent, Cause: errors.New("fault: not sent")}
+	case AnswerLost:
+		_ = call()
+	}
+	return &platform.UnavailableError{Outcome: platform.OutcomeUnknown, Cause: errors.New("fault: no answer")}
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, kind platform.Kind, name string) (obj platform.Object, err error) {
+	err = s.do(OpGet, kind, name, func() error { obj, err = s.inner.Get(ctx, kind, name); return err })
+	return obj, err
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, kind platform.Kind, prefix string) (listing platform.Listing, err error) {
+	err = s.do(OpList, kind, prefix, func() error { listing, err = s.inner.List(ctx, kind, prefix); return err })
+	return listing, err
+}
+
+// Create implements platform.Store.
+func (s *Store) Create(ctx context.Context, kind platform.Kind, name, writeID string, value json.RawMessage) (obj platform.Object, err error) {
+	err = s.do(OpCreate, kind, name, func() error {
+		var callErr error
+		obj, callErr = s.inner.Create(ctx, kind, name, writeID, value)
+		return callErr
+	})
+	return obj, err
+}
+
+// Update implements platform.Store.
+func (s *Store) Update(ctx context.Context, kind platform.Kind, name string, version platform.Version, writeID string, value json.RawMessage) (obj platform.Object, err error) {
+	err = s.do(OpUpdate, kind, name, func() error {
+		var callErr error
+		obj, callErr = s.inner.Update(ctx, kind, name, version, writeID, value)
+		return callErr
+	})
+	return obj, err
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, kind platform.Kind, name string, version platform.Version) error {
+	return s.do(OpDelete, kind, name, func() error { return s.inner.Delete(ctx, kind, name, version) })
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, kind platform.Kind, after platform.Version) (watch platform.Watch, err error) {
+	err = s.do(OpWatch, kind, "", func() error { watch, err = s.inner.Watch(ctx, kind, after); return err })
+	return watch, err
+}
