--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -128,7 +128,7 @@
 		c.transport.CloseIdleConnections()
 		return &UnavailableError{Outcome: outcomeOf(&connected), Cause: err}
 	}
-	defer resp.Body.Close()
+	defer closeBody(resp)
 	err = decodeAnswer(resp, cl, answer)
 	if ctx.Err() != nil {
 		c.transport.CloseIdleConnections()
@@ -183,7 +183,7 @@
 
 func decodeAnswer(resp *http.Response, cl call, answer any) error {
 	switch {
-	case resp.StatusCode == http.StatusNoContent:
+	case resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusOK && answer == nil:
 		return nil
 	case resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated:
 		return decodeBody(resp, answer)
@@ -207,11 +207,16 @@
 	if err != nil {
 		return &UnavailableError{Outcome: OutcomeUnknown, Cause: errors.Wrap(err, "decoding the platform's answer")}
 	}
-	// Reading to the end lets the connection be used again.
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
 	return nil
 }
 
+// closeBody reads what little may be left, so that the connection can be used
+// again.
+func closeBody(resp *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
+	_ = resp.Body.Close()
+}
+
 func unavailableStatus(resp *http.Response) error {
 	outcome := OutcomeUnknown
 	notApplied := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotApplied) == "true"
