Test claims under lost, late and repeated writes and killed hosts

A property test lets three hosts, killed and replaced at any step, claim one request through a faulty store: it runs at most once, recorded answers are true, and nothing stays pending after the faults end.

--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,337 @@
+package claims
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bilberryslip.example/bilberryslip/internal/invariant"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
+	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	invariant.SetFatal(true)
+	m.Run()
+}
+
+func TestClaims(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "claims")
+}
+
+var _ = DescribeTable("Decide",
+	func(state State, fingerprint string, alive bool, result Result) {
+		existing := Record{State: state, Fingerprint: "f", Owner: Owner{Host: "a"}}
+		Expect(Decide(existing, Request{Fingerprint: fingerprint}, alive)).To(Equal(result))
+	},
+	Entry("running", StateStarted, "f", true, StillRunning),
+	Entry("owner gone", StateStarted, "f", false, Unknown),
+	Entry("ran", StateRan, "f", false, Recorded),
+	Entry("not run", StateNotRun, "f", true, takeOver),
+	Entry("said to be unknown", StateUnknown, "f", true, Unknown),
+	Entry("of a later program", State("other"), "f", true, Unknown),
+	Entry("another request, run", StateRan, "g", true, Mismatch),
+	Entry("another request, not run", StateNotRun, "g", true, Mismatch),
+)
+
+// maxWritesPerSecond is the stated bound for the whole system at today's
+// size; one in a hundred of it may go into an idle sweep.
+const maxWritesPerSecond = 50
+
+// hosts are books before one faulty store.
+type hosts struct {
+	store *platformtest.Store
+	alive map[Owner]bool
+}
+
+func newHosts() *hosts {
+	return &hosts{store: platformtest.New(objectstore.New()), alive: make(map[Owner]bool)}
+}
+
+func (h *hosts) start(name string, incarnation int) *Book {
+	self := Owner{Host: name, Incarnation: fmt.Sprint(incarnation)}
+	h.alive[self] = true
+	return NewBook(BookConfig{
+		Store: h.store, Self: self, Alive: func(o Owner) bool { return h.alive[o] },
+	})
+}
+
+func (h *hosts) kill(b *Book) { h.alive[b.config.Self] = false }
+
+func always(fault platformtest.Fault) func(platformtest.Op, platform.Kind, string) platformtest.Fault {
+	return func(platformtest.Op, platform.Kind, string) platformtest.Fault { return fault }
+}
+
+var registration = Request{Organisation: "org", Route: "register", IdempotencyKey: "k", Fingerprint: "f"}
+
+var _ = Describe("Book", func() {
+	ctx := context.Background()
+	var h *hosts
+	var a, b *Book
+
+	BeforeEach(func() {
+		h = newHosts()
+		a, b = h.start("a", 1), h.start("b", 1)
+	})
+
+	begin := func(book *Book) Result {
+		GinkgoHelper()
+		outcome, err := book.Begin(ctx, registration)
+		Expect(err).NotTo(HaveOccurred())
+		return outcome.State
+	}
+
+	claim := func(book *Book) *Claim {
+		GinkgoHelper()
+		outcome, err := book.Begin(ctx, registration)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome.State).To(Equal(Claimed))
+		return outcome.Claim
+	}
+
+	It("gives the recorded answer to a repeat on any host", func() {
+		c := claim(a)
+		Expect(begin(a)).To(Equal(StillRunning))
+		Expect(begin(b)).To(Equal(StillRunning))
+		answer := Answer{Status: 201, Header: http.Header{"X-Certificate": {"7"}}, Body: []byte("done")}
+		Expect(c.Finish(ctx, answer)).To(Succeed())
+		Expect(c.NotRun(ctx)).To(MatchError(errEnded))
+		for _, book := range []*Book{a, b} {
+			Expect(book.Begin(ctx, registration)).To(Equal(Outcome{State: Recorded, Answer: &answer}))
+		}
+		other := registration
+		other.Fingerprint = "g"
+		Expect(b.Begin(ctx, other)).To(HaveField("State", Mismatch))
+		other.Organisation = "another"
+		Expect(b.Begin(ctx, other)).To(HaveField("State", Claimed))
+	})
+
+	It("is unknown once its owner is gone, and free once not run", func() {
+		claim(a)
+		h.kill(a)
+		Expect(begin(b)).To(Equal(Unknown))
+		registration := registration
+		registration.IdempotencyKey = "other"
+		outcome, _ := b.Begin(ctx, registration)
+		Expect(outcome.Claim.NotRun(ctx)).To(Succeed())
+		outcome, _ = b.Begin(ctx, registration)
+		Expect(outcome.State).To(Equal(Claimed))
+		Expect(outcome.Claim.Unknown(ctx)).To(Succeed())
+		Expect(b.Begin(ctx, registration)).To(HaveField("State", Unknown))
+	})
+
+	It("refuses as not run without the platform, with its advice", func() {
+		h.store.SetFault(always(platformtest.NotSent))
+		_, err := a.Begin(ctx, registration)
+		Expect(err).To(BeAssignableToTypeOf(&UnavailableError{}))
+		Expect(err).To(HaveField("RetryAfter", defaultRetryAfter))
+		h.store.SetFault(nil)
+		Expect(begin(b)).To(Equal(Claimed))
+	})
+
+	It("gives the answer on its own host while the platform is down, and records it later", func() {
+		c := claim(a)
+		h.store.SetFault(always(platformtest.AnswerLost))
+		Expect(c.Finish(ctx, Answer{Status: 200})).NotTo(Succeed())
+		Expect(begin(a)).To(Equal(Recorded))
+		h.store.SetFault(nil)
+		Expect(a.Flush(ctx)).To(BeZero())
+		Expect(begin(b)).To(Equal(Recorded))
+	})
+
+	It("keeps that it ran where the answer is too large", func() {
+		Expect(claim(a).Finish(ctx, Answer{Status: 200, Body: make([]byte, defaultMaxAnswerBytes+1)})).To(Succeed())
+		Expect(b.Begin(ctx, registration)).To(HaveField("Answer", &Answer{Status: 200, TooLarge: true}))
+	})
+
+	It("is not valid after a pause", func() {
+		now := time.Now()
+		a.config.Clock = func() time.Time { return now }
+		c := claim(a)
+		Expect(c.Valid()).To(BeTrue())
+		now = now.Add(defaultMaxSendDelay)
+		Expect(c.Valid()).To(BeFalse())
+	})
+})
+
+// A claim whose write was never answered, and of which nothing was sent, ends
+// as not run, also where the write takes effect later.
+func TestUnansweredClaimEndsAsNotRun(t *testing.T) {
+	for _, fault := range []platformtest.Fault{platformtest.RequestLost, platformtest.AnswerLost, platformtest.Delayed} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHosts()
+			a, b := h.start("a", 1), h.start("b", 1)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _ = a.Serve(ctx) }()
+			h.store.SetFault(always(fault))
+			if _, err := a.Begin(ctx, registration); err == nil {
+				t.Fatal("claimed without an answer")
+			}
+			time.Sleep(time.Minute) // Virtual time.
+			h.store.SetFault(nil)
+			time.Sleep(2 * retryMaxInterval)
+			h.store.Release()
+			outcome, err := b.Begin(ctx, registration)
+			if err != nil || outcome.State != Claimed {
+				t.Errorf("fault %d: repeat got %q, error %v; want claimed", fault, outcome.State, err)
+			}
+		})
+	}
+}
+
+// Attempts of one request on three hosts, with lost, late and repeated
+// writes and hosts killed at any step, run it at most once; what is answered
+// is true.
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{hosts: newHosts(), attempts: make(map[*Book][]*Claim)}
+		for i := range 3 {
+			m.books = append(m.books, m.start(fmt.Sprint(i), 0))
+		}
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			m.step(t)
+		}
+		m.checkRecovers(t)
+	})
+}
+
+// machine drives books and plays the endpoint.
+type machine struct {
+	*hosts
+	books []*Book
+	// attempts holds the claims that each book still has in hand.
+	attempts map[*Book][]*Claim
+	runs     int
+	starts   int
+}
+
+func (m *machine) step(t *rapid.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	m.store.SetFault(func(platformtest.Op, platform.Kind, string) platformtest.Fault {
+		if rapid.IntRange(0, 2).Draw(t, "faulty") > 0 {
+			return platformtest.None
+		}
+		return platformtest.Fault(rapid.IntRange(0, int(platformtest.Delayed)).Draw(t, "fault"))
+	})
+	i := rapid.IntRange(0, len(m.books)-1).Draw(t, "host")
+	book := m.books[i]
+	switch rapid.IntRange(0, 6).Draw(t, "action") {
+	case 0, 1, 2:
+		m.begin(ctx, t, book)
+	case 3, 4:
+		m.end(ctx, t, book)
+	case 5:
+		book.writePending(ctx)
+	case 6:
+		m.store.Release()
+		m.kill(book)
+		m.starts++
+		m.books[i] = m.start(fmt.Sprint(i), m.starts)
+	}
+}
+
+func (m *machine) begin(ctx context.Context, t *rapid.T, book *Book) {
+	outcome, err := book.Begin(ctx, registration)
+	var down *UnavailableError
+	switch {
+	case err != nil && !errors.As(err, &down):
+		t.Fatalf("error %v is not UnavailableError", err)
+	case outcome.State == Recorded && (m.runs != 1 || string(outcome.Answer.Body) != "certificate 1"):
+		t.Fatalf("recorded answer %q after %d runs", outcome.Answer.Body, m.runs)
+	case outcome.State == Claimed:
+		m.attempts[book] = append(m.attempts[book], outcome.Claim)
+	}
+}
+
+// end takes a claim on: its request is run or not, and its end recorded or
+// not.
+func (m *machine) end(ctx context.Context, t *rapid.T, book *Book) {
+	claims := m.attempts[book]
+	if len(claims) == 0 {
+		return
+	}
+	claim := claims[0]
+	m.attempts[book] = claims[1:]
+	if rapid.IntRange(0, 3).Draw(t, "send") == 0 {
+		_ = claim.NotRun(ctx)
+		return
+	}
+	m.runs++
+	if m.runs > 1 {
+		t.Fatalf("the request ran %d times", m.runs)
+	}
+	if rapid.Bool().Draw(t, "answered") {
+		_ = claim.Finish(ctx, Answer{Status: 201, Body: fmt.Appendf(nil, "certificate %d", m.runs)})
+	} else {
+		_ = claim.Unknown(ctx)
+	}
+}
+
+// checkRecovers ends the faults and demands that nothing is left pending.
+func (m *machine) checkRecovers(t *rapid.T) {
+	ctx := context.Background()
+	m.store.SetFault(nil)
+	m.store.Release()
+	for _, book := range m.books {
+		for len(m.attempts[book]) > 0 {
+			m.end(ctx, t, book)
+		}
+		if left := book.Flush(ctx); left > 0 || len(book.local) > 0 {
+			t.Fatalf("%d writes and %d claims left", left, len(book.local))
+		}
+	}
+	outcome, err := m.books[0].Begin(ctx, registration)
+	if err != nil || outcome.State == StillRunning || m.runs > 0 && outcome.State == Claimed {
+		t.Fatalf("after %d runs and all recovered: %q, error %v", m.runs, outcome.State, err)
+	}
+}
+
+// Claims are kept for their retention, whatever hosts come and go, and then
+// deleted.
+func TestSweepKeepsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		outcome, err := h.start("a", 1).Begin(ctx, registration)
+		if err != nil || outcome.Claim.Finish(ctx, Answer{Status: 200}) != nil {
+			t.Fatal("not claimed")
+		}
+		for i := range 2 {
+			book := h.start("b", i)
+			go func() { _ = book.Serve(ctx) }()
+		}
+		present := func() bool {
+			_, err := h.store.Get(ctx, platform.KindClaim, registration.name())
+			return err == nil
+		}
+		time.Sleep(defaultRetention - time.Minute) // Virtual time.
+		if !present() {
+			t.Fatal("deleted within the retention")
+		}
+		time.Sleep(2*defaultRetention + time.Hour)
+		if present() {
+			t.Error("kept long after the retention")
+		}
+		const days = 3
+		if writes := h.store.Writes(); writes > days*86_400*maxWritesPerSecond/100 {
+			t.Errorf("%d writes in %d days without traffic", writes, days)
+		}
+	})
+}
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -23,7 +23,7 @@
 	RequestLost
 	// AnswerLost fails the call with an unknown outcome; it takes effect.
 	AnswerLost
-	// Delayed fails the call with an unknown outcome; it takes effect when
+	// Delayed fails the call with an unknown outcome; a write takes effect when
 	// Release is called.
 	Delayed
 )
@@ -97,7 +97,7 @@
 	if s.fault != nil {
 		fault = s.fault(op, kind, name)
 	}
-	if fault == Delayed {
+	if fault == Delayed && op.IsWrite() {
 		s.delayed = append(s.delayed, func() { _ = call() })
 	}
 	s.mu.Unlock()
