Add the fixture that starts real processes on stand-ins for tests

Cause: the failure tests and the long randomised run need the same cluster of daemons, stand-ins and relays. Ruled out: starting the programs inside the test process, since kills and pauses then could not be caused. Change: test/cluster builds the programs, writes settings files, starts every process on free ports and puts a relay in front of each end.

--- /dev/null
+++ b/test/cluster/host.go
@@ -0,0 +1,145 @@
+package cluster
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/twitchtv/twirp"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/settings"
+	"bilberryslip.example/bilberryslip/internal/standin/relay"
+)
+
+// OperatorToken is the operators' bearer token.
+const OperatorToken = "operator-token-of-the-tests"
+
+// adminTimeout is the limit of an operator's call.
+const adminTimeout = 15 * time.Second
+
+// Host is a running daemon.
+type Host struct {
+	*Process
+	Zone string
+	// Addresses are base URLs.
+	Addresses Addresses
+	// ToPlatform carries the host's connections to the platform.
+	ToPlatform *relay.Relay
+	// ToPeers carries the other hosts' connections to this host.
+	ToPeers *relay.Relay
+}
+
+// Addresses are the addresses that a daemon listens on.
+type Addresses struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
+	Debug     string `json:"debug"`
+}
+
+// StartHost starts a host and puts it on the platform's list.
+func (c *Cluster) StartHost(name, zone string) *Host {
+	ginkgo.GinkgoHelper()
+	h := &Host{Zone: zone, ToPlatform: newRelay(strings.TrimPrefix(c.Platform.URL, "http://")), ToPeers: newRelay("")}
+	file := c.path(name + ".settings.json")
+	addresses := c.path(name + ".addresses.json")
+	_ = os.Remove(addresses)
+	data, err := json.Marshal(c.settings(name, h, addresses))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(os.WriteFile(file, data, 0o600)).To(gomega.Succeed())
+	h.Process = start(c.dir, name, filepath.Join(string(c.programs), "bilberryslipd"), "--settings", file)
+	gomega.Expect(json.Unmarshal([]byte(h.waitFile(addresses)), &h.Addresses)).To(gomega.Succeed())
+	h.ToPeers.SetTarget(h.Addresses.Peers)
+	c.Hosts = append(c.Hosts, h)
+	c.list(platform.ListedHost{Name: name, Zone: zone, PeerURL: h.ToPeers.URL(), State: platform.HostLive})
+	return h
+}
+
+// Replace kills a host and starts another in its place under a new name.
+func (c *Cluster) Replace(h *Host, name string) *Host {
+	ginkgo.GinkgoHelper()
+	h.Kill()
+	c.Unlist(h)
+	return c.StartHost(name, h.Zone)
+}
+
+// Unlist takes a host off the platform's list.
+func (c *Cluster) Unlist(h *Host) {
+	ginkgo.GinkgoHelper()
+	delete(c.listed, h.Name)
+	for i, known := range c.Hosts {
+		if known == h {
+			c.Hosts = append(c.Hosts[:i:i], c.Hosts[i+1:]...)
+		}
+	}
+	c.publishList()
+}
+
+func (c *Cluster) list(host platform.ListedHost) {
+	ginkgo.GinkgoHelper()
+	c.listed[host.Name] = host
+	c.publishList()
+}
+
+func (c *Cluster) publishList() {
+	ginkgo.GinkgoHelper()
+	hosts := make([]platform.ListedHost, 0, len(c.listed))
+	for _, host := range c.listed {
+		hosts = append(hosts, host)
+	}
+	c.Platform.Control(Change{"hosts": hosts})
+}
+
+func newRelay(target string) *relay.Relay {
+	ginkgo.GinkgoHelper()
+	between, err := relay.New(target)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(between.Close)
+	return between
+}
+
+func (c *Cluster) settings(name string, h *Host, addressFile string) settings.Settings {
+	const anyPort = "127.0.0.1:0"
+	hash := sha256.Sum256([]byte(OperatorToken))
+	s := baseSettings()
+	s.Host = settings.Host{Name: name, Zone: h.Zone, Region: "test"}
+	s.Listen = settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort, Debug: anyPort, AddressFile: addressFile}
+	s.Platform.Addresses = []string{h.ToPlatform.URL()}
+	s.Peers.SecretFile = c.path("secret")
+	s.Peers.URL = h.ToPeers.URL()
+	for _, other := range c.Hosts {
+		s.Peers.Static = append(s.Peers.Static, settings.StaticPeer{Name: other.Name, Zone: other.Zone, URL: other.ToPeers.URL()})
+	}
+	s.Operators = []settings.Operator{{Name: "test", TokenSHA256: hex.EncodeToString(hash[:])}}
+	if c.options.Settings != nil {
+		c.options.Settings(&s)
+	}
+	return s
+}
+
+// Admin returns a client of the host's operators' service, and the context
+// that carries the operator's token.
+func (h *Host) Admin() (context.Context, apiv1.Admin) {
+	ginkgo.GinkgoHelper()
+	header := http.Header{"Authorization": {"Bearer " + OperatorToken}}
+	ctx, err := twirp.WithHTTPRequestHeaders(context.Background(), header)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return ctx, apiv1.NewAdminProtobufClient("http://"+h.Addresses.Operators, &http.Client{Timeout: adminTimeout})
+}
+
+// Revision returns the configuration revision that the host has in force.
+func (h *Host) Revision() (int64, error) {
+	ctx, admin := h.Admin()
+	listed, err := admin.List(ctx, &apiv1.ListRequest{Kind: apiv1.Kind_KIND_MODEL})
+	return listed.GetRevision(), err
+}
