Let the relay block connections by their source and cut whole zones

Cause: a zone that is cut off reaches its own hosts and endpoints but nothing else, and all processes of a test have the same IP number. Ruled out: network namespaces, which need rights; one relay for each pair of hosts, since a host announces one URL to all others. Change: Relay.BlockFrom, and Cluster.CutZone and Heal, which find the owner of a connection in the kernel's tables. Figures: go test -race -count=1 ./internal/standin/relay passed. Conclusion: the relay's part is tested; the zone cut runs with the process tests.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -14,6 +14,9 @@
 // bufferBytes is the size of one read.
 const bufferBytes = 32 << 10
 
+// Blocked picks the connections to block by the address that they come from.
+type Blocked func(from net.Addr) bool
+
 // Relay forwards the connections it accepts to a target. The zero value is
 // not usable; call New.
 type Relay struct {
@@ -22,7 +25,7 @@
 
 	mu      sync.Mutex
 	target  string
-	blocked bool
+	blocked Blocked
 	closed  bool
 	links   map[*link]struct{}
 }
@@ -67,27 +70,40 @@
 // Silence makes the open connections silent for good: bytes are swallowed both
 // ways and closes are not passed on. New ones work.
 func (r *Relay) Silence() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for open := range r.links {
-		open.silent.Store(true)
-	}
+	r.silence(all)
 }
 
 // Block makes the open connections silent and lets new ones get no answer,
 // until Resume.
 func (r *Relay) Block() {
-	r.Silence()
+	r.BlockFrom(all)
+}
+
+// BlockFrom is Block for the connections that are picked.
+func (r *Relay) BlockFrom(blocked Blocked) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.blocked = true
+	r.blocked = blocked
+	r.mu.Unlock()
+	r.silence(blocked)
 }
 
 // Resume lets new connections work. Silent ones stay silent.
 func (r *Relay) Resume() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.blocked = false
+	r.blocked = nil
+}
+
+func all(net.Addr) bool { return true }
+
+func (r *Relay) silence(which Blocked) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for open := range r.links {
+		if which(open.near.RemoteAddr()) {
+			open.silent.Store(true)
+		}
+	}
 }
 
 // Open returns the number of open connections, silent ones included.
@@ -158,7 +174,7 @@
 	if r.closed {
 		return "", false
 	}
-	open.silent.Store(r.blocked)
+	open.silent.Store(r.blocked != nil && r.blocked(open.near.RemoteAddr()))
 	r.links[open] = struct{}{}
 	return r.target, true
 }
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -117,4 +117,14 @@
 		expectAnswer(dial(between.Addr()))
 		expectSilence(blocked)
 	})
+
+	It("blocks only the connections that are picked", func() {
+		first, second := dial(between.Addr()), dial(between.Addr())
+		expectAnswer(first)
+		expectAnswer(second)
+		between.BlockFrom(func(from net.Addr) bool { return from.String() == first.LocalAddr().String() })
+		expectSilence(first)
+		expectAnswer(second)
+		expectAnswer(dial(between.Addr()))
+	})
 })
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -99,6 +99,24 @@
 	return logs.String()
 }
 
+// AllLogs returns everything that any process of the cluster has logged,
+// those included that have ended.
+func (c *Cluster) AllLogs() (string, error) {
+	files, err := filepath.Glob(c.path("*.log"))
+	if err != nil {
+		return "", err
+	}
+	var logs strings.Builder
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return "", err
+		}
+		logs.Write(data)
+	}
+	return logs.String(), nil
+}
+
 // Zone returns the running hosts of an availability zone.
 func (c *Cluster) Zone(index int) []*Host {
 	var hosts []*Host
--- a/test/cluster/config.go
+++ b/test/cluster/config.go
@@ -17,6 +17,7 @@
 	ginkgo.GinkgoHelper()
 	objects := append(tenants(), models()...)
 	objects = append(objects, routes()...)
+	objects = append(objects, c.options.Objects...)
 	for _, engine := range c.Engines {
 		objects = append(objects, endpointObject(&apiv1.Endpoint{
 			Name: engine.Name, Zone: engine.Zone, Kind: apiv1.EndpointKind_ENDPOINT_KIND_ENGINE,
--- a/test/cluster/endpoints.go
+++ b/test/cluster/endpoints.go
@@ -20,6 +20,19 @@
 	// URL is the stand-in's own; hosts reach it through Relay.
 	URL   string
 	Relay *relay.Relay
+
+	cluster *Cluster
+	args    []string
+}
+
+// Restart kills the stand-in and starts it anew, as a new incarnation behind
+// the same relay.
+func (e *Endpoint) Restart() {
+	ginkgo.GinkgoHelper()
+	e.Kill()
+	e.Process, e.URL = e.cluster.standin(e.Name, e.args...)
+	e.Relay.SetTarget(strings.TrimPrefix(e.URL, "http://"))
+	e.Relay.Cut()
 }
 
 // Control sets fault switches.
@@ -70,7 +83,7 @@
 	between, err := relay.New(strings.TrimPrefix(url, "http://"))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(between.Close)
-	return Endpoint{Process: process, Zone: zone, URL: url, Relay: between}
+	return Endpoint{Process: process, Zone: zone, URL: url, Relay: between, cluster: c, args: args}
 }
 
 // Journal returns all requests that all engines and services received.
--- a/test/cluster/options.go
+++ b/test/cluster/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/settings"
 )
 
@@ -43,6 +44,9 @@
 	EngineArgs      []string
 	ServiceArgs     []string
 	PlatformArgs    []string
+	// Objects are applied in addition to the configuration that every cluster
+	// starts with.
+	Objects []*apiv1.Object
 	// Settings changes the settings of every host.
 	Settings func(*settings.Settings)
 }
--- /dev/null
+++ b/test/cluster/partition.go
@@ -0,0 +1,114 @@
+package cluster
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/onsi/ginkgo/v2"
+)
+
+// CutZone cuts an availability zone off from the platform and from the hosts
+// and endpoints of the others, until Heal.
+func (c *Cluster) CutZone(index int) {
+	ginkgo.GinkgoHelper()
+	within := c.Zone(index)
+	inside := fromHosts(within)
+	outside := func(from net.Addr) bool { return !inside(from) }
+	for _, host := range within {
+		host.ToPlatform.Block()
+	}
+	for _, host := range c.Hosts {
+		if host.Zone == zoneName(index) {
+			host.ToPeers.BlockFrom(outside)
+		} else {
+			host.ToPeers.BlockFrom(inside)
+		}
+	}
+	for _, endpoint := range c.endpoints() {
+		if endpoint.Zone == zoneName(index) {
+			endpoint.Relay.BlockFrom(outside)
+		} else {
+			endpoint.Relay.BlockFrom(inside)
+		}
+	}
+}
+
+// Heal ends what CutZone began.
+func (c *Cluster) Heal() {
+	for _, host := range c.Hosts {
+		host.ToPlatform.Resume()
+		host.ToPeers.Resume()
+	}
+	for _, endpoint := range c.endpoints() {
+		endpoint.Relay.Resume()
+	}
+}
+
+func (c *Cluster) endpoints() []*Endpoint {
+	var endpoints []*Endpoint
+	for _, engine := range c.Engines {
+		endpoints = append(endpoints, &engine.Endpoint)
+	}
+	for _, service := range c.Services {
+		endpoints = append(endpoints, &service.Endpoint)
+	}
+	return endpoints
+}
+
+// fromHosts picks the connections that one of the hosts' processes holds. It
+// finds the owner of a connection in the kernel's tables, since all processes
+// have the same address.
+func fromHosts(hosts []*Host) func(net.Addr) bool {
+	return func(from net.Addr) bool {
+		inode, ok := inodeOf(from.(*net.TCPAddr).Port)
+		if !ok {
+			return false
+		}
+		for _, host := range hosts {
+			if holds(host.cmd.Process.Pid, inode) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// inodeOf returns the inode of the open connection with a local port. The
+// columns of the kernel's table are slot, local and remote address, state,
+// queues, timer, retransmits, user, timeout and inode.
+func inodeOf(port int) (inode string, ok bool) {
+	const localColumn, stateColumn, inodeColumn, listening = 1, 3, 9, "0A"
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return "", false
+	}
+	suffix := fmt.Sprintf(":%04X", port)
+	for line := range strings.Lines(string(table)) {
+		columns := strings.Fields(line)
+		if len(columns) <= inodeColumn || columns[stateColumn] == listening {
+			continue
+		}
+		if strings.HasSuffix(columns[localColumn], suffix) && columns[inodeColumn] != "0" {
+			return columns[inodeColumn], true
+		}
+	}
+	return "", false
+}
+
+// holds reports whether a process has the socket open.
+func holds(pid int, inode string) bool {
+	descriptors, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	if err != nil {
+		return false
+	}
+	for _, descriptor := range descriptors {
+		target, err := os.Readlink(descriptor)
+		if err == nil && target == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
