Limit organisations by shares of a ledger in the platform, with borrowing

An organisation's rate and burst have to hold over all hosts together, while hosts come and go and the platform has outages. One object divides a constant number of units among processes; every organisation's share follows from the units, so that the platform sees writes on membership changes alone. Ruled out: a share object per organisation (writes grow with organisations x hosts) and central reallocation by demand (a write per shift of demand, and nothing to go by in an outage).

--- /dev/null
+++ b/internal/ratelimit/dump.go
@@ -0,0 +1,34 @@
+package ratelimit
+
+import (
+	"sort"
+	"time"
+)
+
+// AccountDump is the state of one organisation on this host, for operators.
+type AccountDump struct {
+	Organisation string  `json:"organisation"`
+	Rate         float64 `json:"tokensPerSecond"`
+	Burst        float64 `json:"burstTokens"`
+	Level        float64 `json:"levelTokens"`
+	Refundable   float64 `json:"refundableTokens"`
+	LentRate     float64 `json:"lentTokensPerSecond"`
+	BorrowedRate float64 `json:"borrowedTokensPerSecond"`
+	Demand       float64 `json:"demandTokensPerSecond"`
+}
+
+// Dump returns the state of every organisation by name.
+func (l *Limiter) Dump(now time.Time) []AccountDump {
+	l.advance(now)
+	dumps := make([]AccountDump, 0, len(l.accounts))
+	for organisation, a := range l.accounts {
+		a.bucket.Advance(now)
+		dumps = append(dumps, AccountDump{
+			Organisation: organisation, Rate: a.bucket.rate, Burst: a.bucket.burst,
+			Level: a.bucket.level, Refundable: a.bucket.refundable,
+			LentRate: sum(a.lent).rate, BorrowedRate: sum(a.borrowed).rate, Demand: a.demand.rate(now),
+		})
+	}
+	sort.Slice(dumps, func(i, j int) bool { return dumps[i].Organisation < dumps[j].Organisation })
+	return dumps
+}
--- /dev/null
+++ b/internal/shares/gossip.go
@@ -0,0 +1,87 @@
+package shares
+
+import (
+	"time"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	"bilberryslip.example/bilberryslip/internal/membership"
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
+)
+
+var _ membership.Extension = (*Service)(nil)
+
+// FillRequest implements membership.Extension.
+func (s *Service) FillRequest(request *peerv1.GossipRequest) { request.Spare = s.spares() }
+
+// HandleRequest implements membership.Extension.
+func (s *Service) HandleRequest(request *peerv1.GossipRequest, response *peerv1.GossipResponse) {
+	from := request.GetSelf().GetIncarnation()
+	s.hint(from, request.GetSpare())
+	response.Spare = s.spares()
+	s.tenure(func(t *ratelimit.Tenure) {
+		now := s.config.Now()
+		view := t.ViewFor(from, now)
+		response.Ledger = &peerv1.LedgerView{
+			Version: view.Version, AgeMillis: view.Age.Milliseconds() + 1,
+			ReceiverUnits: view.ReceiverUnits, ReceiverMarked: view.ReceiverMarked,
+			PromiseMillis: view.Promise.Milliseconds(),
+		}
+	})
+}
+
+// HandleResponse implements membership.Extension.
+func (s *Service) HandleResponse(response *peerv1.GossipResponse, sentAt time.Time) {
+	from := response.GetSelf().GetIncarnation()
+	s.hint(from, response.GetSpare())
+	view := response.GetLedger()
+	if view == nil || view.GetVersion() < 0 || view.GetAgeMillis() < 0 {
+		return
+	}
+	s.tenure(func(t *ratelimit.Tenure) {
+		t.LearnView(from, ratelimit.View{
+			Version: view.GetVersion(), Age: milliseconds(view.GetAgeMillis()),
+			ReceiverUnits: view.GetReceiverUnits(), ReceiverMarked: view.GetReceiverMarked(),
+			Promise: milliseconds(view.GetPromiseMillis()),
+		}, sentAt)
+	})
+}
+
+func milliseconds(n int64) time.Duration {
+	return time.Duration(min(n, (24 * time.Hour).Milliseconds())) * time.Millisecond
+}
+
+// Targets implements membership.Extension: the hosts whose promises the share
+// rests on.
+func (s *Service) Targets() []string {
+	var reclaimers []string
+	s.tenure(func(t *ratelimit.Tenure) { reclaimers = t.Reclaimers() })
+	urls := s.peerURLs()
+	var targets []string
+	for _, incarnation := range reclaimers {
+		if url, ok := urls[incarnation]; ok {
+			targets = append(targets, url)
+		}
+	}
+	return targets
+}
+
+func (s *Service) spares() []*peerv1.Spare {
+	s.mu.Lock()
+	spares := s.limiter.Spares(s.config.Now())
+	s.mu.Unlock()
+	messages := make([]*peerv1.Spare, 0, len(spares))
+	for _, spare := range spares {
+		messages = append(messages, &peerv1.Spare{Organisation: spare.Organisation, Tokens: spare.Tokens, Rate: spare.Rate})
+	}
+	return messages
+}
+
+func (s *Service) hint(from string, messages []*peerv1.Spare) {
+	spares := make([]ratelimit.Spare, 0, len(messages))
+	for _, m := range messages {
+		spares = append(spares, ratelimit.Spare{Organisation: m.GetOrganisation(), Tokens: max(0, m.GetTokens()), Rate: max(0, m.GetRate())})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.borrower.Hint(s.config.Now(), from, spares)
+}
--- /dev/null
+++ b/internal/shares/service.go
@@ -0,0 +1,155 @@
+// Package shares runs the rate limiter of a host: it keeps the host's part of
+// the share ledger in the platform, borrows from peers before it refuses, and
+// answers peers that borrow.
+package shares
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	"bilberryslip.example/bilberryslip/internal/config"
+	"bilberryslip.example/bilberryslip/internal/invariant"
+	"bilberryslip.example/bilberryslip/internal/membership"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
+)
+
+// maxHold is the longest time between a decision's clock reading and its
+// return; a longer one means that the process was paused and decides anew.
+const maxHold = 100 * time.Millisecond
+
+// Members gives the host itself and the other hosts.
+type Members interface {
+	Self() membership.Host
+	Hosts() []membership.Host
+}
+
+// Peers calls other hosts.
+type Peers interface {
+	BorrowRate(ctx context.Context, baseURL string, request *peerv1.BorrowRateRequest) (*peerv1.BorrowRateResponse, error)
+}
+
+// Config sets up a Service.
+type Config struct {
+	Limiter ratelimit.Config
+	Store   platform.Store
+	Members Members
+	Peers   Peers
+	// Source gives the rate policies.
+	Source config.Source
+	// Now reads the clock. Nil means time.Now.
+	Now func() time.Time
+	// BorrowTimeout limits the wait for peers in one round. Zero means 10 ms.
+	BorrowTimeout time.Duration
+	// SyncInterval is the time between looks at the ledger. Zero means 1 s.
+	SyncInterval time.Duration
+}
+
+// Service limits organisations on one host. It is safe for concurrent use.
+type Service struct {
+	config  Config
+	metrics *metrics
+	// syncMu serialises writes to the ledger.
+	syncMu sync.Mutex
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	limiter  *ratelimit.Limiter
+	borrower *ratelimit.Borrower
+}
+
+// New returns a service that holds no units until Serve runs.
+func New(c Config) *Service {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.BorrowTimeout == 0 {
+		c.BorrowTimeout = 10 * time.Millisecond
+	}
+	if c.SyncInterval == 0 {
+		c.SyncInterval = time.Second
+	}
+	return &Service{
+		config: c, metrics: newMetrics(), wake: make(chan struct{}, 1),
+		limiter:  ratelimit.NewLimiter(c.Limiter, c.Members.Self()),
+		borrower: ratelimit.NewBorrower(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+	}
+}
+
+// Reserve grants tokens to an organisation, or returns a
+// *ratelimit.RefusedError. The empty organisation is not limited.
+func (s *Service) Reserve(ctx context.Context, organisation string, tokens float64) (ratelimit.Reservation, error) {
+	if organisation == "" {
+		return unlimited{}, nil
+	}
+	s.mu.Lock()
+	s.limiter.NoteDemand(s.config.Now(), organisation, tokens)
+	s.mu.Unlock()
+	outcome := s.take(organisation, tokens)
+	if outcome.Grant == nil && outcome.Refusal.Reason == ratelimit.ReasonRate {
+		outcome = s.borrow(ctx, organisation, tokens, outcome)
+	}
+	if outcome.Grant == nil {
+		s.metrics.refused(outcome.Refusal)
+		return nil, outcome.Refusal
+	}
+	s.metrics.granted.Inc()
+	return &reservation{service: s, organisation: organisation, grant: outcome.Grant}, nil
+}
+
+// take reserves tokens that this host has. A process that was paused between
+// the clock reading and the return may have lost its share, so it asks again.
+func (s *Service) take(organisation string, tokens float64) ratelimit.Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		now := s.config.Now()
+		outcome := s.limiter.Reserve(now, organisation, tokens)
+		later := s.config.Now()
+		if outcome.Grant == nil || later.Sub(now) <= maxHold {
+			return outcome
+		}
+		outcome.Grant.Settle(now)
+	}
+}
+
+type reservation struct {
+	service      *Service
+	organisation string
+	grant        *ratelimit.Grant
+}
+
+// Consume implements ratelimit.Reservation.
+func (r *reservation) Consume(tokens float64) {
+	r.service.mu.Lock()
+	excess := r.grant.Consume(max(0, tokens))
+	r.service.mu.Unlock()
+	if excess > 0 {
+		r.service.metrics.excess.Add(excess)
+		invariant.Assert(false, invariant.RateWithinShare, map[string]any{"organisation": r.organisation, "excess_tokens": excess})
+	}
+}
+
+// Settle implements ratelimit.Reservation.
+func (r *reservation) Settle() {
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	now := r.service.config.Now()
+	unused := r.grant.Settle(now)
+	r.service.limiter.NoteDemand(now, r.organisation, -unused)
+}
+
+type unlimited struct{}
+
+// Consume implements ratelimit.Reservation.
+func (unlimited) Consume(float64) {}
+
+// Settle implements ratelimit.Reservation.
+func (unlimited) Settle() {}
+
+func newID() string { return uuid.NewString() }
--- /dev/null
+++ b/internal/shares/service_test.go
@@ -0,0 +1,117 @@
+package shares_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/config"
+	"bilberryslip.example/bilberryslip/internal/membership"
+	"bilberryslip.example/bilberryslip/internal/peer"
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
+	"bilberryslip.example/bilberryslip/internal/shares"
+	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestShares(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "shares")
+}
+
+var _ suture.Service = (*shares.Service)(nil)
+
+// host is one entry host: membership and shares behind a real peer server.
+type host struct {
+	members *membership.Service
+	shares  *shares.Service
+	stop    context.CancelFunc
+}
+
+// forward is a peer handler that is set after the server has started.
+type forward struct{ host }
+
+func (f *forward) Gossip(ctx context.Context, r *peerv1.GossipRequest) (*peerv1.GossipResponse, error) {
+	return f.members.Gossip(ctx, r)
+}
+
+func (f *forward) BorrowRate(ctx context.Context, r *peerv1.BorrowRateRequest) (*peerv1.BorrowRateResponse, error) {
+	return f.shares.BorrowRate(ctx, r)
+}
+
+func startHost(store *objectstore.Store, source config.Source, name string, seeds ...string) *host {
+	handler := &forward{}
+	server := httptest.NewServer(peer.NewServer("secret", peer.Handlers{Gossip: handler, Lender: handler}))
+	pool := peer.NewPool(peer.PoolConfig{Secret: "secret"})
+	self := membership.Host{Name: name, Incarnation: name + "-1", Zone: "z", PeerURL: server.URL}
+	handler.members = membership.NewService(membership.ServiceConfig{
+		Table: membership.NewTable(membership.TableConfig{Self: self, Seeds: seeds}), Peers: pool, Interval: 20 * time.Millisecond,
+	})
+	handler.shares = shares.New(shares.Config{
+		Store: store, Members: handler.members, Peers: pool, Source: source,
+		BorrowTimeout: time.Second, SyncInterval: 20 * time.Millisecond,
+	})
+	handler.members.Extend(handler.shares)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	go func() { _ = handler.members.Serve(ctx); done <- struct{}{} }()
+	go func() { _ = handler.shares.Serve(ctx); done <- struct{}{} }()
+	handler.stop = func() { stop(); <-done; <-done }
+	DeferCleanup(func() { handler.stop(); server.Close(); pool.Close() })
+	return &handler.host
+}
+
+func policy(rate, burst float64) config.Source {
+	organisation := &apiv1.Object{Spec: &apiv1.Object_Organisation{Organisation: &apiv1.Organisation{Name: "aqej"}}}
+	limit := &apiv1.Object{Spec: &apiv1.Object_RatePolicy{RatePolicy: &apiv1.RatePolicy{
+		Name: "aqej", Organisation: "aqej", TokensPerSecond: rate, BurstTokens: burst,
+	}}}
+	return config.Static{Snapshot: config.NewSnapshot(1, []*apiv1.Object{organisation, limit})}
+}
+
+func units(h *host) int64 { return h.shares.DumpState().(shares.State).UsableUnits }
+
+var _ = Describe("Service", func() {
+	ctx := context.Background()
+
+	It("grants one host's organisation its rate and refuses with a time to retry", func() {
+		only := startHost(objectstore.New(), policy(1000, 1000), "a")
+		Eventually(func() error { _, err := only.shares.Reserve(ctx, "aqej", 100); return err }).Should(Succeed())
+		_, err := only.shares.Reserve(ctx, "aqej", 5000)
+		Expect(err).To(MatchError(ContainSubstring("exceeds the burst")))
+		_, err = only.shares.Reserve(ctx, "unknown", 1)
+		Expect(err).To(MatchError(ContainSubstring("no rate policy")))
+		Eventually(func(g Gomega) {
+			_, err := only.shares.Reserve(ctx, "aqej", 900)
+			var refused *ratelimit.RefusedError
+			g.Expect(err).To(BeAssignableToTypeOf(refused))
+			g.Expect(err.(*ratelimit.RefusedError).RetryAfter).To(BeNumerically(">", 0))
+		}).Should(Succeed())
+	})
+
+	It("lets one of three hosts use most of a burst by borrowing, and returns units on leaving", func() {
+		store := objectstore.New()
+		source := policy(30000, 30000)
+		a := startHost(store, source, "a")
+		url := a.members.Self().PeerURL
+		b := startHost(store, source, "b", url)
+		c := startHost(store, source, "c", url)
+		third := ratelimit.TotalUnits / 3
+		Eventually(func() []int64 { return []int64{units(a), units(b), units(c)} }).WithTimeout(10 * time.Second).
+			Should(HaveEach(BeNumerically("~", third, third/4)))
+		Eventually(func() error { _, err := a.shares.Reserve(ctx, "aqej", 20000); return err }).WithTimeout(5 * time.Second).Should(Succeed())
+		Expect(b.shares.Leave(ctx)).To(Succeed())
+		Expect(units(b)).To(BeZero())
+		var alive *shares.HostAliveError
+		Expect(a.shares.ForgetHost(ctx, "c")).To(BeAssignableToTypeOf(alive))
+		Expect(fmt.Sprint(b.shares.DumpState())).NotTo(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/shares/sync.go
@@ -0,0 +1,183 @@
+package shares
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
+)
+
+const (
+	ledgerName    = "ledger"
+	ledgerTimeout = 3 * time.Second
+	// maxConflicts is how often one look at the ledger tries again at once.
+	maxConflicts = 3
+)
+
+// Serve keeps policies and ledger current until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	for {
+		changed := s.config.Source.Changed()
+		s.applyPolicies()
+		if err := s.Sync(ctx); err != nil {
+			logrus.WithError(err).Debug("share ledger not synchronised")
+		}
+		interval := s.config.SyncInterval
+		timer := time.NewTimer(interval*3/4 + rand.N(interval/2))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-changed:
+		case <-s.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (s *Service) applyPolicies() {
+	snapshot := s.config.Source.Current()
+	policies := make(map[string]ratelimit.Policy)
+	for _, organisation := range snapshot.Organisations() {
+		if p := snapshot.RatePolicy(organisation.GetName()); p != nil {
+			policies[organisation.GetName()] = ratelimit.Policy{Rate: p.GetTokensPerSecond(), Burst: p.GetBurstTokens()}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.SetPolicies(s.config.Now(), policies)
+}
+
+// Sync reads the ledger where needed and writes what this host has to change.
+func (s *Service) Sync(ctx context.Context) error {
+	s.syncMu.Lock()
+	defer s.syncMu.Unlock()
+	if s.needsRead() {
+		if err := s.read(ctx); err != nil {
+			return err
+		}
+	}
+	for range maxConflicts {
+		edit := s.plan()
+		if edit == nil {
+			return nil
+		}
+		if err := s.write(ctx, edit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Service) needsRead() (needed bool) {
+	s.tenure(func(t *ratelimit.Tenure) { needed = t.NeedsRead(s.config.Now()) })
+	return needed
+}
+
+func (s *Service) tenure(do func(*ratelimit.Tenure)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.Tenure(s.config.Now(), do)
+}
+
+func (s *Service) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	sentAt := s.config.Now()
+	object, err := s.config.Store.Get(ctx, platform.KindShareLedger, ledgerName)
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		s.tenure(func(t *ratelimit.Tenure) { s.learnMissing(t, sentAt) })
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read the share ledger")
+	}
+	return s.learn(object, sentAt)
+}
+
+func (s *Service) learnMissing(t *ratelimit.Tenure, sentAt time.Time) {
+	if t.Version() > 0 {
+		logrus.Error("share ledger is missing from the platform; all units are given up")
+		t.Reset()
+	}
+	t.Learn(&ratelimit.Ledger{}, 0, sentAt, s.config.Now())
+}
+
+func (s *Service) learn(object platform.Object, sentAt time.Time) error {
+	ledger := &ratelimit.Ledger{}
+	if err := json.Unmarshal(object.Value, ledger); err != nil || !ledger.Valid() {
+		return errors.Newf("share ledger at version %d is damaged; restore or delete the object: %v", object.Version, err)
+	}
+	s.tenure(func(t *ratelimit.Tenure) { t.Learn(ledger, int64(object.Version), sentAt, s.config.Now()) })
+	return nil
+}
+
+func (s *Service) plan() (edit *ratelimit.Edit) {
+	hosts := s.config.Members.Hosts()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Now()
+	keep := s.limiter.LentUnits(now)
+	s.limiter.Tenure(now, func(t *ratelimit.Tenure) {
+		if edit = t.Plan(now, hosts, keep, newID()); edit != nil {
+			t.Begin(edit)
+		}
+	})
+	return edit
+}
+
+// write carries out an edit. It returns an error unless the next look at the
+// ledger may follow at once.
+func (s *Service) write(ctx context.Context, edit *ratelimit.Edit) error {
+	value, err := json.Marshal(edit.Next)
+	if err != nil {
+		return errors.Wrap(err, "encode the share ledger")
+	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	sentAt := s.config.Now()
+	var object platform.Object
+	if edit.Base == 0 {
+		object, err = s.config.Store.Create(ctx, platform.KindShareLedger, ledgerName, edit.ID, value)
+	} else {
+		object, err = s.config.Store.Update(ctx, platform.KindShareLedger, ledgerName, platform.Version(edit.Base), edit.ID, value)
+	}
+	s.metrics.ledgerWrites.Inc()
+	return s.settle(edit, object, sentAt, err)
+}
+
+func (s *Service) settle(edit *ratelimit.Edit, object platform.Object, sentAt time.Time, err error) error {
+	var conflict *platform.ConflictError
+	var unavailable *platform.UnavailableError
+	switch {
+	case err == nil:
+		s.written(edit, object, sentAt)
+		return nil
+	case errors.As(err, &conflict):
+		if conflict.Current.WriteID == edit.ID {
+			s.written(edit, conflict.Current, sentAt)
+			return nil
+		}
+		return s.learn(conflict.Current, sentAt)
+	case errors.As(err, &unavailable) && unavailable.Outcome == platform.OutcomeNotSent && !edit.Unknown:
+		s.tenure(func(t *ratelimit.Tenure) { t.NotWritten() })
+	default:
+		edit.Unknown = true
+	}
+	return errors.Wrap(err, "write the share ledger")
+}
+
+func (s *Service) written(edit *ratelimit.Edit, object platform.Object, sentAt time.Time) {
+	s.tenure(func(t *ratelimit.Tenure) {
+		t.Written(edit, int64(object.Version), sentAt, s.config.Now())
+		logrus.WithFields(logrus.Fields{"version": object.Version, "units": t.Units()}).Info("share ledger written")
+	})
+}
