Serve callers: gateway, admission queue, routing and the endpoint registry

A request is authenticated, held to its organisation's rate, queued fairly, routed and answered, plain or streamed, by model engines and plain services. Engines are always asked for a stream, so that a plain answer too is known to be whole by its final event and is watched for progress.

Endpoints get headers and bodies built anew; an answer must echo its attempt. A non-repeatable call is claimed, then sent once over a new connection.

Tested with the stand-in engine and service: whole path, refusals in the one error form with 'not run' held against the endpoints' own journals.

--- /dev/null
+++ b/internal/endpoint/client.go
@@ -0,0 +1,142 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+)
+
+const (
+	maxIdlePerEndpoint = 64
+	idleTimeout        = 30 * time.Second
+	maxControlBytes    = 4 << 20
+)
+
+// client holds the connections to one endpoint. The zero value is not usable.
+type client struct {
+	name string
+	url  string
+	// pooled keeps idle connections; fresh never does.
+	pooled *http.Transport
+	fresh  *http.Transport
+	// control carries reports and orders, apart from callers' requests.
+	control *http.Transport
+}
+
+func newClient(name, url string, dialTimeout time.Duration) *client {
+	return &client{
+		name:    name,
+		url:     url,
+		pooled:  newTransport(dialTimeout, false),
+		fresh:   newTransport(dialTimeout, true),
+		control: newTransport(dialTimeout, false),
+	}
+}
+
+func newTransport(dialTimeout time.Duration, fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdlePerEndpoint,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+func (c *client) transport(fresh bool) *http.Transport {
+	if fresh {
+		return c.fresh
+	}
+	return c.pooled
+}
+
+// dropConnections closes idle connections, so that the next attempt dials.
+func (c *client) dropConnections() { c.pooled.CloseIdleConnections() }
+
+func (c *client) close() {
+	c.pooled.CloseIdleConnections()
+	c.control.CloseIdleConnections()
+}
+
+// The paths of load reports.
+const (
+	engineReportPath  = "/engine/report"
+	serviceReportPath = "/service/report"
+)
+
+func (c *client) report(ctx context.Context, path string) (engineapi.Report, error) {
+	var report engineapi.Report
+	err := c.controlCall(ctx, http.MethodGet, path, nil, &report)
+	return report, err
+}
+
+func (c *client) events(ctx context.Context, after int64) (engineapi.CacheEvents, error) {
+	var events engineapi.CacheEvents
+	query := url.Values{"after": {strconv.FormatInt(after, 10)}}
+	err := c.controlCall(ctx, http.MethodGet, "/engine/events?"+query.Encode(), nil, &events)
+	return events, err
+}
+
+func (c *client) order(ctx context.Context, order engineapi.Order) (engineapi.OrderResult, error) {
+	var result engineapi.OrderResult
+	err := c.controlCall(ctx, http.MethodPost, "/engine/orders", order, &result)
+	return result, err
+}
+
+func (c *client) cancel(ctx context.Context, attempt string) error {
+	return c.controlCall(ctx, http.MethodPost, "/engine/cancel", engineapi.Cancel{Attempt: attempt}, nil)
+}
+
+// controlCall makes a call whose answer is JSON. After an error the
+// connections are closed, so that a silent one is not used again.
+func (c *client) controlCall(ctx context.Context, method, path string, in, out any) (err error) {
+	defer func() {
+		if err != nil {
+			c.control.CloseIdleConnections()
+		}
+	}()
+	var body io.Reader
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode")
+		}
+		body = onceBody{bytes.NewReader(encoded)}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.url+path, body)
+	if err != nil {
+		return errors.Wrap(err, "endpoint url")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.control.RoundTrip(req)
+	if err != nil {
+		return errors.Wrapf(err, "call %s of endpoint %s", path, c.name)
+	}
+	defer resp.Body.Close()
+	return decodeControl(resp, out)
+}
+
+func decodeControl(resp *http.Response, out any) error {
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
+	if err != nil {
+		return errors.Wrap(err, "read control answer")
+	}
+	if resp.StatusCode/100 != 2 {
+		return &StatusError{Status: resp.StatusCode}
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(content, out), "decode control answer")
+}
--- /dev/null
+++ b/internal/endpoint/prefixes.go
@@ -0,0 +1,55 @@
+package endpoint
+
+import (
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+)
+
+// prefixesPerEndpoint bounds the remembered prompt prefixes of an engine.
+const prefixesPerEndpoint = 4096
+
+type prefixKey struct {
+	model string
+	hash  uint64
+}
+
+// PrefixSet is what is known of an engine's prompt cache. It is safe for
+// concurrent use; a nil set is empty.
+type PrefixSet struct {
+	entries *lru.Cache[prefixKey, struct{}]
+}
+
+func newPrefixSet() *PrefixSet {
+	entries, err := lru.New[prefixKey, struct{}](prefixesPerEndpoint)
+	if err != nil {
+		panic(err) // only a size below 1 fails
+	}
+	return &PrefixSet{entries: entries}
+}
+
+// PrefixHash returns the hash of a prompt's prefix, as cache events give it.
+func PrefixHash(prompt string) uint64 {
+	return xxhash.Sum64String(prompt[:min(len(prompt), engineapi.PrefixBytes)])
+}
+
+// Holds reports whether the prefix is believed to be cached.
+func (p *PrefixSet) Holds(model string, hash uint64) bool {
+	return p != nil && p.entries.Contains(prefixKey{model, hash})
+}
+
+// Add remembers that the prefix was sent to the engine or cached by it.
+func (p *PrefixSet) Add(model string, hash uint64) {
+	p.entries.Add(prefixKey{model, hash}, struct{}{})
+}
+
+func (p *PrefixSet) apply(event engineapi.CacheEvent) {
+	if event.Removed {
+		p.entries.Remove(prefixKey{event.Model, event.PrefixHash})
+		return
+	}
+	p.Add(event.Model, event.PrefixHash)
+}
+
+func (p *PrefixSet) clear() { p.entries.Purge() }
--- a/internal/endpoint/state.go
+++ b/internal/endpoint/state.go
@@ -28,6 +28,39 @@
 	InFlight int
 	// TokensInFlight is the sum of their estimated remaining tokens.
 	TokensInFlight int64
+	// SentSinceReport is by how much this host's own running requests have
+	// grown since the engine took the state that it reported; it may be
+	// negative.
+	SentSinceReport int
+	// Penalty is the number of recent failures, decaying with time.
+	Penalty float64
+	// Prefixes is what is known of the engine's prompt cache. Nil means
+	// nothing.
+	Prefixes *PrefixSet
+}
+
+// Available reports whether new work may go to the endpoint.
+func (s *State) Available() bool {
+	return s.Reachable && !s.Leaving && !s.Ejected && !s.Config.GetDraining()
+}
+
+// Load estimates the requests that run or wait at the endpoint: what it
+// reported, corrected by what this host has sent since, and at least what
+// this host itself has running there.
+func (s *State) Load() float64 {
+	load := s.Report.Running + s.Report.Queued + s.SentSinceReport
+	return float64(max(load, s.InFlight)) + s.Penalty
+}
+
+// defaultMaxConcurrent applies where an endpoint's limit is zero.
+const defaultMaxConcurrent = 16
+
+// Capacity returns how many requests the endpoint runs at once.
+func (s *State) Capacity() int {
+	if limit := int(s.Config.GetMaxConcurrent()); limit > 0 {
+		return limit
+	}
+	return defaultMaxConcurrent
 }
 
 // HoldsModel reports whether the engine has the model version ready.
--- /dev/null
+++ b/internal/gateway/complete.go
@@ -0,0 +1,390 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/admission"
+	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/routing"
+)
+
+// maxResumes bounds the resumes of a stream that makes no progress.
+const maxResumes = 3
+
+// complete serves a completion. What can be refused is refused in the order
+// of cost, before anything is sent.
+func (g *Gateway) complete(r *request, chat bool) error {
+	snapshot := g.config.Source.Current()
+	who, failure := g.authenticate(snapshot, r.http)
+	if failure != nil {
+		return failure
+	}
+	r.identify(who, "")
+	if failure := r.classify(); failure != nil {
+		return failure
+	}
+	ctx, cancel, failure := r.withTimeout(r.http.Context())
+	if failure != nil {
+		return failure
+	}
+	defer cancel()
+	body, failure := r.body()
+	if failure != nil {
+		return failure
+	}
+	asked, failure := parseCompletion(body, chat)
+	if failure != nil {
+		return failure
+	}
+	r.identify(who, asked.model)
+	chosen, failure := findTarget(snapshot, who.organisation.GetName(), asked.model)
+	if failure != nil {
+		return failure
+	}
+	if failure := asked.limit(chosen.model.GetMaxTokens(), g.config.DefaultAnswerTokens); failure != nil {
+		return failure
+	}
+	engineBody, err := asked.engineBody(chosen)
+	if err != nil {
+		return err
+	}
+	if bytes.Contains(engineBody, []byte(who.secret)) {
+		return errKeyMisplaced("body")
+	}
+	return g.reserveAndRun(ctx, &generation{
+		request: r, asked: asked, target: chosen, body: engineBody,
+		prefix: endpoint.PrefixHash(asked.prompt),
+		weight: who.organisation.GetWeight(),
+	})
+}
+
+func (g *Gateway) reserveAndRun(ctx context.Context, gen *generation) error {
+	tokens := gen.asked.tokens()
+	reservation, failure := g.reserve(ctx, gen.request.caller, float64(tokens))
+	if failure != nil {
+		return failure
+	}
+	defer reservation.Settle()
+	gen.reservation = reservation
+	g.demand.add(g.config.Clock(), gen.target.name(), tokens)
+	g.firstAttempt()
+	if gen.asked.stream {
+		gen.sink = newStreamSink(gen)
+	} else {
+		gen.sink = newPlainSink(gen)
+	}
+	return gen.run(ctx)
+}
+
+// reserve takes tokens out of the caller's rate.
+func (g *Gateway) reserve(ctx context.Context, who caller, tokens float64) (Reservation, *Error) {
+	reservation, err := g.config.Limiter.Reserve(ctx, who.organisation.GetName(), tokens)
+	if err == nil {
+		return reservation, nil
+	}
+	var refused RetryDelayer
+	if errors.As(err, &refused) {
+		return nil, errRateExceeded(refused.RetryDelay())
+	}
+	return nil, errRateUnavailable()
+}
+
+// generation is a completion on its way through one or more attempts.
+type generation struct {
+	request     *request
+	asked       *completion
+	target      target
+	body        []byte
+	prefix      uint64
+	weight      float64
+	reservation Reservation
+	sink        sink
+
+	tried []string
+	// attempt is the identifier of the last attempt that gave events, and
+	// next the offset of the event that is due.
+	attempt string
+	next    int64
+	// consumed is the tokens entered into the reservation.
+	consumed int64
+}
+
+func (gen *generation) gateway() *Gateway { return gen.request.gateway }
+
+// run makes attempts until the answer is whole or no further one may help.
+func (gen *generation) run(ctx context.Context) error {
+	for attempts := 1; ; attempts++ {
+		sl, failure := gen.acquire(ctx)
+		if failure != nil {
+			return gen.fail(failure)
+		}
+		err := gen.runAt(ctx, sl)
+		if err == nil {
+			return gen.sink.finish()
+		}
+		failure = gen.outcome(ctx, err)
+		if final(err) || ctx.Err() != nil || gen.sink.started() || attempts >= gen.gateway().config.MaxAttempts {
+			return gen.fail(failure)
+		}
+		if !gen.gateway().retryAllowed() {
+			return gen.fail(failure)
+		}
+		gen.gateway().metrics.retries.WithLabelValues("restart").Inc()
+		gen.restart(sl.attempt.Endpoint())
+	}
+}
+
+// restart forgets what came so far; nothing of it reached the caller.
+func (gen *generation) restart(failedAt string) {
+	gen.tried = append(gen.tried, failedAt)
+	gen.attempt, gen.next = "", 0
+	gen.sink.reset()
+}
+
+// acquire waits for a place at an endpoint.
+func (gen *generation) acquire(ctx context.Context) (*slot, *Error) {
+	r := gen.request
+	sl, refusal, err := gen.gateway().scheduler.acquire(ctx, slotRequest{
+		requestID: r.id,
+		admission: admission.Request{
+			Organisation: r.caller.organisation.GetName(),
+			Weight:       gen.weight,
+			Class:        r.class,
+			Pool:         gen.gateway().scheduler.poolOf(gen.routing()),
+			Resource:     gen.target.name(),
+			Tokens:       float64(gen.asked.tokens()),
+			Deadline:     r.queueDeadline(ctx),
+		},
+		routing: gen.routing(),
+	})
+	if failure := r.admissionFailure(ctx, refusal, err); failure != nil {
+		return nil, failure
+	}
+	if failure := gen.gateway().stillGranted(r.caller); failure != nil {
+		gen.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
+		return nil, failure
+	}
+	gen.gateway().metrics.queueWait.Observe(sl.waited.Seconds())
+	return sl, nil
+}
+
+func (gen *generation) routing() routing.Request {
+	return routing.Request{
+		Zone:    gen.gateway().config.Zone,
+		Model:   gen.target.model.GetName(),
+		Version: gen.target.model.GetServingVersion(),
+		Adapter: gen.target.adapter.GetName(),
+		Prefix:  gen.prefix,
+		Tried:   gen.tried,
+	}
+}
+
+// admissionFailure is the answer to a request that left the queue unserved.
+func (r *request) admissionFailure(ctx context.Context, refusal *admission.Refusal, err error) *Error {
+	run := RunNot
+	if r.sent {
+		run = RunUnknown
+	}
+	switch {
+	case err != nil:
+		return ended(ctx, run)
+	case refusal == nil:
+		return nil
+	case refusal.Reason == admission.ReasonNoEndpoint:
+		return errNoEndpoint(refusal.RetryAfter).withRun(run)
+	default:
+		return errOverloaded(refusal.RetryAfter).withRun(run)
+	}
+}
+
+// ended is the answer to a request whose context ended.
+func ended(ctx context.Context, run Run) *Error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return errTimeout(run)
+	}
+	return errCallerGone(run)
+}
+
+// runAt runs the generation at the slot's endpoint and resumes it there for
+// as long as that makes progress.
+func (gen *generation) runAt(ctx context.Context, sl *slot) error {
+	gen.begin(sl)
+	err := gen.stream(ctx, sl.attempt, len(gen.tried) > 0)
+	gen.gateway().scheduler.finish(sl, outcomeOf(ctx, err), gen.consumed)
+	for resumes := 0; gen.resumable(ctx, err) && resumes < maxResumes; resumes++ {
+		before := gen.next
+		err = gen.resume(ctx, sl.attempt.Endpoint(), err)
+		if gen.next > before {
+			resumes = 0
+		}
+	}
+	return err
+}
+
+// begin records where the request goes.
+func (gen *generation) begin(sl *slot) {
+	r := gen.request
+	name := sl.attempt.Endpoint()
+	r.at(name)
+	if !gen.sink.started() {
+		id := r.record(apiv1.DecisionKind_DECISION_KIND_ROUTE, "chosen", name, routeInputs(sl))
+		setIfPresent(r.echo.Response().Header(), HeaderDecisionID, id)
+	}
+	sl.attempt.Cached(gen.target.model.GetName(), gen.prefix)
+}
+
+func (gen *generation) resumable(ctx context.Context, err error) bool {
+	return err != nil && !final(err) && ctx.Err() == nil && gen.next > 0
+}
+
+// resume continues the cut stream at its endpoint, over a new connection.
+func (gen *generation) resume(ctx context.Context, name string, cause error) error {
+	attempt := gen.gateway().config.Endpoints.Resume(name, gen.asked.maxTokens)
+	if attempt == nil {
+		return cause
+	}
+	gen.gateway().metrics.retries.WithLabelValues("resume").Inc()
+	err := gen.stream(ctx, attempt, true)
+	attempt.Finish(outcomeOf(ctx, err))
+	var status *statusError
+	if errors.As(err, &status) {
+		return &finalError{cause} // the engine can't resume it
+	}
+	return err
+}
+
+// stream makes one attempt and passes its events on.
+func (gen *generation) stream(ctx context.Context, attempt *endpoint.Attempt, fresh bool) error {
+	call := gen.call(fresh)
+	if gen.next > 0 {
+		call.Resume = resumeAt(gen.attempt, gen.next)
+	}
+	gen.request.sent = true
+	answer, err := attempt.Send(ctx, call)
+	if err != nil {
+		gen.notSent(err)
+		gen.cancelAt(attempt, call.Attempt, err)
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.Status != http.StatusOK {
+		return gen.refusedBy(attempt, answer)
+	}
+	events := endpoint.NewEventReader(attempt.Endpoint(), call.Attempt, gen.next, answer.Body)
+	gen.attempt = call.Attempt
+	err = gen.pass(events)
+	gen.cancelAt(attempt, call.Attempt, err)
+	return err
+}
+
+func (gen *generation) call(fresh bool) endpoint.Call {
+	cfg := gen.gateway().config
+	limits := endpoint.ProgressLimits{Header: cfg.ReusedFirstByte, FirstByte: cfg.FirstByte, Between: cfg.Between}
+	if fresh {
+		limits.Header = cfg.FirstByte
+	}
+	return endpoint.Call{
+		Attempt:     uuid.NewString(),
+		Request:     gen.request.id,
+		Method:      http.MethodPost,
+		Path:        gen.asked.path(),
+		ContentType: "application/json",
+		Accept:      "text/event-stream",
+		Priority:    gen.request.class.String(),
+		Body:        gen.body,
+		Fresh:       fresh,
+		Limits:      limits,
+	}
+}
+
+// notSent takes back that the request was sent, where no attempt was.
+func (gen *generation) notSent(err error) {
+	var notSent *endpoint.NotSentError
+	if errors.As(err, &notSent) && gen.next == 0 && len(gen.tried) == 0 {
+		gen.request.sent = false
+	}
+}
+
+// pass reads events to the final one and hands them on.
+func (gen *generation) pass(events *endpoint.EventReader) error {
+	for {
+		event, err := events.Next()
+		if err != nil {
+			return err
+		}
+		if failure := gen.gateway().stillGranted(gen.request.caller); failure != nil {
+			return &finalError{failure.withRun(RunRan)}
+		}
+		if event.Done {
+			gen.next = events.Offset()
+			return nil
+		}
+		if err := gen.accept(event); err != nil {
+			return err
+		}
+		gen.next = events.Offset()
+	}
+}
+
+func (gen *generation) accept(event endpoint.Event) error {
+	if event.Offset == 0 {
+		gen.gateway().metrics.firstToken.Observe(gen.gateway().config.Clock().Sub(gen.request.started).Seconds())
+		gen.consume(gen.asked.promptTokens())
+	}
+	gen.consume(1)
+	return gen.sink.event(event.Data)
+}
+
+// consume enters tokens into the accounts, up to what was reserved.
+func (gen *generation) consume(tokens int64) {
+	tokens = min(tokens, gen.asked.tokens()-gen.consumed)
+	gen.consumed += tokens
+	gen.reservation.Consume(float64(tokens))
+	gen.gateway().metrics.tokens.Add(float64(tokens))
+}
+
+// refusedBy turns an engine's refusal into an error.
+func (gen *generation) refusedBy(attempt *endpoint.Attempt, answer *endpoint.Answer) error {
+	status := &statusError{status: answer.Status}
+	switch answer.Status {
+	case http.StatusBadRequest, http.StatusUnprocessableEntity:
+		return &finalError{status}
+	case http.StatusServiceUnavailable:
+		if answer.Header.Get(headerLeaving) == "true" {
+			attempt.Refused()
+		}
+	}
+	return status
+}
+
+// headerLeaving is an endpoint's word, beside a 503, that it is leaving.
+const headerLeaving = "X-Leaving"
+
+// cancelTimeout bounds the order to an engine to stop generating.
+const cancelTimeout = 2 * time.Second
+
+// cancelAt tells the engine that nobody waits for the attempt any more.
+func (gen *generation) cancelAt(attempt *endpoint.Attempt, id string, err error) {
+	var notSent *endpoint.NotSentError
+	if err == nil || errors.As(err, &notSent) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		// An engine that misses this has seen the connection close.
+		_ = attempt.Cancel(ctx, id)
+	}()
+}
+
+func resumeAt(attempt string, offset int64) string {
+	return attempt + "/" + formatInt(offset)
+}
+
--- /dev/null
+++ b/internal/gateway/demand.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+)
+
+const (
+	// demandWindow is the time constant of the demand that is shown.
+	demandWindow = 10 * time.Second
+	// negligibleDemand, in tokens a second, is forgotten.
+	negligibleDemand = 0.01
+)
+
+// demand measures the recent tokens a second of each model and adapter.
+type demand struct {
+	mu    sync.Mutex
+	rates map[string]*decayingRate
+}
+
+type decayingRate struct {
+	perSecond float64
+	at        time.Time
+}
+
+func (r *decayingRate) decay(now time.Time) {
+	elapsed := max(now.Sub(r.at), 0)
+	r.perSecond *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+	r.at = now
+}
+
+func newDemand() *demand { return &demand{rates: make(map[string]*decayingRate)} }
+
+func (d *demand) add(now time.Time, name string, tokens int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rate, ok := d.rates[name]
+	if !ok {
+		rate = &decayingRate{at: now}
+		d.rates[name] = rate
+	}
+	rate.decay(now)
+	rate.perSecond += float64(tokens) / demandWindow.Seconds()
+}
+
+func (d *demand) list(now time.Time, waiting map[string]int) []*peerv1.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*peerv1.Demand
+	for name, rate := range d.rates {
+		rate.decay(now)
+		queued := waiting[name]
+		if rate.perSecond < negligibleDemand && queued == 0 {
+			delete(d.rates, name)
+			continue
+		}
+		list = append(list, &peerv1.Demand{Model: name, TokensPerSecond: rate.perSecond, Queued: int32(queued)})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].GetModel() < list[j].GetModel() })
+	return list
+}
+
+// Demand returns the recent demand for each model and adapter on this host,
+// by the names that callers use, including what was refused for load.
+func (g *Gateway) Demand() []*peerv1.Demand {
+	return g.demand.list(g.config.Clock(), g.scheduler.waiting())
+}
--- /dev/null
+++ b/internal/gateway/suite_test.go
@@ -0,0 +1,415 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/config"
+	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
+	"bilberryslip.example/bilberryslip/internal/standin/serviceserver"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestGateway(t *testing.T) {
+	logrus.SetOutput(GinkgoWriter)
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+const (
+	secret      = "sk-jewellers-0001"
+	otherSecret = "sk-insurers-0002"
+)
+
+// fakeLimiter grants until told otherwise and keeps account.
+type fakeLimiter struct {
+	mu                          sync.Mutex
+	refuse                      error
+	reserved, consumed, settled float64
+}
+
+func (l *fakeLimiter) Reserve(_ context.Context, _ string, tokens float64) (gateway.Reservation, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refuse != nil {
+		return nil, l.refuse
+	}
+	l.reserved += tokens
+	return &fakeReservation{limiter: l, left: tokens}, nil
+}
+
+func (l *fakeLimiter) used() (reserved, consumed, settled float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reserved, l.consumed, l.settled
+}
+
+type fakeReservation struct {
+	limiter *fakeLimiter
+	left    float64
+	done    bool
+}
+
+func (r *fakeReservation) Consume(tokens float64) {
+	r.limiter.mu.Lock()
+	defer r.limiter.mu.Unlock()
+	r.left -= tokens
+	r.limiter.consumed += tokens
+}
+
+func (r *fakeReservation) Settle() {
+	r.limiter.mu.Lock()
+	defer r.limiter.mu.Unlock()
+	if !r.done {
+		r.limiter.settled += r.left
+	}
+	r.done = true
+}
+
+type retryError struct{ delay time.Duration }
+
+func (e retryError) Error() string             { return "refused" }
+func (e retryError) RetryDelay() time.Duration { return e.delay }
+
+// fakeClaims keeps claims in memory.
+type fakeClaims struct {
+	mu     sync.Mutex
+	refuse error
+	claims map[gateway.ClaimRequest]*fakeClaim
+	prints map[gateway.ClaimRequest]string
+}
+
+type fakeClaim struct {
+	book    *fakeClaims
+	key     gateway.ClaimRequest
+	outcome gateway.ClaimOutcome
+}
+
+func (b *fakeClaims) Begin(_ context.Context, req gateway.ClaimRequest) (gateway.ClaimOutcome, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.refuse != nil {
+		return gateway.ClaimOutcome{}, b.refuse
+	}
+	key := req
+	key.Fingerprint = ""
+	if known, ok := b.claims[key]; ok {
+		if b.prints[key] != req.Fingerprint {
+			return gateway.ClaimOutcome{State: gateway.ClaimMismatch}, nil
+		}
+		return known.outcome, nil
+	}
+	claim := &fakeClaim{book: b, key: key, outcome: gateway.ClaimOutcome{State: gateway.ClaimStillRunning}}
+	b.claims[key] = claim
+	b.prints[key] = req.Fingerprint
+	return gateway.ClaimOutcome{State: gateway.ClaimClaimed, Claim: claim}, nil
+}
+
+func (c *fakeClaim) end(outcome gateway.ClaimOutcome) error {
+	c.book.mu.Lock()
+	defer c.book.mu.Unlock()
+	c.outcome = outcome
+	return nil
+}
+
+func (c *fakeClaim) Finish(_ context.Context, answer gateway.RecordedAnswer) error {
+	return c.end(gateway.ClaimOutcome{State: gateway.ClaimRecorded, Answer: &answer})
+}
+
+func (c *fakeClaim) Unknown(context.Context) error {
+	return c.end(gateway.ClaimOutcome{State: gateway.ClaimUnknown})
+}
+
+func (c *fakeClaim) NotRun(context.Context) error {
+	c.book.mu.Lock()
+	defer c.book.mu.Unlock()
+	delete(c.book.claims, c.key)
+	return nil
+}
+
+// fakeRecorder keeps decisions in memory.
+type fakeRecorder struct {
+	mu        sync.Mutex
+	decisions []*apiv1.Decision
+}
+
+func (r *fakeRecorder) Record(d *apiv1.Decision) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d.Id = uuid.NewString()
+	r.decisions = append(r.decisions, d)
+	return d.Id
+}
+
+func (r *fakeRecorder) find(id string) *apiv1.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range r.decisions {
+		if d.GetId() == id {
+			return d
+		}
+	}
+	return nil
+}
+
+// source is a config.Source whose objects can be replaced.
+type source struct {
+	mu       sync.Mutex
+	snapshot *config.Snapshot
+	changed  chan struct{}
+}
+
+func (s *source) Current() *config.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *source) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *source) set(objects []*apiv1.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision := int64(1)
+	if s.snapshot != nil {
+		revision = s.snapshot.Revision() + 1
+	}
+	s.snapshot = config.NewSnapshot(revision, objects)
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+// fixture is a gateway before two engines and two services.
+type fixture struct {
+	objects  []*apiv1.Object
+	source   *source
+	limiter  *fakeLimiter
+	claims   *fakeClaims
+	recorder *fakeRecorder
+	registry *endpoint.Registry
+	gateway  *gateway.Gateway
+	engines  []*engineserver.Server
+	services []*serviceserver.Server
+	url      string
+}
+
+func digestOf(key string) string { return gateway.HashKey(key) }
+
+func organisation(name, key string) []*apiv1.Object {
+	return []*apiv1.Object{
+		{Version: 1, Spec: &apiv1.Object_Organisation{Organisation: &apiv1.Organisation{Name: name}}},
+		{Version: 1, Spec: &apiv1.Object_Key{Key: &apiv1.Key{Name: name + "-key", Organisation: name, SecretSha256: digestOf(key)}}},
+	}
+}
+
+func baseObjects() []*apiv1.Object {
+	objects := append(organisation("jewellers", secret), organisation("insurers", otherSecret)...)
+	routes := []*apiv1.Route{
+		{Name: "register", Service: "registry", Method: "POST", PathPrefix: "/certificates"},
+		{Name: "lookup", Service: "registry", Method: "GET", PathPrefix: "/certificates", Repeatable: true},
+		{Name: "open", Service: "registry", Method: "GET", PathPrefix: "/public", Repeatable: true, Open: true},
+		{Name: "once", Service: "registry", Method: "GET", PathPrefix: "/once", AllowWithoutIdempotencyKey: true},
+		{Name: "private", Service: "registry", PathPrefix: "/private", Organisations: []string{"insurers"}, Repeatable: true},
+	}
+	for _, route := range routes {
+		objects = append(objects, &apiv1.Object{Version: 1, Spec: &apiv1.Object_Route{Route: route}})
+	}
+	return append(objects,
+		&apiv1.Object{Version: 1, Spec: &apiv1.Object_Model{Model: &apiv1.Model{Name: "draft", ServingVersion: "draft-v1"}}},
+		&apiv1.Object{Version: 1, Spec: &apiv1.Object_Adapter{Adapter: &apiv1.Adapter{Name: "draft-rings", Model: "draft", Organisations: []string{"jewellers"}}}},
+	)
+}
+
+func endpointObject(name, url string, kind apiv1.EndpointKind) *apiv1.Object {
+	e := &apiv1.Endpoint{Name: name, Zone: "qce-1", Kind: kind, Url: url, Pool: "drafting", MaxConcurrent: 64}
+	if kind == apiv1.EndpointKind_ENDPOINT_KIND_SERVICE {
+		e.Service = "registry"
+	}
+	return &apiv1.Object{Version: 1, Spec: &apiv1.Object_Endpoint{Endpoint: e}}
+}
+
+func engineOptions() engineserver.Options {
+	return engineserver.Options{
+		MemoryBytes:       100,
+		Preloaded:         []engineapi.HeldModel{{Model: "draft", Version: "draft-v1", Bytes: 10}},
+		PreloadedAdapters: []engineapi.HeldAdapter{{Adapter: "draft-rings", Model: "draft", Bytes: 1}},
+	}
+}
+
+func startServer(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.URL
+}
+
+type fixtureOption func(*engineserver.Options, *gateway.Config)
+
+func newFixture(options ...fixtureOption) *fixture {
+	f := &fixture{
+		source:   &source{},
+		limiter:  &fakeLimiter{},
+		claims:   &fakeClaims{claims: map[gateway.ClaimRequest]*fakeClaim{}, prints: map[gateway.ClaimRequest]string{}},
+		recorder: &fakeRecorder{},
+		objects:  baseObjects(),
+	}
+	engine := engineOptions()
+	cfg := gateway.Config{
+		Limiter: f.limiter, Claims: f.claims, Recorder: f.recorder, Source: f.source, Zone: "qce-1",
+		InteractiveWait: 2 * time.Second, FirstByte: 400 * time.Millisecond, ReusedFirstByte: 400 * time.Millisecond,
+		Between: 400 * time.Millisecond, ServiceFirstByte: 400 * time.Millisecond,
+	}
+	for _, option := range options {
+		option(&engine, &cfg)
+	}
+	f.addEndpoints(engine)
+	f.source.set(f.objects)
+	f.registry = endpoint.NewRegistry(endpoint.Config{Source: f.source, Zone: "qce-1", PollInterval: 20 * time.Millisecond})
+	cfg.Endpoints = f.registry
+	f.gateway = gateway.New(cfg)
+	f.serve()
+	return f
+}
+
+func (f *fixture) addEndpoints(engine engineserver.Options) {
+	for _, name := range []string{"worker-1", "worker-2"} {
+		server := engineserver.New(engine)
+		f.engines = append(f.engines, server)
+		f.objects = append(f.objects, endpointObject(name, startServer(server), apiv1.EndpointKind_ENDPOINT_KIND_ENGINE))
+	}
+	for _, name := range []string{"registry-1", "registry-2"} {
+		server := serviceserver.New(serviceserver.Options{Name: name})
+		f.services = append(f.services, server)
+		f.objects = append(f.objects, endpointObject(name, startServer(server), apiv1.EndpointKind_ENDPOINT_KIND_SERVICE))
+	}
+}
+
+func (f *fixture) serve() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = f.registry.Serve(ctx) })
+	running.Go(func() { _ = f.gateway.Serve(ctx) })
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = f.gateway.NewServer()
+	server.Start()
+	f.url = server.URL
+	DeferCleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		cancel()
+		running.Wait()
+	})
+	Eventually(f.reachable).Should(Equal(4))
+}
+
+func (f *fixture) reachable() int {
+	count := 0
+	for _, state := range f.registry.States() {
+		if state.Reachable {
+			count++
+		}
+	}
+	return count
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+type wireError struct {
+	Error struct {
+		Message, Type, Code, Run string
+		DecisionID               string `json:"decision_id"`
+		RequestID                string `json:"request_id"`
+	}
+}
+
+func (r reply) failure() wireError {
+	var e wireError
+	ExpectWithOffset(1, json.Unmarshal([]byte(r.body), &e)).To(Succeed(), r.body)
+	return e
+}
+
+func (f *fixture) do(method, path, body string, header ...string) reply {
+	req, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+secret)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+		if header[i+1] == "" {
+			req.Header.Del(header[i])
+		}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(content), err: err}
+}
+
+func (f *fixture) chat(extra string, header ...string) reply {
+	return f.do("POST", "/v1/chat/completions",
+		`{"model":"draft","messages":[{"role":"user","content":"a ring"}],"max_tokens":8`+extra+`}`, header...)
+}
+
+// streamText returns the text of an SSE answer and its last event's data.
+func streamText(body string) (text, last string) {
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		last = data
+		var chunk struct {
+			Choices []struct {
+				Text  string
+				Delta struct{ Content string }
+			}
+		}
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
+			text += chunk.Choices[0].Text + chunk.Choices[0].Delta.Content
+		}
+	}
+	return text, last
+}
+
+// generated is the text that the engine stands for.
+func generated(adapter string) string {
+	return engineserver.Generation{Model: "draft", Version: "draft-v1", Adapter: adapter, Prompt: "a ring", Tokens: 8}.Text()
+}
+
+func (f *fixture) serviceRuns() int64 {
+	return f.services[0].State().Runs + f.services[1].State().Runs
+}
