--- /dev/null
+++ b/internal/daemon/host.go
@@ -0,0 +1,241 @@
+package daemon
+
+import (
+	"hash/fnv"
+	"net/http"
+	"time"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/admin"
+	"bilberryslip.example/bilberryslip/internal/claims"
+	"bilberryslip.example/bilberryslip/internal/config"
+	"bilberryslip.example/bilberryslip/internal/decisions"
+	"bilberryslip.example/bilberryslip/internal/demand"
+	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/invariant"
+	"bilberryslip.example/bilberryslip/internal/lease"
+	"bilberryslip.example/bilberryslip/internal/membership"
+	"bilberryslip.example/bilberryslip/internal/peer"
+	"bilberryslip.example/bilberryslip/internal/placement/owner"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/settings"
+	"bilberryslip.example/bilberryslip/internal/shares"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/thejerf/suture/v4"
+)
+
+// host is one running entry host with all its parts.
+type host struct {
+	settings    *settings.Settings
+	sockets     *listeners
+	incarnation string
+	*leaver
+
+	platform  *platform.Client
+	pool      *peer.Pool
+	members   *membership.Service
+	directory *directory
+	log       *config.Log
+	recorder  *decisions.Recorder
+	endpoints *endpoint.Registry
+	lease     *lease.Lease
+	owner     *owner.Owner
+	shares    *shares.Service
+	book      *claims.Book
+	demand    *demand.Tracker
+	gateway   *gateway.Gateway
+
+	ready *readiness
+	dump  *stateDump
+	tree  *suture.Supervisor
+}
+
+// newHost builds all parts of a host; nothing runs yet.
+func newHost(s *settings.Settings, sockets *listeners) (*host, error) {
+	h := &host{settings: s, sockets: sockets, incarnation: uuid.NewString(), leaver: newLeaver()}
+	if err := h.buildPlatform(); err != nil {
+		return nil, err
+	}
+	if err := h.buildMembership(); err != nil {
+		return nil, err
+	}
+	h.buildDecisions()
+	h.buildEndpoints()
+	h.buildLimits()
+	h.buildGateway()
+	h.ready = newReadiness(h.log.Loaded)
+	h.dump = h.newDump()
+	if err := h.buildTree(); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *host) buildPlatform() error {
+	token, err := readSecret(h.settings.Platform.TokenFile)
+	if err != nil {
+		return err
+	}
+	h.platform = platform.NewClient(platform.ClientConfig{
+		Addresses:    h.settings.Platform.Addresses,
+		Token:        token,
+		CallTimeout:  h.settings.Platform.CallTimeout.Std(),
+		WatchTimeout: h.settings.Platform.WatchTimeout.Std(),
+	})
+	return nil
+}
+
+func (h *host) buildMembership() error {
+	secret, err := readSecret(h.settings.Peers.SecretFile)
+	if err != nil {
+		return err
+	}
+	h.pool = peer.NewPool(peer.PoolConfig{Secret: secret})
+	url := h.settings.Peers.URL
+	if url == "" {
+		url = "http://" + h.sockets.peers.Addr().String()
+	}
+	var seeds []string
+	for _, static := range h.settings.Peers.Static {
+		seeds = append(seeds, static.URL)
+	}
+	self := membership.Host{Name: h.settings.Host.Name, Incarnation: h.incarnation, Zone: h.settings.Host.Zone, PeerURL: url}
+	h.members = membership.NewService(membership.ServiceConfig{
+		Table:    membership.NewTable(membership.TableConfig{Self: self, Seeds: seeds}),
+		Peers:    h.pool,
+		Lister:   h.platform,
+		Interval: h.settings.Peers.GossipInterval.Std(),
+	})
+	h.directory = &directory{members: h.members, pool: h.pool}
+	h.log = config.NewLog(config.LogConfig{Store: h.platform, Peers: h.directory})
+	h.members.ReportRevision(func() int64 { return h.log.Current().Revision() })
+	h.members.Extend(&revisionHints{h.log})
+	return nil
+}
+
+func (h *host) buildDecisions() {
+	h.recorder = decisions.New(decisions.Config{
+		Host: h.settings.Host.Name, Zone: h.settings.Host.Zone, Store: h.platform,
+	})
+}
+
+func (h *host) buildEndpoints() {
+	h.endpoints = endpoint.NewRegistry(endpoint.Config{
+		Source:        h.log,
+		Zone:          h.settings.Host.Zone,
+		PollInterval:  h.settings.Endpoints.ReportInterval.Std(),
+		HealthTimeout: h.settings.Endpoints.HealthTimeout.Std(),
+	})
+	h.lease = lease.New(lease.Config{
+		Store: h.platform, Name: owner.LeaseName(h.settings.Host.Zone), Host: h.settings.Host.Name,
+		Incarnation: h.incarnation, Duration: h.settings.Placement.Lease.Std(),
+	})
+	h.demand = demand.New(demand.Config{
+		Zone:     h.settings.Host.Zone,
+		Local:    h.localDemand,
+		OwnerURL: h.ownerURL,
+	})
+	h.members.Extend(h.demand)
+	h.owner = owner.New(owner.Config{
+		Host: h.settings.Host.Name, Incarnation: h.incarnation, Zone: h.settings.Host.Zone,
+		Store: h.platform, Source: h.log, Endpoints: h.endpoints, Lease: h.lease, Recorder: h.recorder,
+		Demand: ownerDemand(h.demand),
+		WeightStore: owner.WeightStore{
+			LoadsPerSecond:     h.settings.Placement.LoadsPerSecond,
+			LoadsAtOnce:        h.settings.Placement.ParallelLoads,
+			AdapterLoadsAtOnce: h.settings.Placement.ParallelAdapterLoads,
+		},
+		Interval: h.settings.Placement.Interval.Std(),
+	})
+}
+
+// ownerURL returns the peer URL of the zone's placement owner, unless that is
+// this host.
+func (h *host) ownerURL() string {
+	holder := h.lease.Holding().Holder
+	if holder == "" || holder == h.settings.Host.Name {
+		return ""
+	}
+	url, err := h.directory.url(holder)
+	if err != nil {
+		return ""
+	}
+	return url
+}
+
+func (h *host) buildTree() error {
+	secret, err := readSecret(h.settings.Peers.SecretFile)
+	if err != nil {
+		return err
+	}
+	control := &selfControl{dump: h.dump, leave: h.leave}
+	h.tree = newTree([]branch{
+		{"platform", []suture.Service{h.log}},
+		{"peers", []suture.Service{h.members, h.server("peers", h.sockets.peers, h.peerHandler(secret, control))}},
+		{"endpoints", []suture.Service{h.endpoints}},
+		{"placement", []suture.Service{h.lease, h.owner, h.recorder}},
+		{"limits", []suture.Service{h.shares, h.book}},
+		{"gateway", []suture.Service{h.gateway, h.tlsServer("callers", h.sockets.callers, h.gateway.Handler())}},
+		{"admin", []suture.Service{h.tlsServer("operators", h.sockets.operators, h.adminHandler(control))}},
+		{"debug", []suture.Service{h.server("debug", h.sockets.debug, newDebugHandler(h.ready, h.metrics(), h.dump))}},
+	}, h.ready.onEvent)
+	return nil
+}
+
+func (h *host) peerHandler(secret string, control *selfControl) http.Handler {
+	query := &decisionQuery{h.recorder}
+	mux := http.NewServeMux()
+	mux.Handle(peer.PathPrefix, peer.NewServer(secret, peer.Handlers{
+		Gossip: h.members, Lender: h.shares, Changes: &changeSource{h.log},
+		Decisions: query, State: peerControl{control}, Drainer: peerControl{control},
+	}))
+	return mux
+}
+
+func (h *host) adminHandler(control *selfControl) http.Handler {
+	var operators []admin.Operator
+	for _, o := range h.settings.Operators {
+		operators = append(operators, admin.Operator{Name: o.Name, TokenSHA256: o.TokenSHA256})
+	}
+	server := admin.NewServer(admin.Config{
+		Host: h.settings.Host.Name, Log: h.log, Peers: h.directory, Decisions: &decisionQuery{h.recorder},
+		Membership:   &adminMembership{members: h.members, log: h.log, now: time.Now},
+		Self:         control,
+		Forgetter:    forgetter{h.shares},
+		Availability: h.platform.Availability,
+	})
+	mux := http.NewServeMux()
+	mux.Handle(apiv1.AdminPathPrefix, admin.RequireOperator(operators, apiv1.NewAdminServer(server)))
+	return mux
+}
+
+// metrics returns the registry with the metrics of all parts.
+func (h *host) metrics() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(invariant.Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	for _, part := range []interface{ Collectors() []prometheus.Collector }{
+		h.platform, h.log, h.recorder, h.endpoints, h.owner, h.shares, h.book, h.gateway,
+	} {
+		registry.MustRegister(part.Collectors()...)
+	}
+	return registry
+}
+
+// seed derives a fixed seed from the host's name, so that hosts differ.
+func (h *host) seed() uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(h.settings.Host.Name))
+	return hash.Sum64()
+}
+
+// ageMillis returns the time since t in milliseconds, or -1 where t is zero.
+func ageMillis(t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Milliseconds()
+}
--- /dev/null
+++ b/internal/daemon/parts.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	"bilberryslip.example/bilberryslip/internal/claims"
+	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
+	"bilberryslip.example/bilberryslip/internal/shares"
+
+	"github.com/sirupsen/logrus"
+)
+
+// localDemand returns the demand that this host's gateway sees. The gateway
+// is built after the parts that ask for it.
+func (h *host) localDemand() []*peerv1.Demand {
+	if h.gateway == nil {
+		return nil
+	}
+	return h.gateway.Demand()
+}
+
+// buildLimits builds the parts that bound what callers may run.
+func (h *host) buildLimits() {
+	h.shares = shares.New(shares.Config{
+		Store:   h.platform,
+		Source:  h.log,
+		Members: h.members,
+		Peers:   h.pool,
+		Limiter: ratelimit.Config{Lease: ratelimit.LeaseConfig{
+			Short:         h.settings.Shares.Lease.Std(),
+			Floor:         h.settings.Shares.FloorLease.Std(),
+			Long:          h.settings.Shares.LongLease.Std(),
+			FloorFraction: h.settings.Shares.FloorFraction,
+		}},
+	})
+	h.members.Extend(h.shares)
+	h.book = claims.NewBook(claims.BookConfig{
+		Store:     h.platform,
+		Self:      claims.Owner{Host: h.settings.Host.Name, Incarnation: h.incarnation},
+		Alive:     h.directory.alive,
+		Retention: h.settings.Claims.Retention.Std(),
+	})
+}
+
+func (h *host) buildGateway() {
+	h.gateway = gateway.New(gateway.Config{
+		Source:           h.log,
+		Limiter:          &limiter{h.shares},
+		Claims:           &claimBook{h.book},
+		Endpoints:        h.endpoints,
+		Recorder:         h.recorder,
+		Freshness:        h.log.Freshness,
+		Zone:             h.settings.Host.Zone,
+		Seed:             h.seed(),
+		MaxBodyBytes:     h.settings.Callers.MaxBodyBytes,
+		FirstByte:        h.settings.Endpoints.FirstByteTimeout.Std(),
+		Between:          h.settings.Endpoints.ProgressTimeout.Std(),
+		ServiceFirstByte: h.settings.Endpoints.FirstByteTimeout.Std(),
+	})
+}
+
+// limiter offers shares.Service to the gateway.
+type limiter struct {
+	shares *shares.Service
+}
+
+// Reserve implements gateway.Limiter.
+func (l *limiter) Reserve(ctx context.Context, organisation string, tokens float64) (gateway.Reservation, error) {
+	return l.shares.Reserve(ctx, organisation, tokens)
+}
+
+// newDump lists the parts whose state is dumped.
+func (h *host) newDump() *stateDump {
+	return &stateDump{sections: []dumpSection{
+		{"config", dumpFunc(h.dumpConfig)},
+		{"readiness", dumpFunc(func() any { return h.ready.state() })},
+		{"membership", h.members},
+		{"shares", h.shares},
+		{"claims", h.book},
+		{"lease", h.lease},
+		{"placement", h.owner},
+		{"demand", h.demand},
+		{"endpoints", h.endpoints},
+		{"gateway", h.gateway},
+		{"decisions", h.recorder},
+	}}
+}
+
+// configState is the configuration in the state dump.
+type configState struct {
+	Revision int64 `json:"revision"`
+	Loaded   bool  `json:"loaded"`
+	// FreshAgeMillis is how long ago the revision was certainly the latest.
+	FreshAgeMillis    int64 `json:"freshAgeMillis"`
+	PlatformAvailable bool  `json:"platformAvailable"`
+	// PlatformAnswerAgeMillis is how long ago the platform last answered.
+	PlatformAnswerAgeMillis int64 `json:"platformAnswerAgeMillis"`
+}
+
+func (h *host) dumpConfig() any {
+	availability := h.platform.Availability()
+	return configState{
+		Revision:                h.log.Current().Revision(),
+		Loaded:                  h.log.Loaded(),
+		FreshAgeMillis:          ageMillis(h.log.Freshness()),
+		PlatformAvailable:       availability.Available,
+		PlatformAnswerAgeMillis: ageMillis(availability.LastAnswer),
+	}
+}
+
+// server returns the service of a plain HTTP address.
+func (h *host) server(name string, listener net.Listener, handler http.Handler) *httpServer {
+	return &httpServer{name: name, listener: listener, handler: handler}
+}
+
+// tlsServer returns the service of an address that has TLS where the settings
+// name a certificate.
+func (h *host) tlsServer(name string, listener net.Listener, handler http.Handler) *httpServer {
+	server := h.server(name, listener, handler)
+	if files := h.settings.TLS; files.CertificateFile != "" {
+		server.tls = &certificate{certificateFile: files.CertificateFile, keyFile: files.KeyFile}
+	}
+	return server
+}
+
+// forgetter frees what a dead host held, for operators.
+type forgetter struct {
+	shares *shares.Service
+}
+
+// ForgetHost implements admin.Forgetter.
+func (f forgetter) ForgetHost(ctx context.Context, host, operator string) error {
+	logrus.WithFields(logrus.Fields{"forgotten": host, "operator": operator}).Warn("host declared dead by an operator")
+	return f.shares.ForgetHost(ctx, host)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,8 +118,11 @@
 type Shares struct {
 	// Lease is how long a host's whole share holds without fresh proof.
 	Lease Duration `json:"lease"`
-	// FloorLease is how long the floor holds.
+	// FloorLease is how long the floor holds against the hosts of the same
+	// availability zone.
 	FloorLease Duration `json:"floor_lease"`
+	// LongLease is how long the share holds against all other hosts.
+	LongLease Duration `json:"long_lease"`
 	// FloorFraction is the part of the share under FloorLease.
 	FloorFraction float64 `json:"floor_fraction"`
 }
@@ -183,7 +186,7 @@
 		Log:       Log{Level: "info"},
 		Callers:   Callers{MaxBodyBytes: 1 << 20, RequestTimeout: Duration(10 * time.Minute), MaxQueued: 2048},
 		Endpoints: Endpoints{ReportInterval: Duration(500 * time.Millisecond), HealthTimeout: Duration(3 * time.Second), FirstByteTimeout: Duration(15 * time.Second), ProgressTimeout: Duration(5 * time.Second)},
-		Shares:    Shares{Lease: Duration(20 * time.Second), FloorLease: Duration(12 * time.Hour), FloorFraction: 0.5},
+		Shares:    Shares{Lease: Duration(20 * time.Second), FloorLease: Duration(15 * time.Minute), LongLease: Duration(12 * time.Hour), FloorFraction: 0.5},
 		Placement: Placement{Interval: Duration(time.Second), Lease: Duration(10 * time.Second), LoadsPerSecond: 1, ParallelLoads: 4, ParallelAdapterLoads: 32},
 		Claims:    Claims{Retention: Duration(24 * time.Hour)},
 		Shutdown:  Shutdown{BalancerDelay: Duration(5 * time.Second), Limit: Duration(10 * time.Minute)},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -111,6 +111,7 @@
 	c.duration("endpoints.progress_timeout", s.Endpoints.ProgressTimeout, 100*time.Millisecond, 10*time.Minute)
 	c.duration("shares.lease", s.Shares.Lease, time.Second, time.Hour)
 	c.duration("shares.floor_lease", s.Shares.FloorLease, s.Shares.Lease.Std(), 7*day)
+	c.duration("shares.long_lease", s.Shares.LongLease, s.Shares.FloorLease.Std(), 30*day)
 	c.number("shares.floor_fraction", s.Shares.FloorFraction, 0, 1)
 	c.duration("placement.interval", s.Placement.Interval, 50*time.Millisecond, time.Minute)
 	c.duration("placement.lease", s.Placement.Lease, time.Second, time.Hour)
