Cause process failures against the running daemon

Cause: the points that must always hold need proofs with real kills, pauses, cut connections, outages and lost answers.

--- a/test/cluster/config.go
+++ b/test/cluster/config.go
@@ -15,8 +15,10 @@
 // configure applies the configuration that every cluster starts with.
 func (c *Cluster) configure() {
 	ginkgo.GinkgoHelper()
-	objects := append(tenants(), models()...)
-	objects = append(objects, routes()...)
+	objects := append(tenants(), routes()...)
+	if len(c.Engines) > 0 {
+		objects = append(objects, models()...)
+	}
 	objects = append(objects, c.options.Objects...)
 	for _, engine := range c.Engines {
 		objects = append(objects, endpointObject(&apiv1.Endpoint{
--- /dev/null
+++ b/test/process/at_most_once_test.go
@@ -0,0 +1,178 @@
+package process_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/test/cluster"
+)
+
+var _ = Describe("A request that may not be repeated runs at most once", Ordered, func() {
+	var (
+		c      *cluster.Cluster
+		caller *cluster.Caller
+	)
+
+	BeforeAll(func() {
+		c = cluster.Start(programs, cluster.Options{Zones: 3, ServicesPerZone: 1})
+		caller = cluster.NewCaller(c.Grant(c.Hosts[0], "key-a", cluster.OrganisationA))
+		for _, host := range c.Hosts {
+			Eventually(func() string { return caller.Certify(host, unique("ready"), unique("ready")).Body }).Should(ContainSubstring("number"))
+		}
+	})
+
+	AfterEach(func() {
+		c.Platform.Control(cluster.Change{"loseAnswers": 0, "slowMillis": 0, "down": false})
+		switches(c, cluster.Change{"runThenClose": 0, "closeBeforeRun": 0, "silent": 0, "late": 0})
+	})
+
+	certifyOnAll := func(request string) []*cluster.Answer {
+		return onAll(c.Hosts, func(h *cluster.Host) *cluster.Answer { return caller.Certify(h, request, request) })
+	}
+	// expectRepeats repeats the call on every host and checks that it does not
+	// run again and that all recorded answers are the same.
+	expectRepeats := func(request string, first *cluster.Answer) {
+		GinkgoHelper()
+		runs := c.Runs(request)
+		Expect(runs).To(BeNumerically("<=", 1))
+		for _, repeat := range certifyOnAll(request) {
+			Expect(repeat.Err).NotTo(HaveOccurred())
+			if first.OK() {
+				Expect(repeat.Body).To(Equal(first.Body))
+				continue
+			}
+			if runs == 1 {
+				Expect(repeat.NotRun()).To(BeFalse(), repeat.Body)
+			}
+		}
+		Expect(c.Runs(request)).To(BeNumerically("<=", 1))
+	}
+
+	It("when every host gets the idempotency key at once", func() {
+		for range 10 {
+			request := unique("at-once")
+			answers := certifyOnAll(request)
+			Expect(c.Runs(request)).To(Equal(1))
+			var winner *cluster.Answer
+			for _, answer := range answers {
+				if answer.OK() {
+					winner = answer
+				}
+			}
+			Expect(winner).NotTo(BeNil())
+			expectRepeats(request, winner)
+		}
+	})
+
+	It("and another organisation's use of the idempotency key is a request of its own", func() {
+		other := cluster.NewCaller(c.Grant(c.Hosts[0], "key-b", cluster.OrganisationB))
+		request := unique("other-organisation")
+		first := caller.Certify(c.Hosts[0], request, request)
+		second := other.Certify(c.Hosts[1], request, request)
+		Expect(first.OK()).To(BeTrue(), first.Body)
+		Expect(second.OK()).To(BeTrue(), second.Body)
+		Expect(second.Body).NotTo(Equal(first.Body))
+		Expect(c.Runs(request)).To(Equal(2))
+	})
+
+	DescribeTable("when the service fails", func(fault string) {
+		switches(c, cluster.Change{fault: 1, "lateMillis": 500})
+		request := unique(fault)
+		first := caller.Certify(c.Hosts[0], request, request)
+		if !first.OK() {
+			Expect(first.Error.Run).To(Equal("unknown"), first.Body)
+		}
+		switches(c, cluster.Change{fault: 0})
+		expectRepeats(request, first)
+	},
+		Entry("after it ran, by closing the connection", "runThenClose"),
+		Entry("before it ran, by closing the connection", "closeBeforeRun"),
+		Entry("after it ran, by silence", "silent"),
+		Entry("by a late answer", "late"),
+	)
+
+	It("when the pooled connections to the service have gone silent", func() {
+		for _, service := range c.Services {
+			service.Relay.Silence()
+		}
+		request := unique("silent-connections")
+		first := caller.Certify(c.Hosts[0], request, request)
+		Expect(first.OK()).To(BeTrue(), first.Body)
+		expectRepeats(request, first)
+	})
+
+	DescribeTable("when the platform loses the answers to writes of claims", func(lost int) {
+		c.Platform.Control(cluster.Change{"loseAnswers": lost, "loseAnswersKind": "claims"})
+		request := unique("lost-answer")
+		first := caller.Certify(c.Hosts[0], request, request)
+		if first.NotRun() {
+			Expect(c.Runs(request)).To(BeZero(), first.Body)
+		}
+		c.Platform.Control(cluster.Change{"loseAnswers": 0})
+		expectRepeats(request, first)
+	}, Entry("the first", 1), Entry("the first two", 2), Entry("the first four", 4))
+
+	It("and does not run while the platform is down, and says so", func() {
+		c.Platform.Control(cluster.Change{"down": true})
+		request := unique("platform-down")
+		for _, answer := range certifyOnAll(request) {
+			Expect(answer.NotRun()).To(BeTrue(), answer.Body)
+			Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+		}
+		Expect(c.Runs(request)).To(BeZero())
+		c.Platform.Control(cluster.Change{"down": false})
+		Eventually(func() bool { first := caller.Certify(c.Hosts[0], request, request); return first.OK() }).Should(BeTrue())
+		Expect(c.Runs(request)).To(Equal(1))
+	})
+
+	It("when its host is paused while the service runs it", func() {
+		switches(c, cluster.Change{"late": 1, "lateMillis": 300})
+		request := unique("paused")
+		answered := make(chan *cluster.Answer, 1)
+		go func() { answered <- caller.Certify(c.Hosts[0], request, request) }()
+		Eventually(func() int { return c.Runs(request) }, "10s", "10ms").Should(Equal(1))
+		c.Hosts[0].Pause()
+		DeferCleanup(c.Hosts[0].Continue)
+		for _, repeat := range onAll(c.Hosts[1:], func(h *cluster.Host) *cluster.Answer { return caller.Certify(h, request, request) }) {
+			Expect(repeat.OK() || repeat.NotRun()).To(BeFalse(), repeat.Body)
+		}
+		c.Hosts[0].Continue()
+		var first *cluster.Answer
+		Eventually(answered).Should(Receive(&first))
+		Expect(first.OK()).To(BeTrue(), first.Body)
+		expectRepeats(request, first)
+	})
+
+	// The delays spread the kill over the steps before the claim, after it,
+	// after the call was sent, after its answer and before its record.
+	It("when its host is killed at any step", func() {
+		for _, delay := range []time.Duration{20, 60, 120, 150, 190, 230, 280, 330} {
+			c.Platform.Control(cluster.Change{"slowMillis": 100})
+			switches(c, cluster.Change{"late": 1, "lateMillis": 100})
+			victim := c.Hosts[0]
+			request := unique("killed")
+			answered := make(chan *cluster.Answer, 1)
+			go func() { answered <- caller.Certify(victim, request, request) }()
+			time.Sleep(delay * time.Millisecond)
+			victim.Kill()
+			c.Platform.Control(cluster.Change{"slowMillis": 0})
+			switches(c, cluster.Change{"late": 0})
+			var first *cluster.Answer
+			Eventually(answered).Should(Receive(&first))
+			fresh := c.Replace(victim, unique("replacement"))
+			Eventually(func() string { return caller.Certify(fresh, unique("ready"), unique("ready")).Body }).Should(ContainSubstring("number"))
+			for range 3 {
+				expectRepeats(request, first)
+			}
+		}
+	})
+})
+
+func switches(c *cluster.Cluster, change cluster.Change) {
+	GinkgoHelper()
+	for _, service := range c.Services {
+		service.Control(change)
+	}
+}
--- /dev/null
+++ b/test/process/keys_test.go
@@ -0,0 +1,87 @@
+package process_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/test/cluster"
+)
+
+// withdrawalBound is the time after which a withdrawn key may work no more.
+const withdrawalBound = 5 * time.Second
+
+var _ = Describe("A withdrawn key stops working on every host", Ordered, func() {
+	var c *cluster.Cluster
+	request := cluster.Completion{Model: cluster.Model, Prompt: "a key", MaxTokens: 1}
+
+	BeforeAll(func() {
+		c = cluster.Start(programs, cluster.Options{Zones: 3, EnginesPerZone: 1})
+	})
+
+	// grant returns a caller whose connections to every host are open.
+	grant := func(name string) *cluster.Caller {
+		GinkgoHelper()
+		caller := cluster.NewCaller(c.Grant(c.Hosts[0], name, cluster.OrganisationA))
+		for _, host := range c.Hosts {
+			caller.ExpectServes(host)
+		}
+		return caller
+	}
+	withdraw := func(name string) time.Time {
+		GinkgoHelper()
+		ctx, admin := c.Hosts[0].Admin()
+		_, err := admin.WithdrawKey(ctx, &apiv1.WithdrawKeyRequest{Name: name, WaitMillis: 1})
+		Expect(err).NotTo(HaveOccurred())
+		return time.Now()
+	}
+	// expectRefused checks a host until the bound and a while after it.
+	expectRefused := func(caller *cluster.Caller, host *cluster.Host, since time.Time) {
+		GinkgoHelper()
+		status := func() int { return caller.Complete(host, request).Status }
+		Eventually(status, time.Until(since.Add(withdrawalBound)), "20ms").Should(Equal(http.StatusUnauthorized))
+		Consistently(status, "300ms", "20ms").Should(Equal(http.StatusUnauthorized))
+	}
+
+	It("on open connections", func() {
+		caller := grant("plain")
+		accepted := withdraw("plain")
+		onAll(c.Hosts, func(h *cluster.Host) bool {
+			defer GinkgoRecover()
+			expectRefused(caller, h, accepted)
+			return true
+		})
+	})
+
+	It("when every host's watch has gone silent", func() {
+		caller := grant("silent")
+		c.Platform.Control(cluster.Change{"silentWatches": true})
+		c.Platform.Control(cluster.Change{"silentWatches": false})
+		accepted := withdraw("silent")
+		onAll(c.Hosts, func(h *cluster.Host) bool {
+			defer GinkgoRecover()
+			expectRefused(caller, h, accepted)
+			return true
+		})
+	})
+
+	It("when a host cannot reach the platform, but a peer can", func() {
+		caller := grant("cut")
+		c.Hosts[2].ToPlatform.Block()
+		DeferCleanup(c.Hosts[2].ToPlatform.Resume)
+		accepted := withdraw("cut")
+		expectRefused(caller, c.Hosts[2], accepted)
+	})
+
+	It("after a host was paused", func() {
+		caller := grant("paused")
+		c.Hosts[1].Pause()
+		DeferCleanup(c.Hosts[1].Continue)
+		withdraw("paused")
+		c.Hosts[1].Continue()
+		expectRefused(caller, c.Hosts[1], time.Now())
+	})
+})
--- /dev/null
+++ b/test/process/not_run_test.go
@@ -0,0 +1,74 @@
+package process_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/test/cluster"
+)
+
+var _ = Describe("A refusal that says not run", func() {
+	It("is true for every refusal", func() {
+		c := cluster.Start(programs, cluster.Options{EnginesPerZone: 2, ServicesPerZone: 1})
+		host := c.Hosts[0]
+		key := c.Grant(host, "key", cluster.OrganisationA)
+		caller, stranger := cluster.NewCaller(key), cluster.NewCaller("bsk_nobody")
+		other := cluster.NewCaller(c.Grant(host, "other", cluster.OrganisationB))
+		caller.ExpectServes(host)
+
+		check := func(name string, by *cluster.Caller, path, body string, header http.Header) {
+			GinkgoHelper()
+			marker := unique("marker")
+			answer := by.Send(context.Background(), host, http.MethodPost, path, strings.ReplaceAll(body, "MARKER", marker), header)
+			Expect(answer.Err).NotTo(HaveOccurred(), name)
+			Expect(answer.Status).To(BeNumerically(">=", http.StatusBadRequest), "%s: %s", name, answer.Body)
+			Expect(answer.Error.Code).NotTo(BeEmpty(), "%s: %s", name, answer.Body)
+			Expect(answer.Error.Message).NotTo(BeEmpty(), "%s: %s", name, answer.Body)
+			Expect(answer.Error.Run).To(Equal("not run"), "%s: %s", name, answer.Body)
+			Expect(c.Runs(marker)).To(BeZero(), "%s: %s", name, answer.Body)
+		}
+		const completions, body = "/v1/completions", `{"model":"draft","prompt":"MARKER","max_tokens":2}`
+		idempotent := http.Header{"Idempotency-Key": {"one"}}
+		check("no key", cluster.NewCaller(""), completions, body, nil)
+		check("unknown key", stranger, completions, body, nil)
+		check("two keys", caller, completions, body, http.Header{"Authorization": {"Bearer " + key, "Bearer x"}})
+		check("unknown model", caller, completions, `{"model":"none","prompt":"MARKER"}`, nil)
+		check("adapter of another organisation", other, completions, `{"model":"draft-sapphire","prompt":"MARKER"}`, nil)
+		check("negative max_tokens", caller, completions, `{"model":"draft","prompt":"MARKER","max_tokens":-1}`, nil)
+		check("too many tokens", caller, completions, `{"model":"draft","prompt":"MARKER","max_tokens":1000000000}`, nil)
+		check("broken JSON", caller, completions, `{"model":"draft","prompt":"MARKER"`, nil)
+		check("large body", caller, completions, `{"model":"draft","prompt":"MARKER`+strings.Repeat("x", 20<<20)+`"}`, nil)
+		check("unknown service", caller, "/services/none/x", `{"request":"MARKER"}`, idempotent)
+		check("no idempotency key", caller, cluster.Certificates, `{"request":"MARKER"}`, nil)
+		check("no route", caller, "/services/registry/none", `{"request":"MARKER"}`, idempotent)
+
+		rate := &apiv1.RatePolicy{Name: cluster.OrganisationB, Organisation: cluster.OrganisationB, TokensPerSecond: 0.001, BurstTokens: 1}
+		ctx, admin := host.Admin()
+		_, err := admin.Apply(ctx, &apiv1.ApplyRequest{Mutations: []*apiv1.Mutation{{
+			Kind: apiv1.Kind_KIND_RATE_POLICY, Name: rate.Name, ExpectedVersion: 1,
+			Object: &apiv1.Object{Spec: &apiv1.Object_RatePolicy{RatePolicy: rate}},
+		}}})
+		Expect(err).NotTo(HaveOccurred())
+		check("rate exceeded", other, completions, body, nil)
+
+		c.Platform.Control(cluster.Change{"down": true})
+		check("platform down", caller, cluster.Certificates, `{"request":"MARKER"}`, http.Header{"Idempotency-Key": {"two"}})
+		c.Platform.Control(cluster.Change{"down": false})
+		for _, engine := range c.Engines {
+			engine.Kill()
+		}
+		for _, service := range c.Services {
+			service.Kill()
+		}
+		for range 10 {
+			answer := caller.Complete(host, cluster.Completion{Model: cluster.Model, Prompt: "dead", MaxTokens: 1})
+			Expect(answer.Status).To(BeNumerically(">=", http.StatusInternalServerError), answer.Body)
+			Expect(answer.Error.Run).NotTo(BeEmpty(), answer.Body)
+		}
+	})
+})
--- /dev/null
+++ b/test/process/zone_cut_test.go
@@ -0,0 +1,49 @@
+package process_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/settings"
+	"bilberryslip.example/bilberryslip/test/cluster"
+)
+
+// shareLease is short, so that the cut outlasts it.
+const shareLease = 2 * time.Second
+
+var _ = Describe("A zone that is cut off from the platform and from the other zones", func() {
+	It("goes on serving every model that it holds, and recovers", func() {
+		c := cluster.Start(programs, cluster.Options{
+			Zones: 2, HostsPerZone: 2, EnginesPerZone: 2,
+			Settings: func(s *settings.Settings) {
+				s.Shares.Lease = settings.Duration(shareLease)
+				s.Placement.Lease = settings.Duration(shareLease)
+			},
+		})
+		caller := cluster.NewCaller(c.Grant(c.Hosts[0], "key", cluster.OrganisationA))
+		for _, host := range c.Hosts {
+			caller.ExpectServes(host)
+		}
+		c.CutZone(0)
+		began := time.Now()
+		for time.Since(began) < 3*shareLease {
+			for _, answer := range onAll(c.Hosts, func(h *cluster.Host) *cluster.Answer {
+				return caller.Complete(h, cluster.Completion{Model: cluster.Adapter, Prompt: unique("cut"), MaxTokens: 4})
+			}) {
+				Expect(answer.OK()).To(BeTrue(), "%v after the cut: %s", time.Since(began), answer.Body)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		for _, engine := range c.Engines {
+			Expect(engine.State().Memory.Overcommits).To(BeZero())
+			Expect(engine.State().Report.Models).To(HaveLen(1))
+		}
+		c.Heal()
+		late := c.Grant(c.Zone(1)[0], "late", cluster.OrganisationB)
+		for _, host := range c.Hosts {
+			cluster.NewCaller(late).ExpectServes(host)
+		}
+	})
+})
