--- a/internal/config/collisions.go
+++ b/internal/config/collisions.go
@@ -14,26 +14,22 @@
 }
 
 func (v *validator) checkRoutesDistinct() {
-	seen := make(map[routeMatch]string)
+	seen := make(map[routeMatch]ObjectKey)
 	for _, route := range v.after.Routes() {
+		key := ObjectKey{apiv1.Kind_KIND_ROUTE, route.Name}
 		match := routeMatch{route.Service, route.Method, route.PathPrefix}
 		if other, twice := seen[match]; twice {
-			v.objectFault(ObjectKey{apiv1.Kind_KIND_ROUTE, route.Name}, "path_prefix", "route %q has the same service, method and path; change one of them", other)
+			v.collision(key, other, "path_prefix", "has the same service, method and path; change one of them")
 			continue
 		}
-		seen[match] = route.Name
+		seen[match] = key
 	}
 }
 
 func (v *validator) checkRatePoliciesDistinct() {
 	seen := make(map[string]string)
 	for _, obj := range v.after.Objects(apiv1.Kind_KIND_RATE_POLICY) {
-		policy := obj.GetRatePolicy()
-		if other, twice := seen[policy.Organisation]; twice {
-			v.objectFault(KeyOf(obj), "organisation", "rate policy %q already limits organisation %q; change that one", other, policy.Organisation)
-			continue
-		}
-		seen[policy.Organisation] = policy.Name
+		v.checkUnique(KeyOf(obj), "organisation", obj.GetRatePolicy().Organisation, seen, "change the policy that the organisation has")
 	}
 }
 
@@ -93,16 +89,16 @@
 	byModel := make(map[string]*apiv1.PlacementPolicy)
 	var fallback *apiv1.PlacementPolicy
 	for _, policy := range v.after.PlacementPolicies() {
-		key := ObjectKey{apiv1.Kind_KIND_PLACEMENT_POLICY, policy.Name}
+		key := policyKey(policy)
 		if len(policy.Models) == 0 && fallback != nil {
-			v.objectFault(key, "models", "policy %q already covers every model that no other names; name models here or there", fallback.Name)
+			v.collision(key, policyKey(fallback), "models", "covers every model that no other names as well; name models here or there")
 		}
 		if len(policy.Models) == 0 && fallback == nil {
 			fallback = policy
 		}
 		for _, model := range policy.Models {
 			if other := byModel[model]; other != nil {
-				v.objectFault(key, "models", "model %q is already named by policy %q; name it in one policy", model, other.Name)
+				v.collision(key, policyKey(other), "models", fmt.Sprintf("names model %q as well; name it in one policy", model))
 				continue
 			}
 			byModel[model] = policy
@@ -116,6 +112,10 @@
 	return byModel
 }
 
+func policyKey(policy *apiv1.PlacementPolicy) ObjectKey {
+	return ObjectKey{apiv1.Kind_KIND_PLACEMENT_POLICY, policy.Name}
+}
+
 // mostMemory returns the largest memory among a policy's pools.
 func mostMemory(policy *apiv1.PlacementPolicy, memory map[string]poolMemory) poolMemory {
 	var most poolMemory
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -167,10 +167,7 @@
 func (l *Log) ChangesAfter(revision int64, limit int) *peerv1.ChangesResponse {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	resp := &peerv1.ChangesResponse{Revision: l.replica.revision(), ProofAgeMillis: -1}
-	if !l.proof.IsZero() {
-		resp.ProofAgeMillis = ceilMillis(l.config.Clock().Sub(l.proof))
-	}
+	resp := &peerv1.ChangesResponse{Revision: l.replica.revision(), ProofAgeMillis: l.proofAgeMillis()}
 	changes, ok := l.replica.changesAfter(revision, limit)
 	if ok {
 		resp.Changes = changes
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -52,14 +52,24 @@
 	v.checkPlacement()
 }
 
+// checkUnique reports a value that an object seen before has as well.
 func (v *validator) checkUnique(key ObjectKey, field, value string, seen map[string]string, remedy string) {
 	if other, twice := seen[value]; twice {
-		v.objectFault(key, field, "%s %q has the same; %s", KindName(key.Kind), other, remedy)
+		v.collision(key, ObjectKey{key.Kind, other}, field, "has the same; "+remedy)
 		return
 	}
 	seen[value] = key.Name
 }
 
+// collision reports two objects that exclude each other, as a fault of the
+// one that the change writes.
+func (v *validator) collision(key, other ObjectKey, field, problem string) {
+	if _, changed := v.index[key]; !changed {
+		key, other = other, key
+	}
+	v.objectFault(key, field, "%s %q %s", KindName(other.Kind), other.Name, problem)
+}
+
 // checkReference demands that an object which another names exists.
 func (v *validator) checkReference(from ObjectKey, field string, to ObjectKey) bool {
 	if v.after.Object(to.Kind, to.Name) != nil {
@@ -119,7 +129,7 @@
 
 func (v *validator) checkModel(key ObjectKey, model *apiv1.Model) {
 	if v.after.Adapter(model.Name) != nil {
-		v.objectFault(key, "name", "an adapter has this name, and callers name both as models; choose another name")
+		v.collision(key, ObjectKey{apiv1.Kind_KIND_ADAPTER, model.Name}, "name", "has this name, and callers name both as models; choose another name")
 	}
 	v.checkOrganisations(key, model.Organisations)
 	if model.MaxTokens < 0 || model.MaxTokens > maxTokensLimit {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -160,3 +160,21 @@
 	err := c.do(ctx, call{name: callHosts, method: http.MethodGet, path: "/v1/hosts"}, &answer)
 	return answer.Hosts, err
 }
+
+// ClientState is a Client's part of the state dump.
+type ClientState struct {
+	Available bool `json:"available"`
+	// AnswerAgeMillis is the time since the last answer. Negative means that
+	// there was none.
+	AnswerAgeMillis int64 `json:"answerAgeMillis"`
+}
+
+// DumpState returns the client's part of the state dump.
+func (c *Client) DumpState() any {
+	availability := c.Availability()
+	state := ClientState{Available: availability.Available, AnswerAgeMillis: -1}
+	if !availability.LastAnswer.IsZero() {
+		state.AnswerAgeMillis = c.config.Clock().Sub(availability.LastAnswer).Milliseconds()
+	}
+	return state
+}
