Test the platform client against the stand-in in place of a server of its own

The test's own server of the object API repeated the stand-in's. The stand-in with the relay replaces it: same checks, and in addition that a quiet watch stays open by its bookmarks for longer than the watch timeout, that a silenced connection is not used again for a write, and that a wrong token is told.

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -5,15 +5,12 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
-	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
+	"bilberryslip.example/bilberryslip/internal/standin/relay"
 	"github.com/cockroachdb/errors"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -25,115 +22,32 @@
 	RunSpecs(t, "platform")
 }
 
-// server is the object API over an in-memory store, with faults.
-type server struct {
-	store *objectstore.Store
-
-	mu sync.Mutex
-	// loseAnswers is the number of writes whose answer is still to be lost.
-	loseAnswers atomic.Int32
-	// silent holds the remote addresses whose connections are never answered
-	// again.
-	silent map[string]bool
-	writes atomic.Int32
-}
-
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	silent := s.silent[r.RemoteAddr]
-	s.mu.Unlock()
-	if silent {
-		<-r.Context().Done()
-		return
-	}
-	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/v1/"), "/")
-	kind := platform.Kind(parts[1])
-	switch {
-	case parts[0] == "watch":
-		s.watch(w, r, kind)
-	case r.Method == http.MethodGet && len(parts) == 3:
-		obj, err := s.store.Get(r.Context(), kind, parts[2])
-		answer(w, http.StatusOK, obj, err)
-	case r.Method == http.MethodGet:
-		listing, err := s.store.List(r.Context(), kind, r.URL.Query().Get("prefix"))
-		answer(w, http.StatusOK, listing, err)
-	default:
-		s.write(w, r, kind, parts[2])
-	}
-}
-
-func (s *server) write(w http.ResponseWriter, r *http.Request, kind platform.Kind, name string) {
-	var value json.RawMessage
-	_ = json.NewDecoder(r.Body).Decode(&value)
-	match, _ := strconv.Unquote(r.Header.Get("If-Match"))
-	version, _ := strconv.ParseInt(match, 10, 64)
-	var obj platform.Object
-	var err error
-	switch {
-	case r.Method == http.MethodDelete:
-		err = s.store.Delete(r.Context(), kind, name, platform.Version(version))
-	case r.Header.Get("If-None-Match") == "*":
-		obj, err = s.store.Create(r.Context(), kind, name, r.Header.Get("X-Write-Id"), value)
-	default:
-		obj, err = s.store.Update(r.Context(), kind, name, platform.Version(version), r.Header.Get("X-Write-Id"), value)
-	}
-	s.writes.Add(1)
-	if s.loseAnswers.Add(-1) >= 0 {
-		panic(http.ErrAbortHandler)
-	}
-	if r.Method == http.MethodDelete && err == nil {
-		w.WriteHeader(http.StatusNoContent)
-		return
-	}
-	answer(w, http.StatusOK, obj, err)
-}
-
-func answer(w http.ResponseWriter, status int, body any, err error) {
-	var conflict *platform.ConflictError
-	var missing *platform.NotFoundError
-	if errors.As(err, &missing) {
-		status = http.StatusNotFound
-	}
-	if errors.As(err, &conflict) {
-		status, body = http.StatusPreconditionFailed, conflict.Current
-	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
-}
-
-func (s *server) watch(w http.ResponseWriter, r *http.Request, kind platform.Kind) {
-	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-	watch, err := s.store.Watch(r.Context(), kind, platform.Version(after))
-	var gone *platform.GoneError
-	if errors.As(err, &gone) {
-		w.WriteHeader(http.StatusGone)
-		_ = json.NewEncoder(w).Encode(map[string]platform.Version{"oldest": gone.Oldest})
-		return
-	}
-	defer watch.Stop()
-	flush := func() { _ = http.NewResponseController(w).Flush() }
-	flush()
-	for ev := range watch.Events() {
-		_ = json.NewEncoder(w).Encode(ev)
-		flush()
-	}
-}
-
 var _ = Describe("Client", func() {
 	ctx := context.Background()
-	var srv *server
-	var http1 *httptest.Server
+	var srv *platformserver.Server
+	var link *relay.Relay
 	var client *platform.Client
 
 	BeforeEach(func() {
-		srv = &server{store: objectstore.New(), silent: make(map[string]bool)}
-		http1 = httptest.NewServer(srv)
-		DeferCleanup(func() { http1.CloseClientConnections(); http1.Close() })
+		background, cancel := context.WithCancel(ctx)
+		DeferCleanup(cancel)
+		srv = platformserver.New(background, platformserver.Options{Token: "token"})
+		web := httptest.NewServer(srv)
+		DeferCleanup(func() { web.CloseClientConnections(); web.Close() })
+		var err error
+		link, err = relay.New(web.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(link.Close)
 		client = platform.NewClient(platform.ClientConfig{
-			Addresses: []string{http1.URL, http1.URL}, CallTimeout: 300 * time.Millisecond, WatchTimeout: 300 * time.Millisecond,
+			Addresses: []string{link.URL(), link.URL()}, Token: "token",
+			CallTimeout: 300 * time.Millisecond, WatchTimeout: 2 * time.Second,
 		})
 	})
 
+	lose := func(answers int) {
+		srv.Switches().Update(func(f *platformserver.Faults) { f.LoseAnswers = answers })
+	}
+
 	create := func(name, id string) (platform.Object, error) {
 		return client.Create(ctx, platform.KindClaim, name, id, json.RawMessage(`{"a":1}`))
 	}
@@ -156,15 +70,15 @@
 
 	It("calls a write unknown whose answer was lost, sends it once, and settles it", func() {
 		_, _ = client.Get(ctx, platform.KindClaim, "x") // Leaves an idle connection.
-		srv.loseAnswers.Store(1)
+		lose(1)
 		_, err := create("a", "w1")
 		Expect(err).To(HaveField("Outcome", platform.OutcomeUnknown))
-		Expect(srv.writes.Load()).To(Equal(int32(1)))
+		Expect(srv.State().Calls.Writes()).To(Equal(int64(1)))
 		Expect(client.Availability().Available).To(BeFalse())
-		srv.loseAnswers.Store(2)
+		lose(2)
 		obj, err := platform.CreateSettled(ctx, client, platform.KindClaim, "b", "w2", json.RawMessage(`1`))
 		Expect(err).NotTo(HaveOccurred())
-		srv.loseAnswers.Store(2)
+		lose(2)
 		obj, err = platform.UpdateSettled(ctx, client, platform.KindClaim, "b", obj.Version, "w3", json.RawMessage(`2`))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(obj).To(HaveField("WriteID", "w3"))
@@ -176,7 +90,7 @@
 		lone := platform.NewClient(platform.ClientConfig{Addresses: []string{dead.URL}})
 		_, err := lone.Create(ctx, platform.KindClaim, "a", "w1", json.RawMessage(`1`))
 		Expect(err).To(HaveField("Outcome", platform.OutcomeNotSent))
-		both := platform.NewClient(platform.ClientConfig{Addresses: []string{dead.URL, http1.URL}})
+		both := platform.NewClient(platform.ClientConfig{Addresses: []string{dead.URL, link.URL()}, Token: "token"})
 		_, err = both.Create(ctx, platform.KindClaim, "a", "w1", json.RawMessage(`1`))
 		Expect(err).NotTo(HaveOccurred())
 	})
@@ -201,52 +115,40 @@
 	)
 
 	It("does not use a connection again that went silent", func() {
-		var remote string
-		probe := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			srv.mu.Lock()
-			if remote == "" {
-				remote = r.RemoteAddr
-			}
-			srv.mu.Unlock()
-			srv.ServeHTTP(w, r)
-		}))
-		defer probe.Close()
-		defer probe.CloseClientConnections()
-		c := platform.NewClient(platform.ClientConfig{Addresses: []string{probe.URL}, CallTimeout: 300 * time.Millisecond})
-		_, _ = c.Get(ctx, platform.KindClaim, "x")
-		srv.mu.Lock()
-		srv.silent[remote] = true
-		srv.mu.Unlock()
-		_, err := c.List(ctx, platform.KindClaim, "")
+		_, _ = client.Get(ctx, platform.KindClaim, "x")
+		link.Silence()
+		_, err := client.Create(ctx, platform.KindClaim, "a", "w1", json.RawMessage(`1`))
 		Expect(err).To(HaveField("Outcome", platform.OutcomeUnknown))
-		_, err = c.List(ctx, platform.KindClaim, "")
-		Expect(err).NotTo(HaveOccurred())
+		Expect(client.Create(ctx, platform.KindClaim, "a", "w2", json.RawMessage(`1`))).To(HaveField("WriteID", "w2"))
 	})
 
-	It("watches, and ends a watch that is silent or too old", func() {
+	It("watches, keeps a quiet watch open by its bookmarks, and ends a silent one", func() {
 		watch, err := client.Watch(ctx, platform.KindClaim, 0)
 		Expect(err).NotTo(HaveOccurred())
 		obj, err := create("a", "w1")
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(watch.Events()).Should(Receive(HaveField("Object", obj)))
+		for range 6 { // Three seconds, which is more than the watch timeout.
+			Eventually(watch.Events(), "2s").Should(Receive(HaveField("Type", platform.EventBookmark)))
+		}
+		link.Silence()
 		Eventually(watch.Events(), "5s").Should(BeClosed())
 		var silent *platform.SilentWatchError
 		Expect(errors.As(watch.Err(), &silent)).To(BeTrue())
-		srv.store.Compact()
-		_, err = client.Watch(ctx, platform.KindClaim, 0)
-		Expect(err).To(Equal(&platform.GoneError{Oldest: obj.Version}))
+		again, err := client.Watch(ctx, platform.KindClaim, obj.Version)
+		Expect(err).NotTo(HaveOccurred())
+		again.Stop()
+		Eventually(again.Events()).Should(BeClosed())
 	})
 
-	It("keeps a watch open that gets only bookmarks", func() {
-		watch, err := client.Watch(ctx, platform.KindClaim, 0)
+	It("is told of events that are gone, and of a token that is wrong", func() {
+		_, err := create("a", "w1")
 		Expect(err).NotTo(HaveOccurred())
-		defer watch.Stop()
-		for range 8 {
-			time.Sleep(100 * time.Millisecond)
-			srv.store.Bookmark()
-			Expect(<-watch.Events()).To(HaveField("Type", platform.EventBookmark))
-		}
-		watch.Stop()
-		Eventually(watch.Events()).Should(BeClosed())
+		srv.Store().Compact()
+		_, err = client.Watch(ctx, platform.KindClaim, 0)
+		Expect(err).To(Equal(&platform.GoneError{Oldest: 1}))
+		stranger := platform.NewClient(platform.ClientConfig{Addresses: []string{link.URL()}})
+		_, err = stranger.Create(ctx, platform.KindClaim, "b", "w1", json.RawMessage(`1`))
+		Expect(err).To(HaveField("Status", http.StatusUnauthorized))
 	})
 })
