Prove whole answers, one run and hidden keys under the endpoints' failures

Found by them: a plain answer whose cut stream the engine refused to resume ended as endpoint_failed although nothing had reached the caller; it now starts anew at another engine.

A run that goes on after its caller's time limit holds no reference to the caller's connection, is recorded, and its repeat gets the answer.

--- a/internal/gateway/auth.go
+++ b/internal/gateway/auth.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
@@ -10,6 +11,10 @@
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/config"
+	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/invariant"
+
+	"github.com/sirupsen/logrus"
 )
 
 // caller is who sent a request. The zero value is an anonymous caller, on
@@ -31,6 +36,9 @@
 // authenticate finds the caller of one request. It is called for each
 // request, whatever its connection carried before.
 func (g *Gateway) authenticate(snapshot *config.Snapshot, req *http.Request) (caller, *Error) {
+	if snapshot.Revision() == 0 {
+		return caller{}, errNotReady()
+	}
 	secret, err := bearer(req.Header)
 	if err != nil {
 		if secret == "" && keyInQuery(snapshot, req.URL) {
@@ -121,3 +129,18 @@
 	}
 	return nil
 }
+
+// assertMayRun asserts, as the last thing before a call is sent, that its
+// caller's organisation may have it run and that it doesn't show the key.
+func (r *request) assertMayRun(call endpoint.Call, permitted bool) {
+	fields := logrus.Fields{"request": r.id, "attempt": call.Attempt, "organisation": r.caller.organisation.GetName()}
+	invariant.Assert(permitted, invariant.OrganisationIsolated, fields)
+	if r.caller.secret == "" {
+		return
+	}
+	shown := bytes.Contains(call.Body, []byte(r.caller.secret))
+	for _, part := range []string{call.Path, call.RawQuery, call.ContentType, call.Accept} {
+		shown = shown || strings.Contains(part, r.caller.secret)
+	}
+	invariant.Assert(!shown, invariant.KeyHidden, fields)
+}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -8,10 +8,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/routing"
 )
 
@@ -112,6 +113,8 @@
 	// next the offset of the event that is due.
 	attempt string
 	next    int64
+	// resumeRefused is set when the engine can't continue the stream.
+	resumeRefused bool
 	// consumed is the tokens entered into the reservation.
 	consumed int64
 }
@@ -144,7 +147,7 @@
 // restart forgets what came so far; nothing of it reached the caller.
 func (gen *generation) restart(failedAt string) {
 	gen.tried = append(gen.tried, failedAt)
-	gen.attempt, gen.next = "", 0
+	gen.attempt, gen.next, gen.resumeRefused = "", 0, false
 	gen.sink.reset()
 }
 
@@ -230,18 +233,15 @@
 
 // begin records where the request goes.
 func (gen *generation) begin(sl *slot) {
-	r := gen.request
-	name := sl.attempt.Endpoint()
-	r.at(name)
+	gen.request.route(sl)
 	if !gen.sink.started() {
-		id := r.record(apiv1.DecisionKind_DECISION_KIND_ROUTE, "chosen", name, routeInputs(sl))
-		setIfPresent(r.echo.Response().Header(), HeaderDecisionID, id)
+		gen.request.showDecision()
 	}
 	sl.attempt.Cached(gen.target.model.GetName(), gen.prefix)
 }
 
 func (gen *generation) resumable(ctx context.Context, err error) bool {
-	return err != nil && !final(err) && ctx.Err() == nil && gen.next > 0
+	return err != nil && !final(err) && ctx.Err() == nil && gen.next > 0 && !gen.resumeRefused
 }
 
 // resume continues the cut stream at its endpoint, over a new connection.
@@ -255,7 +255,8 @@
 	attempt.Finish(outcomeOf(ctx, err))
 	var status *statusError
 	if errors.As(err, &status) {
-		return &finalError{cause} // the engine can't resume it
+		gen.resumeRefused = true
+		return cause
 	}
 	return err
 }
@@ -266,6 +267,7 @@
 	if gen.next > 0 {
 		call.Resume = resumeAt(gen.attempt, gen.next)
 	}
+	gen.request.assertMayRun(call, gen.target.permits(gen.request.caller.organisation.GetName()))
 	gen.request.sent = true
 	answer, err := attempt.Send(ctx, call)
 	if err != nil {
@@ -339,6 +341,9 @@
 		gen.consume(gen.asked.promptTokens())
 	}
 	gen.consume(1)
+	invariant.Assert(event.Offset == gen.next, invariant.AnswerMatchesAttempt, logrus.Fields{
+		"request": gen.request.id, "attempt": gen.attempt, "offset": event.Offset, "expected": gen.next,
+	})
 	return gen.sink.event(event.Data)
 }
 
@@ -387,4 +392,3 @@
 func resumeAt(attempt string, offset int64) string {
 	return attempt + "/" + formatInt(offset)
 }
-
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -51,6 +51,7 @@
 	CodeIdempotencyReused  Code = "idempotency_key_reused"
 	CodeStillRunning       Code = "still_running"
 	CodeOutcomeUnknown     Code = "outcome_unknown"
+	CodeAnswerNotKept      Code = "answer_not_kept"
 	CodeClaimUnavailable   Code = "claim_unavailable"
 	CodeNotReady           Code = "not_ready"
 	CodeCallerGone         Code = "caller_gone"
@@ -241,6 +242,10 @@
 	return newError(status, CodeOutcomeUnknown, "the request was sent and its answer was lost, so whether it ran is unknown: check with the service before you send it under a new key").withRun(RunUnknown)
 }
 
+func errAnswerNotKept() *Error {
+	return newError(http.StatusGone, CodeAnswerNotKept, "the request with this Idempotency-Key ran and its answer was too large to keep: look its result up at the service").withRun(RunRan)
+}
+
 func errClaimUnavailable(delay time.Duration) *Error {
 	return newError(http.StatusServiceUnavailable, CodeClaimUnavailable, "the request could not be recorded, so it was not sent: retry after the time in Retry-After").retryIn(delay)
 }
--- /dev/null
+++ b/internal/gateway/failure_test.go
@@ -0,0 +1,258 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/standin/control"
+	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
+	"bilberryslip.example/bilberryslip/internal/standin/serviceserver"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// everyEngine sets the same faults on all engines.
+func (f *fixture) everyEngine(change func(*engineserver.Faults)) {
+	for _, engine := range f.engines {
+		engine.Switches().Update(change)
+	}
+}
+
+func (f *fixture) everyService(change func(*serviceserver.Faults)) {
+	for _, service := range f.services {
+		service.Switches().Update(change)
+	}
+}
+
+func (f *fixture) journal() []control.Entry {
+	var entries []control.Entry
+	for _, engine := range f.engines {
+		entries = append(entries, engine.State().Journal...)
+	}
+	for _, service := range f.services {
+		entries = append(entries, service.State().Journal...)
+	}
+	return entries
+}
+
+func (f *fixture) resumes() int {
+	count := 0
+	for _, entry := range f.journal() {
+		if entry.Header.Get("X-Resume") != "" {
+			count++
+		}
+	}
+	return count
+}
+
+var _ = Describe("Whole answers", func() {
+	DescribeTable("mends what an engine does to an answer, byte for byte",
+		func(resumes int, change func(*engineserver.Faults)) {
+			for _, stream := range []string{"", `,"stream":true`} {
+				f := newFixture()
+				f.everyEngine(change)
+				r := f.chat(stream)
+				Expect(r.err).NotTo(HaveOccurred())
+				Expect(r.status).To(Equal(http.StatusOK), r.body)
+				if stream != "" {
+					text, last := streamText(r.body)
+					Expect(text).To(Equal(generated("")))
+					Expect(last).To(Equal("[DONE]"))
+				} else {
+					Expect(r.body).To(ContainSubstring(generated("")))
+				}
+				Expect(f.resumes()).To(Equal(resumes))
+			}
+		},
+		Entry("late", 0, func(x *engineserver.Faults) { x.Late, x.LateMillis = 1, 1000 }),
+		Entry("crossed", 0, func(x *engineserver.Faults) { x.Crossed = 1 }),
+		Entry("cut at once", 0, func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 0 }),
+		Entry("cut", 1, func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 3 }),
+		Entry("cut again and again", 3, func(x *engineserver.Faults) { x.Cut, x.CutAfter = 3, 3 }),
+		Entry("cut before the final event", 1, func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 9 }),
+		Entry("silent at once", 0, func(x *engineserver.Faults) { x.Silent, x.SilentAfter = 1, 0 }),
+		Entry("silent", 1, func(x *engineserver.Faults) { x.Silent, x.SilentAfter = 1, 3 }),
+		Entry("doubled", 0, func(x *engineserver.Faults) { x.Doubled = 1 }),
+		Entry("an error", 0, func(x *engineserver.Faults) { x.Errors = 1 }),
+		Entry("closed before it runs", 0, func(x *engineserver.Faults) { x.CloseBeforeRun = 1 }),
+	)
+
+	It("resumes again where the resumed answer is crossed", func() {
+		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { o.TokenInterval = 100 * time.Millisecond })
+		f.everyEngine(func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 3 })
+		done := make(chan reply, 1)
+		go func() { done <- f.chat(`,"stream":true`) }()
+		Eventually(func() int { return len(f.journal()) }).Should(Equal(1))
+		f.everyEngine(func(x *engineserver.Faults) { x.Crossed = 1 })
+		text, last := streamText((<-done).body)
+		Expect(text).To(Equal(generated("")))
+		Expect(last).To(Equal("[DONE]"))
+		Expect(f.resumes()).To(Equal(2))
+	})
+
+	It("passes on nothing of an answer that is crossed at every attempt", func() {
+		f := newFixture()
+		f.everyEngine(func(x *engineserver.Faults) { x.Crossed = 10 })
+		r := f.chat(`,"stream":true`)
+		Expect(r.status).To(Equal(http.StatusBadGateway), r.body)
+		Expect(r.failure().Error.Run).To(Equal("unknown"))
+		Expect(r.body).NotTo(ContainSubstring("data:"))
+	})
+
+	It("ends a stream that can't be resumed with an error, never as a whole one", func() {
+		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { o.RefuseResume = true })
+		f.everyEngine(func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 3 })
+		r := f.chat(`,"stream":true`)
+		Expect(r.err).To(HaveOccurred())
+		_, last := streamText(r.body)
+		Expect(reply{body: last}.failure().Error.Code).To(Equal("answer_cut"))
+		Expect(r.body).NotTo(ContainSubstring("[DONE]"))
+	})
+
+	It("restarts a plain answer that can't be resumed at another engine", func() {
+		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { o.RefuseResume = true })
+		f.everyEngine(func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 3 })
+		Expect(f.chat("").body).To(ContainSubstring(generated("")))
+	})
+
+	It("keeps retries to a tenth of the load when every endpoint fails", func() {
+		f := newFixture()
+		f.everyEngine(func(x *engineserver.Faults) { x.Errors = 1 << 20 })
+		const requests, reserve = 200, 5
+		for range requests {
+			Expect(f.chat("").status).To(Equal(http.StatusBadGateway))
+		}
+		Expect(len(f.journal())).To(BeNumerically("<=", requests*11/10+reserve))
+	})
+
+	It("answers at the caller's own time limit", func() {
+		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { o.FirstToken = 350 * time.Millisecond })
+		began := time.Now()
+		r := f.chat("", "X-Request-Timeout-Ms", "100")
+		Expect(r.status).To(Equal(http.StatusGatewayTimeout), r.body)
+		Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
+		Expect(r.failure().Error.Run).To(Equal("unknown"))
+	})
+
+	It("ends a stream soon after its key is withdrawn", func() {
+		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { o.TokenInterval = 100 * time.Millisecond })
+		done := make(chan reply, 1)
+		go func() {
+			done <- f.do("POST", "/v1/completions", `{"model":"draft","prompt":"x","max_tokens":1000,"stream":true}`)
+		}()
+		Eventually(func() int { return len(f.journal()) }).Should(Equal(1))
+		f.withdraw("jewellers-key")
+		var r reply
+		Eventually(done, 5*time.Second).Should(Receive(&r))
+		_, last := streamText(r.body)
+		Expect(reply{body: last}.failure().Error.Code).To(Equal("key_withdrawn"))
+		Expect(f.chat("").status).To(Equal(http.StatusUnauthorized))
+	})
+
+	It("refuses keys once it may have missed a withdrawal for too long", func() {
+		fresh := time.Now()
+		f := newFixture(func(_ *engineserver.Options, c *gateway.Config) {
+			c.Freshness = func() time.Time { return fresh }
+			c.Clock = func() time.Time { return fresh.Add(61 * time.Second) }
+		})
+		Expect(f.chat("").status).To(Equal(http.StatusOK))
+		f.objects[0].GetOrganisation().KeyStalenessLimitSeconds = 60
+		r := f.chat("")
+		Expect(r.failure().Error.Code).To(Equal("key_state_stale"))
+		Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+})
+
+func (f *fixture) withdraw(name string) {
+	for i, object := range f.objects {
+		if object.GetKey().GetName() == name {
+			changed := organisation(strings.TrimSuffix(name, "-key"), secret)[1]
+			changed.GetKey().Withdrawn = true
+			f.objects[i] = changed
+		}
+	}
+	f.source.set(f.objects)
+}
+
+var _ = Describe("Non-repeatable calls", func() {
+	register := func(f *fixture) reply {
+		return f.do("POST", "/services/registry/certificates", `{"request":"ring 1"}`, "Idempotency-Key", "c-1")
+	}
+
+	DescribeTable("answers a lost answer as unknown, and so its repeats",
+		func(status int, change func(*serviceserver.Faults)) {
+			f := newFixture()
+			f.everyService(change)
+			r := register(f)
+			Expect(r.status).To(Equal(status), r.body)
+			Expect(r.failure().Error.Run).To(Equal("unknown"))
+			repeat := register(f)
+			Expect(repeat.status).To(Equal(http.StatusConflict))
+			Expect(repeat.failure().Error.Code).To(Equal("outcome_unknown"))
+			Consistently(f.serviceRuns, "200ms").Should(BeNumerically("<=", 1))
+		},
+		Entry("the connection dies after the run", 502, func(x *serviceserver.Faults) { x.RunThenClose = 1 }),
+		Entry("the connection dies before the run", 502, func(x *serviceserver.Faults) { x.CloseBeforeRun = 1 }),
+		Entry("silence after the run", 504, func(x *serviceserver.Faults) { x.Silent = 1 }),
+		Entry("an answer beyond the limit", 504, func(x *serviceserver.Faults) { x.Late, x.LateMillis = 1, 900 }),
+		Entry("another call's answer", 502, func(x *serviceserver.Faults) { x.Crossed = 1 }),
+	)
+
+	It("says 'not run' only where no endpoint was reached, and then runs the repeat", func() {
+		f := newFixture()
+		for i, object := range f.objects {
+			if e := object.GetEndpoint(); e.GetService() != "" {
+				f.objects[i] = endpointObject(e.GetName(), "http://127.0.0.1:1", e.GetKind())
+			}
+		}
+		urls := f.objects
+		f.source.set(urls)
+		f.registry.Reconcile()
+		r := register(f)
+		Expect(r.status).To(Equal(http.StatusServiceUnavailable), r.body)
+		Expect(r.failure().Error.Run).To(Equal("not run"))
+		Expect(f.claims.claims).To(BeEmpty())
+		Expect(f.serviceRuns()).To(BeZero())
+	})
+
+	It("sends nothing when the claim can't be recorded", func() {
+		f := newFixture()
+		f.claims.refuse = retryError{2 * time.Second}
+		r := register(f)
+		Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(r.failure().Error.Run).To(Equal("not run"))
+		Expect(r.header.Get("Retry-After")).To(Equal("2"))
+		Expect(f.serviceRuns()).To(BeZero())
+	})
+
+	It("records the answer of a run whose caller gave up, for the repeat", func() {
+		f := newFixture()
+		f.everyService(func(x *serviceserver.Faults) { x.Late, x.LateMillis = 1, 200 })
+		r := f.do("POST", "/services/registry/certificates", `{"request":"ring 1"}`, "Idempotency-Key", "c-1", "X-Request-Timeout-Ms", "50")
+		Expect(r.status).To(Equal(http.StatusGatewayTimeout))
+		Expect(r.failure().Error.Run).To(Equal("unknown"))
+		Expect(register(f).failure().Error.Code).To(Equal("still_running"))
+		Eventually(func() int { return register(f).status }).Should(Equal(http.StatusOK))
+		Expect(f.serviceRuns()).To(BeEquivalentTo(1))
+	})
+
+	It("retries lookups freely", func() {
+		f := newFixture()
+		f.everyService(func(x *serviceserver.Faults) { x.RunThenClose = 1 })
+		Expect(f.do("GET", "/services/registry/certificates/7", "").status).To(Equal(http.StatusOK))
+	})
+
+	It("sends a call on an open connection that the service closes once, GET too", func() {
+		f := newFixture()
+		for range 20 {
+			Expect(f.do("GET", "/services/registry/certificates/7", "").status).To(Equal(http.StatusOK))
+		}
+		before := f.serviceRuns()
+		f.everyService(func(x *serviceserver.Faults) { x.RunThenClose = 1 })
+		Expect(f.do("GET", "/services/registry/once", "").status).To(Equal(http.StatusBadGateway))
+		Expect(f.serviceRuns() - before).To(BeEquivalentTo(1))
+	})
+})
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"net/http"
 
@@ -11,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/invariant"
 )
 
 // maxIdempotencyKeyBytes bounds an idempotency key.
@@ -84,33 +86,73 @@
 	return hex.EncodeToString(digest.Sum(nil))
 }
 
-// sendOnce sends a claimed call. Only an endpoint that provably got nothing
-// is followed by another one.
+// onceResult is how a claimed call ended.
+type onceResult struct {
+	answer  *RecordedAnswer
+	failure *Error
+}
+
+// sendOnce sends a claimed call. The run and the record of its outcome go on
+// when the caller's time limit passes or the caller goes away.
 func (c *serviceCall) sendOnce(ctx context.Context, claim Claim) error {
-	// The run and its record go on when the caller goes away.
+	sl, failure := c.acquire(ctx)
+	if failure != nil {
+		c.settle(ctx, "not_run", claim.NotRun)
+		return failure
+	}
+	detached := c.detach()
+	done := make(chan onceResult, 1)
+	c.gateway().running.add(detached.request)
+	go func() {
+		defer c.gateway().running.remove(detached.request)
+		done <- detached.carryOut(ctx, sl, claim)
+	}()
+	select {
+	case result := <-done:
+		c.request.adopt(detached.request)
+		if result.failure != nil {
+			return result.failure
+		}
+		return c.write(result.answer, false)
+	case <-ctx.Done():
+		c.request.sent = true // for all that is known here
+		return errOutcomeUnknown(http.StatusGatewayTimeout).retryIn(c.gateway().config.ServiceFirstByte)
+	}
+}
+
+// detach returns a call that shares nothing with the caller's connection.
+func (c *serviceCall) detach() *serviceCall {
+	detached := *c
+	detached.request = c.request.detach()
+	return &detached
+}
+
+// carryOut sends the call. Only an endpoint that provably got nothing is
+// followed by another one.
+func (c *serviceCall) carryOut(ctx context.Context, sl *slot, claim Claim) onceResult {
 	runCtx := context.WithoutCancel(ctx)
 	for attempts := 1; ; attempts++ {
-		sl, failure := c.acquire(ctx)
-		if failure != nil {
-			c.settle(runCtx, "not_run", claim.NotRun)
-			return failure
-		}
+		invariant.Assert(!c.request.sent, invariant.AtMostOnce, logrus.Fields{"request": c.request.id})
 		answer, err := c.attempt(runCtx, sl, true)
 		c.gateway().scheduler.finish(sl, serviceOutcome(runCtx, answer, err), int64(c.tokens()))
 		if err == nil {
 			c.recordAnswer(runCtx, claim, answer)
-			return c.write(answer, false)
+			return onceResult{answer: answer}
 		}
 		var notSent *endpoint.NotSentError
 		if !errors.As(err, &notSent) {
 			c.settle(runCtx, "unknown", claim.Unknown)
-			return c.unknown(err)
+			return onceResult{failure: c.unknown(err)}
+		}
+		c.tried = append(c.tried, sl.attempt.Endpoint())
+		failure := errEndpointFailed(RunNot)
+		if attempts < c.gateway().config.MaxAttempts && c.gateway().retryAllowed() {
+			sl, failure = c.acquire(ctx)
 		}
-		if attempts >= c.gateway().config.MaxAttempts || !c.gateway().retryAllowed() {
+		if failure != nil {
 			c.settle(runCtx, "not_run", claim.NotRun)
-			return errEndpointFailed(RunNot)
+			return onceResult{failure: failure}
 		}
-		c.tried = append(c.tried, sl.attempt.Endpoint())
 	}
 }
 
@@ -132,16 +174,27 @@
 func (c *serviceCall) recordAnswer(ctx context.Context, claim Claim, answer *RecordedAnswer) {
 	recorded := *answer
 	if len(recorded.Body) > maxRecordedBytes {
-		recorded.Body = nil
+		recorded = c.notKept()
 	}
 	c.settle(ctx, "recorded", func(ctx context.Context) error { return claim.Finish(ctx, recorded) })
 }
 
+// notKept is what a repeat gets in place of an answer too large to record.
+func (c *serviceCall) notKept() RecordedAnswer {
+	failure := errAnswerNotKept()
+	body, err := json.Marshal(c.request.errorBody(failure, ""))
+	if err != nil {
+		body = nil // the status tells it as well
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	return RecordedAnswer{Status: failure.Status, Header: header, Body: body}
+}
+
 // settle records how a claim ended. Where that fails, a repeat of the key
 // is told that it still runs or that the outcome is unknown, never that it
 // did not run.
 func (c *serviceCall) settle(ctx context.Context, end string, record func(context.Context) error) {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	defer cancel()
 	if err := record(ctx); err != nil {
 		logrus.WithFields(logrus.Fields{
@@ -163,4 +216,3 @@
 
 // Unknown implements Claim.
 func (unclaimed) Unknown(context.Context) error { return nil }
-
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,6 +41,8 @@
 	mu sync.Mutex
 	// model is what the caller asked for, or the service.
 	model string
+	// decisionID is that of the last route decision.
+	decisionID string
 	// sent is set before the first byte goes to an endpoint.
 	sent bool
 	// lastEndpoint is where the last attempt went.
@@ -57,6 +59,22 @@
 	}
 }
 
+// detach returns a request without the caller's connection, for a run that
+// goes on when the caller goes away.
+func (r *request) detach() *request {
+	return &request{
+		gateway: r.gateway, http: r.http, id: r.id, started: r.started, caller: r.caller,
+		class: r.class, model: r.model, lastEndpoint: r.lastEndpoint, sent: r.sent, decisionID: r.decisionID,
+	}
+}
+
+// adopt takes over what a detached run has noted.
+func (r *request) adopt(detached *request) {
+	r.sent = detached.sent
+	r.decisionID = detached.decisionID
+	r.at(detached.lastEndpoint)
+}
+
 // track runs a handler for a request that counts as running.
 func (g *Gateway) track(handle func(*request) error) echo.HandlerFunc {
 	return func(c echo.Context) error {
@@ -135,6 +153,17 @@
 	}
 }
 
+// route records that an attempt goes to a slot's endpoint.
+func (r *request) route(sl *slot) {
+	r.at(sl.attempt.Endpoint())
+	r.decisionID = r.record(apiv1.DecisionKind_DECISION_KIND_ROUTE, "chosen", sl.attempt.Endpoint(), routeInputs(sl))
+}
+
+// showDecision tells the caller the identifier of the route decision.
+func (r *request) showDecision() {
+	setIfPresent(r.echo.Response().Header(), HeaderDecisionID, r.decisionID)
+}
+
 func setIfPresent(header http.Header, name, value string) {
 	if value != "" {
 		header.Set(name, value)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -109,8 +109,10 @@
 	if err != nil || strings.Contains(decoded, who.secret) {
 		return errKeyMisplaced("path")
 	}
-	if strings.Contains(c.request.http.Header.Get("Content-Type"), who.secret) {
-		return errKeyMisplaced("header Content-Type")
+	for _, name := range []string{"Content-Type", "Accept"} {
+		if strings.Contains(c.request.http.Header.Get(name), who.secret) {
+			return errKeyMisplaced("header " + name)
+		}
 	}
 	return nil
 }
@@ -252,10 +254,7 @@
 		c.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
 		return nil, failure.withRun(c.runState())
 	}
-	name := sl.attempt.Endpoint()
-	r.at(name)
-	id := r.record(apiv1.DecisionKind_DECISION_KIND_ROUTE, "chosen", name, routeInputs(sl))
-	setIfPresent(r.echo.Response().Header(), HeaderDecisionID, id)
+	r.route(sl)
 	return sl, nil
 }
 
@@ -268,7 +267,7 @@
 	}
 	before := c.request.sent
 	c.request.sent = true
-	answer, err := sl.attempt.Send(ctx, endpoint.Call{
+	call := endpoint.Call{
 		Attempt:     uuid.NewString(),
 		Request:     c.request.id,
 		Method:      c.request.http.Method,
@@ -279,7 +278,9 @@
 		Body:        c.body,
 		Fresh:       fresh,
 		Limits:      limits,
-	})
+	}
+	c.request.assertMayRun(call, c.route.GetOpen() || permits(c.route.GetOrganisations(), c.request.caller.organisation.GetName()))
+	answer, err := sl.attempt.Send(ctx, call)
 	var notSent *endpoint.NotSentError
 	if errors.As(err, &notSent) {
 		c.request.sent = before
@@ -313,6 +314,7 @@
 
 // write gives the caller a whole answer.
 func (c *serviceCall) write(answer *RecordedAnswer, replayed bool) error {
+	c.request.showDecision()
 	response := c.request.echo.Response()
 	for _, name := range answerHeaders {
 		if value := answer.Header.Get(name); value != "" {
