Join the gateway to the rate shares and the claims

The gateway's own claim and reservation types go; it uses those of the packages that keep them, and its tests run against the real book of claims over an in-memory store. A claim that was made too long ago is not used.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -13,6 +13,7 @@
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/invariant"
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/routing"
 )
 
@@ -85,16 +86,23 @@
 }
 
 // reserve takes tokens out of the caller's rate.
-func (g *Gateway) reserve(ctx context.Context, who caller, tokens float64) (Reservation, *Error) {
+func (g *Gateway) reserve(ctx context.Context, who caller, tokens float64) (ratelimit.Reservation, *Error) {
 	reservation, err := g.config.Limiter.Reserve(ctx, who.organisation.GetName(), tokens)
 	if err == nil {
 		return reservation, nil
 	}
-	var refused RetryDelayer
-	if errors.As(err, &refused) {
-		return nil, errRateExceeded(refused.RetryDelay())
+	var refused *ratelimit.RefusedError
+	if !errors.As(err, &refused) {
+		return nil, errRateUnavailable()
+	}
+	switch refused.Reason {
+	case ratelimit.ReasonTooLarge:
+		return nil, errOverBurst(tokens)
+	case ratelimit.ReasonNoPolicy:
+		return nil, errNoRatePolicy()
+	default:
+		return nil, errRateExceeded(refused.RetryAfter)
 	}
-	return nil, errRateUnavailable()
 }
 
 // generation is a completion on its way through one or more attempts.
@@ -105,7 +113,7 @@
 	body        []byte
 	prefix      uint64
 	weight      float64
-	reservation Reservation
+	reservation ratelimit.Reservation
 	sink        sink
 
 	tried []string
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -40,6 +40,8 @@
 	CodeModelUnknown       Code = "model_not_found"
 	CodeRouteUnknown       Code = "route_not_found"
 	CodeRateExceeded       Code = "rate_limit_exceeded"
+	CodeOverBurst          Code = "over_burst"
+	CodeRatePolicyMissing  Code = "rate_policy_missing"
 	CodeRateUnavailable    Code = "rate_unavailable"
 	CodeOverloaded         Code = "overloaded"
 	CodeNoEndpoint         Code = "no_endpoint"
@@ -186,6 +188,14 @@
 	return newError(http.StatusTooManyRequests, CodeRateExceeded, "your organisation's rate is used up: retry after the time in Retry-After").retryIn(delay)
 }
 
+func errOverBurst(tokens float64) *Error {
+	return newError(http.StatusBadRequest, CodeOverBurst, "the request of %.0f tokens is over your organisation's burst: ask for fewer tokens, or ask your operator for a larger burst", tokens)
+}
+
+func errNoRatePolicy() *Error {
+	return newError(http.StatusForbidden, CodeRatePolicyMissing, "your organisation has no rate policy: ask your operator to create one")
+}
+
 func errRateUnavailable() *Error {
 	return newError(http.StatusServiceUnavailable, CodeRateUnavailable, "your organisation's rate could not be read: retry after the time in Retry-After").retryIn(time.Second)
 }
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -203,24 +203,26 @@
 
 	It("says 'not run' only where no endpoint was reached, and then runs the repeat", func() {
 		f := newFixture()
+		working := append(f.objects[:0:0], f.objects...)
 		for i, object := range f.objects {
 			if e := object.GetEndpoint(); e.GetService() != "" {
 				f.objects[i] = endpointObject(e.GetName(), "http://127.0.0.1:1", e.GetKind())
 			}
 		}
-		urls := f.objects
-		f.source.set(urls)
+		f.source.set(f.objects)
 		f.registry.Reconcile()
 		r := register(f)
 		Expect(r.status).To(Equal(http.StatusServiceUnavailable), r.body)
 		Expect(r.failure().Error.Run).To(Equal("not run"))
-		Expect(f.claims.claims).To(BeEmpty())
-		Expect(f.serviceRuns()).To(BeZero())
+		f.objects = append(f.objects[:0:0], working...)
+		f.source.set(f.objects)
+		Eventually(func() int { return register(f).status }).Should(Equal(http.StatusOK))
+		Expect(f.serviceRuns()).To(BeEquivalentTo(1))
 	})
 
 	It("sends nothing when the claim can't be recorded", func() {
 		f := newFixture()
-		f.claims.refuse = retryError{2 * time.Second}
+		f.platform.down.Store(true)
 		r := register(f)
 		Expect(r.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(r.failure().Error.Run).To(Equal("not run"))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -94,7 +96,7 @@
 
 	It("tells the caller at once when to come back, if its rate is used up", func() {
 		f := newFixture()
-		f.limiter.refuse = retryError{3200 * time.Millisecond}
+		f.limiter.refuse = &ratelimit.RefusedError{Reason: ratelimit.ReasonRate, RetryAfter: 3200 * time.Millisecond}
 		r := f.chat("")
 		Expect(r.status).To(Equal(http.StatusTooManyRequests))
 		Expect(r.header.Get("Retry-After")).To(Equal("4"))
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -4,13 +4,14 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/invariant"
 )
@@ -27,33 +28,44 @@
 	if key == "" {
 		return c.sendOnce(ctx, unclaimed{})
 	}
-	outcome, err := c.gateway().config.Claims.Begin(ctx, ClaimRequest{
+	outcome, err := c.gateway().config.Claims.Begin(ctx, claims.Request{
 		Organisation:   c.request.caller.organisation.GetName(),
 		Route:          c.route.GetName(),
 		IdempotencyKey: key,
 		Fingerprint:    c.fingerprint(),
 	})
 	if err != nil {
-		var unavailable RetryDelayer
-		if errors.As(err, &unavailable) {
-			return errClaimUnavailable(unavailable.RetryDelay())
-		}
-		return errClaimUnavailable(0)
+		return claimFailure(err)
 	}
 	switch outcome.State {
-	case ClaimClaimed:
+	case claims.Claimed:
 		return c.sendOnce(ctx, outcome.Claim)
-	case ClaimRecorded:
-		return c.write(outcome.Answer, true)
-	case ClaimStillRunning:
+	case claims.Recorded:
+		return c.replay(outcome.Answer)
+	case claims.StillRunning:
 		return errStillRunning()
-	case ClaimMismatch:
+	case claims.Mismatch:
 		return errIdempotencyReused()
 	default:
 		return errUnknownRepeat()
 	}
 }
 
+func claimFailure(err error) *Error {
+	var unavailable *claims.UnavailableError
+	if errors.As(err, &unavailable) {
+		return errClaimUnavailable(unavailable.RetryAfter)
+	}
+	return errClaimUnavailable(time.Second)
+}
+
+func (c *serviceCall) replay(answer *claims.Answer) error {
+	if answer.TooLarge {
+		return errAnswerNotKept()
+	}
+	return c.write(answer, true)
+}
+
 func (c *serviceCall) idempotencyKey() (string, *Error) {
 	values := c.request.http.Header.Values(HeaderIdempotencyKey)
 	if len(values) > 1 {
@@ -88,16 +100,16 @@
 
 // onceResult is how a claimed call ended.
 type onceResult struct {
-	answer  *RecordedAnswer
+	answer  *claims.Answer
 	failure *Error
 }
 
 // sendOnce sends a claimed call. The run and the record of its outcome go on
 // when the caller's time limit passes or the caller goes away.
-func (c *serviceCall) sendOnce(ctx context.Context, claim Claim) error {
+func (c *serviceCall) sendOnce(ctx context.Context, own claim) error {
 	sl, failure := c.acquire(ctx)
 	if failure != nil {
-		c.settle(ctx, "not_run", claim.NotRun)
+		c.settle(ctx, "not_run", own.NotRun)
 		return failure
 	}
 	detached := c.detach()
@@ -105,7 +117,7 @@
 	c.gateway().running.add(detached.request)
 	go func() {
 		defer c.gateway().running.remove(detached.request)
-		done <- detached.carryOut(ctx, sl, claim)
+		done <- detached.carryOut(ctx, sl, own)
 	}()
 	select {
 	case result := <-done:
@@ -129,19 +141,24 @@
 
 // carryOut sends the call. Only an endpoint that provably got nothing is
 // followed by another one.
-func (c *serviceCall) carryOut(ctx context.Context, sl *slot, claim Claim) onceResult {
+func (c *serviceCall) carryOut(ctx context.Context, sl *slot, own claim) onceResult {
 	runCtx := context.WithoutCancel(ctx)
 	for attempts := 1; ; attempts++ {
+		if !own.Valid() {
+			c.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
+			c.settle(runCtx, "not_run", own.NotRun)
+			return onceResult{failure: errClaimUnavailable(time.Second)}
+		}
 		invariant.Assert(!c.request.sent, invariant.AtMostOnce, logrus.Fields{"request": c.request.id})
 		answer, err := c.attempt(runCtx, sl, true)
 		c.gateway().scheduler.finish(sl, serviceOutcome(runCtx, answer, err), int64(c.tokens()))
 		if err == nil {
-			c.recordAnswer(runCtx, claim, answer)
+			c.recordAnswer(runCtx, own, answer)
 			return onceResult{answer: answer}
 		}
 		var notSent *endpoint.NotSentError
 		if !errors.As(err, &notSent) {
-			c.settle(runCtx, "unknown", claim.Unknown)
+			c.settle(runCtx, "unknown", own.Unknown)
 			return onceResult{failure: c.unknown(err)}
 		}
 		c.tried = append(c.tried, sl.attempt.Endpoint())
@@ -150,7 +167,7 @@
 			sl, failure = c.acquire(ctx)
 		}
 		if failure != nil {
-			c.settle(runCtx, "not_run", claim.NotRun)
+			c.settle(runCtx, "not_run", own.NotRun)
 			return onceResult{failure: failure}
 		}
 	}
@@ -168,26 +185,8 @@
 	return errOutcomeUnknown(http.StatusBadGateway)
 }
 
-// maxRecordedBytes bounds the body of a recorded answer.
-const maxRecordedBytes = 256 << 10
-
-func (c *serviceCall) recordAnswer(ctx context.Context, claim Claim, answer *RecordedAnswer) {
-	recorded := *answer
-	if len(recorded.Body) > maxRecordedBytes {
-		recorded = c.notKept()
-	}
-	c.settle(ctx, "recorded", func(ctx context.Context) error { return claim.Finish(ctx, recorded) })
-}
-
-// notKept is what a repeat gets in place of an answer too large to record.
-func (c *serviceCall) notKept() RecordedAnswer {
-	failure := errAnswerNotKept()
-	body, err := json.Marshal(c.request.errorBody(failure, ""))
-	if err != nil {
-		body = nil // the status tells it as well
-	}
-	header := http.Header{"Content-Type": {"application/json"}}
-	return RecordedAnswer{Status: failure.Status, Header: header, Body: body}
+func (c *serviceCall) recordAnswer(ctx context.Context, own claim, answer *claims.Answer) {
+	c.settle(ctx, "recorded", func(ctx context.Context) error { return own.Finish(ctx, *answer) })
 }
 
 // settle records how a claim ended. Where that fails, a repeat of the key
@@ -208,11 +207,7 @@
 // that allows it.
 type unclaimed struct{}
 
-// Finish implements Claim.
-func (unclaimed) Finish(context.Context, RecordedAnswer) error { return nil }
-
-// NotRun implements Claim.
-func (unclaimed) NotRun(context.Context) error { return nil }
-
-// Unknown implements Claim.
-func (unclaimed) Unknown(context.Context) error { return nil }
+func (unclaimed) Valid() bool                                 { return true }
+func (unclaimed) Finish(context.Context, claims.Answer) error { return nil }
+func (unclaimed) NotRun(context.Context) error                { return nil }
+func (unclaimed) Unknown(context.Context) error               { return nil }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -15,6 +15,7 @@
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admission"
+	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/routing"
 )
@@ -223,7 +224,7 @@
 }
 
 // serviceOutcome tells what an attempt says of its endpoint.
-func serviceOutcome(ctx context.Context, answer *RecordedAnswer, err error) endpoint.Outcome {
+func serviceOutcome(ctx context.Context, answer *claims.Answer, err error) endpoint.Outcome {
 	if err == nil && answer.Status >= http.StatusInternalServerError {
 		return endpoint.OutcomeFailed
 	}
@@ -259,7 +260,7 @@
 }
 
 // attempt sends the call once and reads the whole answer.
-func (c *serviceCall) attempt(ctx context.Context, sl *slot, fresh bool) (*RecordedAnswer, error) {
+func (c *serviceCall) attempt(ctx context.Context, sl *slot, fresh bool) (*claims.Answer, error) {
 	cfg := c.gateway().config
 	limits := endpoint.ProgressLimits{Header: cfg.ServiceFirstByte, FirstByte: cfg.Between, Between: cfg.Between}
 	if c.route.GetRepeatable() && !fresh {
@@ -292,7 +293,7 @@
 	return c.readWhole(answer)
 }
 
-func (c *serviceCall) readWhole(answer *endpoint.Answer) (*RecordedAnswer, error) {
+func (c *serviceCall) readWhole(answer *endpoint.Answer) (*claims.Answer, error) {
 	if !answer.Framed {
 		return nil, errors.New("the service's answer has no length, so that it can't be told from a cut one")
 	}
@@ -309,11 +310,11 @@
 			header.Set(name, value)
 		}
 	}
-	return &RecordedAnswer{Status: answer.Status, Header: header, Body: body}, nil
+	return &claims.Answer{Status: answer.Status, Header: header, Body: body}, nil
 }
 
 // write gives the caller a whole answer.
-func (c *serviceCall) write(answer *RecordedAnswer, replayed bool) error {
+func (c *serviceCall) write(answer *claims.Answer, replayed bool) error {
 	c.request.showDecision()
 	response := c.request.echo.Response()
 	for _, name := range answerHeaders {
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,11 +17,15 @@
 	"github.com/sirupsen/logrus"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
+	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
 	"bilberryslip.example/bilberryslip/internal/standin/serviceserver"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -45,7 +50,7 @@
 	reserved, consumed, settled float64
 }
 
-func (l *fakeLimiter) Reserve(_ context.Context, _ string, tokens float64) (gateway.Reservation, error) {
+func (l *fakeLimiter) Reserve(_ context.Context, _ string, tokens float64) (ratelimit.Reservation, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.refuse != nil {
@@ -83,67 +88,6 @@
 	r.done = true
 }
 
-type retryError struct{ delay time.Duration }
-
-func (e retryError) Error() string             { return "refused" }
-func (e retryError) RetryDelay() time.Duration { return e.delay }
-
-// fakeClaims keeps claims in memory.
-type fakeClaims struct {
-	mu     sync.Mutex
-	refuse error
-	claims map[gateway.ClaimRequest]*fakeClaim
-	prints map[gateway.ClaimRequest]string
-}
-
-type fakeClaim struct {
-	book    *fakeClaims
-	key     gateway.ClaimRequest
-	outcome gateway.ClaimOutcome
-}
-
-func (b *fakeClaims) Begin(_ context.Context, req gateway.ClaimRequest) (gateway.ClaimOutcome, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.refuse != nil {
-		return gateway.ClaimOutcome{}, b.refuse
-	}
-	key := req
-	key.Fingerprint = ""
-	if known, ok := b.claims[key]; ok {
-		if b.prints[key] != req.Fingerprint {
-			return gateway.ClaimOutcome{State: gateway.ClaimMismatch}, nil
-		}
-		return known.outcome, nil
-	}
-	claim := &fakeClaim{book: b, key: key, outcome: gateway.ClaimOutcome{State: gateway.ClaimStillRunning}}
-	b.claims[key] = claim
-	b.prints[key] = req.Fingerprint
-	return gateway.ClaimOutcome{State: gateway.ClaimClaimed, Claim: claim}, nil
-}
-
-func (c *fakeClaim) end(outcome gateway.ClaimOutcome) error {
-	c.book.mu.Lock()
-	defer c.book.mu.Unlock()
-	c.outcome = outcome
-	return nil
-}
-
-func (c *fakeClaim) Finish(_ context.Context, answer gateway.RecordedAnswer) error {
-	return c.end(gateway.ClaimOutcome{State: gateway.ClaimRecorded, Answer: &answer})
-}
-
-func (c *fakeClaim) Unknown(context.Context) error {
-	return c.end(gateway.ClaimOutcome{State: gateway.ClaimUnknown})
-}
-
-func (c *fakeClaim) NotRun(context.Context) error {
-	c.book.mu.Lock()
-	defer c.book.mu.Unlock()
-	delete(c.book.claims, c.key)
-	return nil
-}
-
 // fakeRecorder keeps decisions in memory.
 type fakeRecorder struct {
 	mu        sync.Mutex
@@ -169,6 +113,19 @@
 	return nil
 }
 
+// outage is a platform that can be made to fail.
+type outage struct {
+	platform.Store
+	down atomic.Bool
+}
+
+func (o *outage) Create(ctx context.Context, kind platform.Kind, name, writeID string, value json.RawMessage) (platform.Object, error) {
+	if o.down.Load() {
+		return platform.Object{}, &platform.UnavailableError{RetryAfter: 2 * time.Second}
+	}
+	return o.Store.Create(ctx, kind, name, writeID, value)
+}
+
 // source is a config.Source whose objects can be replaced.
 type source struct {
 	mu       sync.Mutex
@@ -207,7 +164,7 @@
 	objects  []*apiv1.Object
 	source   *source
 	limiter  *fakeLimiter
-	claims   *fakeClaims
+	platform *outage
 	recorder *fakeRecorder
 	registry *endpoint.Registry
 	gateway  *gateway.Gateway
@@ -274,13 +231,16 @@
 	f := &fixture{
 		source:   &source{},
 		limiter:  &fakeLimiter{},
-		claims:   &fakeClaims{claims: map[gateway.ClaimRequest]*fakeClaim{}, prints: map[gateway.ClaimRequest]string{}},
+		platform: &outage{Store: objectstore.New()},
 		recorder: &fakeRecorder{},
 		objects:  baseObjects(),
 	}
 	engine := engineOptions()
 	cfg := gateway.Config{
-		Limiter: f.limiter, Claims: f.claims, Recorder: f.recorder, Source: f.source, Zone: "qce-1",
+		Limiter: f.limiter, Claims: claims.NewBook(claims.BookConfig{
+			Store: f.platform, Self: claims.Owner{Host: "host-1", Incarnation: "1"}, Alive: func(claims.Owner) bool { return true },
+			ClaimTimeout: 200 * time.Millisecond,
+		}), Recorder: f.recorder, Source: f.source, Zone: "qce-1",
 		InteractiveWait: 2 * time.Second, FirstByte: 400 * time.Millisecond, ReusedFirstByte: 400 * time.Millisecond,
 		Between: 400 * time.Millisecond, ServiceFirstByte: 400 * time.Millisecond,
 	}
