--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,6 +5,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 )
 
@@ -84,6 +85,15 @@
 	// BatchInterval is the longest time for which waiting batch requests of
 	// a pool are passed over when a slot is free. It defaults to 2 s.
 	BatchInterval time.Duration
+	// TargetWait is the wait of an interactive request that still lets it
+	// have its first token in time. It defaults to 500 ms.
+	TargetWait time.Duration
+	// BurstLength is for how long interactive requests may wait for longer
+	// than the target before the queue is cut to it. It defaults to 5 s.
+	BurstLength time.Duration
+	// CreditWindow is for how long an organisation keeps what it leaves
+	// unused of its fair part. It defaults to 10 s.
+	CreditWindow time.Duration
 	// MaxRetryAfter bounds the RetryAfter of a refusal. It defaults to 60 s.
 	MaxRetryAfter time.Duration
 	// RateWindow is the time constant of the measured throughput. It
@@ -101,6 +111,15 @@
 	if c.BatchInterval <= 0 {
 		c.BatchInterval = 2 * time.Second
 	}
+	if c.TargetWait <= 0 {
+		c.TargetWait = 500 * time.Millisecond
+	}
+	if c.BurstLength <= 0 {
+		c.BurstLength = 5 * time.Second
+	}
+	if c.CreditWindow <= 0 {
+		c.CreditWindow = 10 * time.Second
+	}
 	if c.MaxRetryAfter <= 0 {
 		c.MaxRetryAfter = time.Minute
 	}
@@ -131,13 +150,12 @@
 	p := q.pool(req.Pool)
 	p.throughput.advance(now, p.backlogged())
 	f := p.flow(req)
-	wait, known := p.predict(f, f.tokens)
-	if refusal := q.full(f, wait); refusal != nil {
+	wait, known := p.predict(f, req.Class, f.ahead(req.Class))
+	if refusal := q.full(f, req.Class, wait); refusal != nil {
 		return nil, refusal
 	}
-	if known && !req.Deadline.IsZero() && now.Add(wait).After(req.Deadline) {
-		late := now.Add(wait).Sub(req.Deadline)
-		return nil, q.refusal(ReasonDeadline, wait, late)
+	if limit := q.limit(now, f, req, wait); known && wait > limit {
+		return nil, q.refusal(ReasonDeadline, wait, wait-limit)
 	}
 	ticket := &Ticket{Request: req, Offered: now, flow: f, queued: true}
 	p.enqueue(now, ticket)
@@ -145,10 +163,24 @@
 	return ticket, nil
 }
 
-func (q *Queue) full(f *flow, wait time.Duration) *Refusal {
-	if len(f.tickets) >= q.config.PerOrganisation {
+// limit returns how long a new request may wait: up to its deadline in a
+// burst, but for an interactive one no more than the target in a standing
+// overload, where a long queue would make every request late.
+func (q *Queue) limit(now time.Time, f *flow, req Request, wait time.Duration) time.Duration {
+	limit := time.Duration(math.MaxInt64)
+	if !req.Deadline.IsZero() {
+		limit = req.Deadline.Sub(now)
+	}
+	if req.Class == Interactive && f.standing(now, wait, q.config) {
+		limit = min(limit, q.config.TargetWait)
+	}
+	return limit
+}
+
+func (q *Queue) full(f *flow, class Class, wait time.Duration) *Refusal {
+	if length := len(f.queues[class].tickets); length >= q.config.PerOrganisation {
 		// One place is free once a request of the queue has started.
-		return q.refusal(ReasonOrganisationQueueFull, wait, wait/time.Duration(len(f.tickets)))
+		return q.refusal(ReasonOrganisationQueueFull, wait, wait/time.Duration(length))
 	}
 	if q.total >= q.config.Total {
 		return q.refusal(ReasonQueueFull, wait, wait)
@@ -167,7 +199,7 @@
 	if !ticket.queued {
 		return
 	}
-	ticket.flow.remove(ticket)
+	ticket.flow.queues[ticket.Class].remove(ticket)
 	q.total--
 }
 
@@ -203,7 +235,7 @@
 func (q *Queue) Dispatch(now time.Time, pick func(*Ticket) Verdict) (started []*Ticket, refused []RefusedTicket) {
 	for _, p := range q.pools {
 		p.throughput.advance(now, p.backlogged())
-		started = append(started, p.dispatch(now, q.config.BatchInterval, pick)...)
+		started = append(started, p.dispatch(now, pick)...)
 	}
 	q.total -= len(started)
 	for _, p := range q.pools {
@@ -218,30 +250,35 @@
 func (q *Queue) expire(now time.Time, p *pool) []RefusedTicket {
 	var refused []RefusedTicket
 	for _, f := range p.flows {
-		var kept []*Ticket
 		ahead := 0.0
-		for _, ticket := range f.tickets {
-			wait, late := p.late(now, ticket, ahead)
-			if !late {
-				kept = append(kept, ticket)
-				ahead += ticket.Tokens
-				continue
-			}
-			reason := ReasonDeadline
-			if ticket.stalled {
-				reason = ReasonNoEndpoint
+		for class := range f.queues {
+			queue := &f.queues[class]
+			// A removal makes a new slice, so that this one stays as it is.
+			for _, ticket := range queue.tickets {
+				wait, late := p.late(now, ticket, ahead)
+				if !late {
+					ahead += ticket.Tokens
+					continue
+				}
+				queue.remove(ticket)
+				refused = append(refused, RefusedTicket{ticket, *q.refusal(lateReason(ticket), wait, wait)})
 			}
-			refused = append(refused, RefusedTicket{ticket, *q.refusal(reason, wait, wait)})
 		}
-		f.keep(kept)
 	}
 	return refused
 }
 
+func lateReason(ticket *Ticket) Reason {
+	if ticket.stalled {
+		return ReasonNoEndpoint
+	}
+	return ReasonDeadline
+}
+
 func (q *Queue) pool(name string) *pool {
 	p, ok := q.pools[name]
 	if !ok {
-		p = newPool(name, q.config.RateWindow)
+		p = newPool(q.config)
 		q.pools[name] = p
 	}
 	return p
@@ -249,9 +286,9 @@
 
 // forget drops flows without a claim on the future, and so bounds the memory.
 func (q *Queue) forget(p *pool) {
-	for key, f := range p.flows {
-		if len(f.tickets) == 0 && f.tag <= p.virtual[key.class] {
-			delete(p.flows, key)
+	for name, f := range p.flows {
+		if f.empty() && f.tag <= p.virtual-p.passing(p.creditWindow) {
+			delete(p.flows, name)
 		}
 	}
 }
@@ -261,8 +298,10 @@
 	waiting := make(map[string]int)
 	for _, p := range q.pools {
 		for _, f := range p.flows {
-			for _, ticket := range f.tickets {
-				waiting[ticket.Resource]++
+			for class := range f.queues {
+				for _, ticket := range f.queues[class].tickets {
+					waiting[ticket.Resource]++
+				}
 			}
 		}
 	}
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,180 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func TestAdmission(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "admission")
+}
+
+var start = time.Unix(1000, 0)
+
+func request(organisation string, class Class, tokens float64) Request {
+	return Request{Organisation: organisation, Class: class, Pool: "p", Resource: "m", Tokens: tokens}
+}
+
+// slots starts as many requests as there are slots.
+func slots(n int) func(*Ticket) Verdict {
+	return func(*Ticket) Verdict {
+		if n == 0 {
+			return Full
+		}
+		n--
+		return Start
+	}
+}
+
+func organisations(tickets []*Ticket) string {
+	var names string
+	for _, ticket := range tickets {
+		names += ticket.Organisation
+	}
+	return names
+}
+
+var _ = Describe("Queue", func() {
+	offer := func(q *Queue, now time.Time, req Request) *Ticket {
+		ticket, refusal := q.Offer(now, req)
+		Expect(refusal).To(BeNil())
+		return ticket
+	}
+
+	It("shares starts by tokens and weight, interactive before batch", func() {
+		q := New(Config{})
+		for range 6 {
+			offer(q, start, request("a", Interactive, 100))
+			offer(q, start, request("b", Interactive, 50))
+			offer(q, start, request("c", Batch, 1))
+		}
+		started, _ := q.Dispatch(start, slots(9))
+		Expect(organisations(started)).To(Equal("abbabbabb"))
+		started, _ = q.Dispatch(start, slots(100))
+		Expect(organisations(started)).To(Equal("aaacccccc"))
+	})
+
+	It("refuses at once what can't start in time and tells when to come back", func() {
+		q := New(Config{})
+		now := start
+		for range 20 {
+			offer(q, now, request("a", Interactive, 100))
+		}
+		for range 10 { // 100 tokens a second
+			now = now.Add(time.Second)
+			q.Dispatch(now, slots(1))
+		}
+		req := request("a", Interactive, 100)
+		req.Deadline = now.Add(4 * time.Second)
+		_, refusal := q.Offer(now, req)
+		Expect(refusal.Reason).To(Equal(ReasonDeadline))
+		Expect(refusal.RetryAfter).To(BeNumerically("~", 6*time.Second, time.Second))
+		req.Organisation, req.Deadline = "b", now.Add(2*time.Second)
+		offer(q, now, req) // its fair turn comes in time
+	})
+
+	It("refuses what waits for an absent resource only at its deadline, and holds up nothing else", func() {
+		q := New(Config{})
+		absent := request("a", Interactive, 1)
+		absent.Resource, absent.Deadline = "absent", start.Add(time.Second)
+		offer(q, start, absent)
+		offer(q, start, request("a", Interactive, 1))
+		pick := func(ticket *Ticket) Verdict {
+			if ticket.Resource == "absent" {
+				return Stalled
+			}
+			return Start
+		}
+		started, refused := q.Dispatch(start, pick)
+		Expect(started).To(HaveLen(1))
+		Expect(refused).To(BeEmpty())
+		_, refused = q.Dispatch(start.Add(time.Second), pick)
+		Expect(refused).To(HaveLen(1))
+		Expect(refused[0].Refusal.Reason).To(Equal(ReasonNoEndpoint))
+	})
+
+	It("bounds each organisation's queue without a bound on others", func() {
+		q := New(Config{PerOrganisation: 2})
+		offer(q, start, request("a", Interactive, 1))
+		offer(q, start, request("a", Interactive, 1))
+		_, refusal := q.Offer(start, request("a", Interactive, 1))
+		Expect(refusal.Reason).To(Equal(ReasonOrganisationQueueFull))
+		offer(q, start, request("b", Interactive, 1))
+	})
+})
+
+// TestQueueAccounts holds that every request ends in exactly one way, that
+// the queue stays within its bounds and that an organisation's requests for
+// one resource start in order.
+func TestQueueAccounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Config{PerOrganisation: 5, Total: 12})
+		now, ends := start, make(map[*Ticket]int)
+		var waiting []*Ticket
+		last := make(map[string]time.Time)
+		end := func(ticket *Ticket) {
+			ends[ticket]++
+			if ends[ticket] > 1 {
+				t.Fatalf("a request ended twice")
+			}
+			for i, other := range waiting {
+				if other == ticket {
+					waiting = append(waiting[:i:i], waiting[i+1:]...)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				req := request(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+					Class(rapid.IntRange(0, 1).Draw(t, "class")), float64(rapid.IntRange(0, 1000).Draw(t, "tokens")))
+				req.Deadline = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "deadline")) * time.Millisecond)
+				if ticket, refusal := q.Offer(now, req); refusal == nil {
+					waiting = append(waiting, ticket)
+				} else if refusal.RetryAfter < time.Second {
+					t.Fatalf("retry after %s", refusal.RetryAfter)
+				}
+			case 1:
+				started, refused := q.Dispatch(now, slots(rapid.IntRange(0, 4).Draw(t, "slots")))
+				for _, ticket := range started {
+					key := fmt.Sprint(ticket.Organisation, ticket.Class)
+					if ticket.Offered.Before(last[key]) {
+						t.Fatalf("a later request started first")
+					}
+					last[key] = ticket.Offered
+					end(ticket)
+					q.Finish(ticket, float64(rapid.IntRange(-5, 2000).Draw(t, "used")))
+				}
+				for _, r := range refused {
+					end(r.Ticket)
+				}
+			case 2:
+				if len(waiting) > 0 {
+					ticket := rapid.SampledFrom(waiting).Draw(t, "cancelled")
+					q.Cancel(ticket)
+					q.Cancel(ticket)
+					end(ticket)
+				}
+			}
+			if q.Len() != len(waiting) || q.Len() > 12 {
+				t.Fatalf("%d wait, the queue says %d", len(waiting), q.Len())
+			}
+		}
+	})
+}
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -6,77 +6,79 @@
 	"time"
 )
 
-// flowKey identifies the requests that wait in one line of a pool.
-type flowKey struct {
+// flow is an organisation's waiting requests in a pool.
+type flow struct {
 	organisation string
-	class        Class
+	weight       float64
+	// tag is the virtual time at which the flow's next request is due. It
+	// grows by the tokens that start, of either class, over the weight.
+	tag    float64
+	queues [classes]line
+	// slowSince is when the wait of interactive requests first went over the
+	// target since they last all started. The zero value is never.
+	slowSince time.Time
 }
 
-// flow is an organisation's waiting requests of one class in a pool.
-type flow struct {
-	key    flowKey
-	weight float64
-	// tag is the virtual time at which the flow's next request is due.
-	tag     float64
+// line is the waiting requests of one class, in the order of their arrival.
+type line struct {
 	tokens  float64
 	tickets []*Ticket
 }
 
-func (f *flow) remove(ticket *Ticket) {
-	for i, t := range f.tickets {
+func (l *line) remove(ticket *Ticket) {
+	for i, t := range l.tickets {
 		if t == ticket {
-			f.tickets = append(f.tickets[:i:i], f.tickets[i+1:]...)
+			l.tickets = append(l.tickets[:i:i], l.tickets[i+1:]...)
 			break
 		}
 	}
-	f.account(ticket)
-}
-
-func (f *flow) account(ticket *Ticket) {
 	ticket.queued = false
-	f.tokens -= ticket.Tokens
-	if len(f.tickets) == 0 {
-		f.tokens = 0 // no rounding error is carried on
+	l.tokens -= ticket.Tokens
+	if len(l.tickets) == 0 {
+		l.tokens = 0 // no rounding error is carried on
 	}
 }
 
-// keep replaces the waiting requests by a part of them.
-func (f *flow) keep(kept []*Ticket) {
-	if len(kept) == len(f.tickets) {
-		return
-	}
-	for _, ticket := range f.tickets {
-		ticket.queued = false
-	}
-	f.tickets = kept
-	f.tokens = 0
-	for _, ticket := range kept {
-		ticket.queued = true
-		f.tokens += ticket.Tokens
+func (f *flow) empty() bool { return f.len() == 0 }
+
+func (f *flow) len() int { return len(f.queues[Interactive].tickets) + len(f.queues[Batch].tickets) }
+
+func (f *flow) tokens() float64 { return f.queues[Interactive].tokens + f.queues[Batch].tokens }
+
+// ahead returns the tokens of the flow that go before a new request.
+func (f *flow) ahead(class Class) float64 {
+	if class == Batch {
+		return f.tokens()
 	}
+	return f.queues[Interactive].tokens
 }
 
 // pool is the flows that share the capacity of a set of endpoints.
 type pool struct {
-	name  string
-	flows map[flowKey]*flow
-	// virtual is the tag of the flow that started last, for each class.
-	virtual    [classes]float64
+	flows map[string]*flow
+	// virtual is the highest tag with which a request started.
+	virtual    float64
 	throughput throughput
 	// batchServed is when batch last started or began to wait.
-	batchServed time.Time
+	batchServed   time.Time
+	batchInterval time.Duration
+	creditWindow  time.Duration
 }
 
-func newPool(name string, window time.Duration) *pool {
-	return &pool{name: name, flows: make(map[flowKey]*flow), throughput: throughput{window: window}}
+func newPool(cfg Config) *pool {
+	return &pool{
+		flows:         make(map[string]*flow),
+		throughput:    throughput{window: cfg.RateWindow},
+		batchInterval: cfg.BatchInterval,
+		creditWindow:  cfg.CreditWindow,
+	}
 }
 
 func (p *pool) flow(req Request) *flow {
-	key := flowKey{req.Organisation, req.Class}
-	f, ok := p.flows[key]
+	f, ok := p.flows[req.Organisation]
 	if !ok {
-		f = &flow{key: key, tag: p.virtual[req.Class]}
-		p.flows[key] = f
+		f = &flow{organisation: req.Organisation, tag: math.Inf(-1)}
+		p.flows[req.Organisation] = f
 	}
 	f.weight = req.Weight
 	if f.weight <= 0 {
@@ -87,19 +89,42 @@
 
 func (p *pool) enqueue(now time.Time, ticket *Ticket) {
 	f := ticket.flow
-	if len(f.tickets) == 0 {
-		f.tag = max(f.tag, p.virtual[ticket.Class])
-	}
+	f.tag = p.startTag(f)
 	if ticket.Class == Batch && !p.waits(Batch) {
 		p.batchServed = now
 	}
-	f.tickets = append(f.tickets, ticket)
-	f.tokens += ticket.Tokens
+	queue := &f.queues[ticket.Class]
+	queue.tickets = append(queue.tickets, ticket)
+	queue.tokens += ticket.Tokens
+}
+
+// startTag returns the tag of a flow's next request. A flow that was empty
+// has kept what it left unused of its fair part over the credit window, so
+// that an organisation's own bursts don't cost it its part over time.
+func (p *pool) startTag(f *flow) float64 {
+	if !f.empty() {
+		return f.tag
+	}
+	return max(f.tag, p.virtual-p.passing(p.creditWindow))
+}
+
+// passing returns by how much virtual time passes in a time in which all
+// flows wait that are known. It is zero while the throughput is unknown.
+func (p *pool) passing(window time.Duration) float64 {
+	rate, known := p.throughput.rate()
+	if !known {
+		return 0
+	}
+	weights := 0.0
+	for _, f := range p.flows {
+		weights += f.weight
+	}
+	return rate * window.Seconds() / weights
 }
 
 func (p *pool) waits(class Class) bool {
-	for key, f := range p.flows {
-		if key.class == class && len(f.tickets) > 0 {
+	for _, f := range p.flows {
+		if len(f.queues[class].tickets) > 0 {
 			return true
 		}
 	}
@@ -109,75 +134,57 @@
 // backlogged reports whether requests wait for lack of capacity.
 func (p *pool) backlogged() bool {
 	for _, f := range p.flows {
-		for _, ticket := range f.tickets {
-			if !ticket.stalled {
-				return true
+		for class := range f.queues {
+			for _, ticket := range f.queues[class].tickets {
+				if !ticket.stalled {
+					return true
+				}
 			}
 		}
 	}
 	return false
 }
 
-func (p *pool) dispatch(now time.Time, batchInterval time.Duration, pick func(*Ticket) Verdict) []*Ticket {
+func (p *pool) dispatch(now time.Time, pick func(*Ticket) Verdict) []*Ticket {
 	var started []*Ticket
 	blocked := make(map[string]bool)
 	for {
-		order := [classes]Class{Interactive, Batch}
-		if now.Sub(p.batchServed) >= batchInterval && p.waits(Batch) {
-			order = [classes]Class{Batch, Interactive}
-		}
-		ticket := p.startOne(order, blocked, pick)
+		ticket := p.startOne(p.due(now), blocked, pick)
 		if ticket == nil {
 			return started
 		}
 		if ticket.Class == Batch {
 			p.batchServed = now
 		}
-		p.throughput.started(ticket.Tokens)
+		if ticket.Offered.Before(now) {
+			p.throughput.started(ticket.Tokens)
+		}
 		started = append(started, ticket)
 	}
 }
 
 // startOne starts the request that is due first among those with a slot.
-func (p *pool) startOne(order [classes]Class, blocked map[string]bool, pick func(*Ticket) Verdict) *Ticket {
-	for _, class := range order {
-		for _, f := range p.due(class) {
-			if ticket := f.startOne(blocked, pick); ticket != nil {
-				p.virtual[class] = max(p.virtual[class], f.tag)
-				f.tag += ticket.Tokens / f.weight
-				return ticket
-			}
+func (p *pool) startOne(candidates []candidate, blocked map[string]bool, pick func(*Ticket) Verdict) *Ticket {
+	for _, c := range candidates {
+		queue := &c.flow.queues[c.class]
+		if ticket := queue.startOne(blocked, pick); ticket != nil {
+			p.virtual = max(p.virtual, c.flow.tag)
+			c.flow.tag += ticket.Tokens / c.flow.weight
+			return ticket
 		}
 	}
 	return nil
 }
 
-// due returns the waiting flows of a class in the order of their tags.
-func (p *pool) due(class Class) []*flow {
-	var flows []*flow
-	for key, f := range p.flows {
-		if key.class == class && len(f.tickets) > 0 {
-			flows = append(flows, f)
-		}
-	}
-	sort.Slice(flows, func(i, j int) bool {
-		if flows[i].tag != flows[j].tag {
-			return flows[i].tag < flows[j].tag
-		}
-		return flows[i].key.organisation < flows[j].key.organisation
-	})
-	return flows
-}
-
-func (f *flow) startOne(blocked map[string]bool, pick func(*Ticket) Verdict) *Ticket {
-	for _, ticket := range f.tickets {
+func (l *line) startOne(blocked map[string]bool, pick func(*Ticket) Verdict) *Ticket {
+	for _, ticket := range l.tickets {
 		if blocked[ticket.Resource] {
 			continue
 		}
 		verdict := pick(ticket)
 		ticket.stalled = verdict == Stalled
 		if verdict == Start {
-			f.remove(ticket)
+			l.remove(ticket)
 			return ticket
 		}
 		blocked[ticket.Resource] = true
@@ -185,30 +192,93 @@
 	return nil
 }
 
-// predict returns how long a request with the given tokens ahead of it in its
-// flow waits, and whether the throughput is known. While the flow drains,
-// each other flow of the class gets its fair part and no more than it has;
-// what waits in a more urgent class goes first.
-func (p *pool) predict(f *flow, ahead float64) (time.Duration, bool) {
+// candidate is a line whose head may start.
+type candidate struct {
+	flow  *flow
+	class Class
+	key   float64
+}
+
+// due returns the waiting lines in the order in which they are due: by tag,
+// batch behind by the handicap, but batch first where none has started for
+// the batch interval. Within a flow interactive requests always go first.
+func (p *pool) due(now time.Time) []candidate {
+	handicap := p.handicap()
+	batchFirst := now.Sub(p.batchServed) >= p.batchInterval
+	var candidates []candidate
+	for _, f := range p.flows {
+		if len(f.queues[Interactive].tickets) > 0 {
+			candidates = append(candidates, candidate{f, Interactive, f.tag})
+		}
+		if len(f.queues[Batch].tickets) == 0 {
+			continue
+		}
+		key := f.tag + handicap
+		if batchFirst {
+			key = math.Inf(-1)
+		}
+		candidates = append(candidates, candidate{f, Batch, key})
+	}
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].before(candidates[j]) })
+	return candidates
+}
+
+func (c candidate) before(other candidate) bool {
+	if c.key != other.key {
+		return c.key < other.key
+	}
+	if c.flow.tag != other.flow.tag {
+		return c.flow.tag < other.flow.tag
+	}
+	if c.flow != other.flow {
+		return c.flow.organisation < other.flow.organisation
+	}
+	return c.class < other.class
+}
+
+// handicap is by how much virtual time batch stands back behind interactive
+// requests of other organisations: what passes in a batch interval. Thus
+// batch yields in a burst, and yet an organisation gets its fair part over
+// time when most of what it sends is batch.
+func (p *pool) handicap() float64 {
+	if _, known := p.throughput.rate(); !known {
+		return math.Inf(1)
+	}
+	return p.passing(p.batchInterval)
+}
+
+// standing notes the wait of a new interactive request and reports whether
+// waits have been over the target for so long that it is no burst.
+func (f *flow) standing(now time.Time, wait time.Duration, cfg Config) bool {
+	if len(f.queues[Interactive].tickets) == 0 {
+		f.slowSince = time.Time{}
+	}
+	if wait > cfg.TargetWait && f.slowSince.IsZero() {
+		f.slowSince = now
+	}
+	return !f.slowSince.IsZero() && now.Sub(f.slowSince) > cfg.BurstLength
+}
+
+// predict returns how long a request waits that has the given tokens of its
+// own flow ahead of it, and whether the throughput is known. Each other flow
+// goes ahead until its tag has come to that of the request.
+func (p *pool) predict(f *flow, class Class, ahead float64) (time.Duration, bool) {
 	rate, known := p.throughput.rate()
 	if !known {
 		return 0, false
 	}
 	tokens := ahead
+	reached := p.startTag(f) + ahead/f.weight
 	for _, other := range p.flows {
-		switch {
-		case other == f:
-		case other.key.class < f.key.class:
-			tokens += other.tokens
-		case other.key.class == f.key.class:
-			tokens += min(other.tokens, ahead*other.weight/f.weight)
+		if other != f {
+			tokens += max(0, min(other.ahead(class), (reached-other.tag)*other.weight))
 		}
 	}
-	if tokens <= 0 {
-		return 0, true
+	if tokens <= 0 || rate <= 0 {
+		return 0, tokens <= 0
 	}
-	seconds := tokens / rate
-	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second)), true
+	seconds := min(tokens/rate, math.MaxInt32)
+	return time.Duration(seconds * float64(time.Second)), true
 }
 
 // lateMargin keeps a waiting request while its predicted wait is off by less
@@ -220,7 +290,7 @@
 	if ticket.Deadline.IsZero() {
 		return 0, false
 	}
-	wait, known := p.predict(ticket.flow, ahead)
+	wait, known := p.predict(ticket.flow, ticket.Class, ahead)
 	if !ticket.Deadline.After(now) {
 		return wait, true
 	}
@@ -241,7 +311,7 @@
 }
 
 // minBusySeconds is how much time with a backlog makes a rate known.
-const minBusySeconds = 0.5
+const minBusySeconds = 1
 
 func (t *throughput) advance(now time.Time, backlogged bool) {
 	if t.busy && now.After(t.last) {
