Choose endpoints by own requests first and trust reports by their age

Cause: eight hosts that act on the same late report send all to the endpoints that looked quiet.

Change: a host knows its own running requests exactly; of the others' it takes the mean over the endpoints, corrected by each report with a weight that falls with the report's age over 250 ms. Ruled out: slack alone (the herd stays).

--- a/internal/endpoint/prefixes.go
+++ b/internal/endpoint/prefixes.go
@@ -21,7 +21,8 @@
 	entries *lru.Cache[prefixKey, struct{}]
 }
 
-func newPrefixSet() *PrefixSet {
+// NewPrefixSet returns an empty set.
+func NewPrefixSet() *PrefixSet {
 	entries, err := lru.New[prefixKey, struct{}](prefixesPerEndpoint)
 	if err != nil {
 		panic(err) // only a size below 1 fails
@@ -44,9 +45,12 @@
 	p.entries.Add(prefixKey{model, hash}, struct{}{})
 }
 
+// Remove forgets a prefix.
+func (p *PrefixSet) Remove(model string, hash uint64) { p.entries.Remove(prefixKey{model, hash}) }
+
 func (p *PrefixSet) apply(event engineapi.CacheEvent) {
 	if event.Removed {
-		p.entries.Remove(prefixKey{event.Model, event.PrefixHash})
+		p.Remove(event.Model, event.PrefixHash)
 		return
 	}
 	p.Add(event.Model, event.PrefixHash)
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -121,7 +121,7 @@
 	r.entries[name] = &entry{
 		config:   cfg,
 		client:   newClient(name, cfg.GetUrl(), r.config.DialTimeout),
-		prefixes: newPrefixSet(),
+		prefixes: NewPrefixSet(),
 	}
 }
 
@@ -178,6 +178,7 @@
 	state := known.state()
 	state.Reachable = !known.lastAnswer.IsZero() && now.Sub(known.lastAnswer) < r.config.HealthTimeout
 	state.Ejected = ejected[name]
+	state.ReportAge = now.Sub(known.reportedAt) + time.Duration(known.report.AgeMillis)*time.Millisecond
 	state.Penalty = r.ejector.Penalty(now, name)
 	return state
 }
--- a/internal/endpoint/state.go
+++ b/internal/endpoint/state.go
@@ -17,6 +17,8 @@
 	Report engineapi.Report
 	// ReportedAt is when the request for the last report was sent.
 	ReportedAt time.Time
+	// ReportAge is the age of the state that the last report shows.
+	ReportAge time.Duration
 	// Reachable is false after the endpoint failed to answer for longer than
 	// the health timeout.
 	Reachable bool
@@ -52,6 +54,13 @@
 	return float64(max(load, s.InFlight)) + s.Penalty
 }
 
+// OthersAtReport returns the requests of other hosts that ran or waited at
+// the endpoint when it took the state that it reported.
+func (s *State) OthersAtReport() float64 {
+	own := s.InFlight - s.SentSinceReport
+	return float64(max(s.Report.Running+s.Report.Queued-own, 0))
+}
+
 // defaultMaxConcurrent applies where an endpoint's limit is zero.
 const defaultMaxConcurrent = 16
 
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -45,18 +45,13 @@
 
 // Choose implements Policy.
 func (PowerOfTwo) Choose(rng *rand.Rand, states []endpoint.State, _ Request) int {
-	return lower(states, rng.IntN(len(states)), rng.IntN(len(states)))
-}
-
-func lower(states []endpoint.State, a, b int) int {
-	if utilisation(&states[b]) < utilisation(&states[a]) {
+	a, b := rng.IntN(len(states)), rng.IntN(len(states))
+	if states[b].Load()/float64(states[b].Capacity()) < states[a].Load()/float64(states[a].Capacity()) {
 		return b
 	}
 	return a
 }
 
-func utilisation(s *endpoint.State) float64 { return s.Load() / float64(s.Capacity()) }
-
 // Affinity prefers the host's own availability zone and endpoints that have
 // the prompt's prefix in their cache, as long as that costs little more load;
 // else it is the power of two choices. A prefix that no endpoint is known to
@@ -75,71 +70,96 @@
 
 // Choose implements Policy.
 func (p Affinity) Choose(rng *rand.Rand, states []endpoint.State, req Request) int {
-	near := p.near(states, req.Zone)
+	c := choice{states: states, loads: utilisations(states), rng: rng}
+	near := c.near(req.Zone, slack(p.ZoneSlack))
 	if req.Prefix != 0 {
-		if chosen, ok := p.withPrefix(rng, states, near, req); ok {
+		if chosen, ok := c.withPrefix(near, req, slack(p.PrefixSlack)); ok {
 			return chosen
 		}
 	}
-	return lower(states, near[rng.IntN(len(near))], near[rng.IntN(len(near))])
+	return c.leastLoaded(near)
+}
+
+func slack(configured float64) float64 {
+	if configured == 0 {
+		return defaultSlack
+	}
+	return configured
+}
+
+// choice is one choice of Affinity.
+type choice struct {
+	states []endpoint.State
+	loads  []float64
+	rng    *rand.Rand
 }
 
 // near returns the indices of the zone's own endpoints, or of all where the
 // zone has none or is more loaded by the slack.
-func (p Affinity) near(states []endpoint.State, zone string) []int {
+func (c *choice) near(zone string, slack float64) []int {
 	var all, own []int
-	for i := range states {
+	for i := range c.states {
 		all = append(all, i)
-		if states[i].Config.GetZone() == zone {
+		if c.states[i].Config.GetZone() == zone {
 			own = append(own, i)
 		}
 	}
-	if len(own) == 0 || least(states, own) > least(states, all)+slack(p.ZoneSlack) {
+	if len(own) == 0 || c.least(own) > c.least(all)+slack {
 		return all
 	}
 	return own
 }
 
-func least(states []endpoint.State, indices []int) float64 {
-	low := utilisation(&states[indices[0]])
+func (c *choice) least(indices []int) float64 {
+	low := c.loads[indices[0]]
 	for _, i := range indices[1:] {
-		low = min(low, utilisation(&states[i]))
+		low = min(low, c.loads[i])
 	}
 	return low
 }
 
-func slack(configured float64) float64 {
-	if configured == 0 {
-		return defaultSlack
+// leastLoaded returns the least loaded endpoint, any of them if several are.
+func (c *choice) leastLoaded(indices []int) int {
+	best, ties := indices[0], 1
+	for _, i := range indices[1:] {
+		switch {
+		case c.loads[i] < c.loads[best]:
+			best, ties = i, 1
+		case c.loads[i] == c.loads[best]:
+			ties++
+			if c.rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
 	}
-	return configured
+	return best
 }
 
-func (p Affinity) withPrefix(rng *rand.Rand, states []endpoint.State, near []int, req Request) (int, bool) {
-	limit := least(states, near) + slack(p.PrefixSlack)
+func (c *choice) withPrefix(near []int, req Request, slack float64) (int, bool) {
+	limit := c.least(near) + slack
 	var cached []int
 	for _, i := range near {
-		if utilisation(&states[i]) <= limit && states[i].Prefixes.Holds(req.Model, req.Prefix) {
+		if c.loads[i] <= limit && c.states[i].Prefixes.Holds(req.Model, req.Prefix) {
 			cached = append(cached, i)
 		}
 	}
 	if len(cached) > 0 {
-		return lower(states, cached[rng.IntN(len(cached))], cached[rng.IntN(len(cached))]), true
+		return c.leastLoaded(cached), true
 	}
-	first, second := agreed(states, near, req.Prefix)
-	chosen := lower(states, first, second)
-	return chosen, utilisation(&states[chosen]) <= limit
+	chosen := c.leastLoaded(c.agreed(near, req.Prefix))
+	return chosen, c.loads[chosen] <= limit
 }
 
-// agreed returns the two endpoints with the highest rendezvous hashes.
-func agreed(states []endpoint.State, near []int, prefix uint64) (int, int) {
+// agreed returns the two endpoints with the highest rendezvous hashes, which
+// are the same on all hosts.
+func (c *choice) agreed(near []int, prefix uint64) []int {
 	ranked := append([]int(nil), near...)
 	weights := make(map[int]uint64, len(near))
 	for _, i := range near {
 		digest := xxhash.NewWithSeed(prefix)
-		_, _ = digest.WriteString(states[i].Config.GetName()) // never fails
+		_, _ = digest.WriteString(c.states[i].Config.GetName()) // never fails
 		weights[i] = digest.Sum64()
 	}
 	sort.Slice(ranked, func(a, b int) bool { return weights[ranked[a]] > weights[ranked[b]] })
-	return ranked[0], ranked[min(1, len(ranked)-1)]
+	return ranked[:min(2, len(ranked))]
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -53,7 +53,7 @@
 	if len(available) == 0 {
 		return nil, ReasonUnavailable
 	}
-	roomy := filter(available, func(s *endpoint.State) bool { return s.Load() < float64(s.Capacity()) })
+	roomy := withRoom(available)
 	if len(roomy) == 0 {
 		return nil, ReasonFull
 	}
@@ -64,6 +64,17 @@
 	return roomy, ReasonNone
 }
 
+func withRoom(states []endpoint.State) []endpoint.State {
+	loads := utilisations(states)
+	kept := make([]endpoint.State, 0, len(states))
+	for i := range states {
+		if loads[i] < 1 && states[i].InFlight < states[i].Capacity() {
+			kept = append(kept, states[i])
+		}
+	}
+	return kept
+}
+
 func filter(states []endpoint.State, keep func(*endpoint.State) bool) []endpoint.State {
 	kept := make([]endpoint.State, 0, len(states))
 	for i := range states {
