--- a/internal/endpoint/entry.go
+++ b/internal/endpoint/entry.go
@@ -25,6 +25,8 @@
 	history          history
 	inFlightAtReport int
 
+	latencies latencies
+
 	prefixes      *PrefixSet
 	eventSequence int64
 	incarnation   string
@@ -34,6 +36,7 @@
 // A report older than the last one of the same incarnation is passed over.
 func (e *entry) learn(report engineapi.Report, sent, now time.Time) {
 	e.lastAnswer = now
+	e.latencies.refresh(now)
 	sameIncarnation := report.Incarnation == e.report.Incarnation
 	if sameIncarnation && report.Sequence < e.report.Sequence {
 		return
@@ -75,5 +78,6 @@
 		TokensInFlight:  e.tokensInFlight,
 		SentSinceReport: e.inFlight - e.inFlightAtReport,
 		Prefixes:        e.prefixes,
+		FirstTokens:     e.latencies.means,
 	}
 }
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -244,6 +244,13 @@
 // Cached remembers that the engine has seen the prompt prefix.
 func (a *Attempt) Cached(model string, prefix uint64) { a.entry.prefixes.Add(model, prefix) }
 
+// FirstToken notes the time from the send to the first part of the answer.
+func (a *Attempt) FirstToken(model string, elapsed time.Duration) {
+	a.registry.mu.Lock()
+	defer a.registry.mu.Unlock()
+	a.entry.latencies.observe(a.registry.config.Clock(), model, elapsed)
+}
+
 // Refused takes account of the endpoint's own word that it is leaving.
 func (a *Attempt) Refused() {
 	a.registry.mu.Lock()
--- a/internal/endpoint/state.go
+++ b/internal/endpoint/state.go
@@ -34,6 +34,9 @@
 	// grown since the engine took the state that it reported; it may be
 	// negative.
 	SentSinceReport int
+	// FirstTokens is, by model, the recent mean time from a send to the first
+	// part of an answer. A model without one is not known. It is not changed.
+	FirstTokens map[string]time.Duration
 	// Penalty is the number of recent failures, decaying with time.
 	Penalty float64
 	// Prefixes is what is known of the engine's prompt cache. Nil means
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -277,6 +277,7 @@
 	}
 	gen.request.assertMayRun(call, gen.target.permits(gen.request.caller.organisation.GetName()))
 	gen.request.sent = true
+	sent := gen.gateway().config.Clock()
 	answer, err := attempt.Send(ctx, call)
 	if err != nil {
 		gen.notSent(err)
@@ -289,7 +290,9 @@
 	}
 	events := endpoint.NewEventReader(attempt.Endpoint(), call.Attempt, gen.next, answer.Body)
 	gen.attempt = call.Attempt
-	err = gen.pass(events)
+	err = gen.pass(events, func() {
+		attempt.FirstToken(gen.target.model.GetName(), gen.gateway().config.Clock().Sub(sent))
+	})
 	gen.cancelAt(attempt, call.Attempt, err)
 	return err
 }
@@ -322,8 +325,9 @@
 	}
 }
 
-// pass reads events to the final one and hands them on.
-func (gen *generation) pass(events *endpoint.EventReader) error {
+// pass reads events to the final one and hands them on. It calls first at the
+// generation's first event.
+func (gen *generation) pass(events *endpoint.EventReader, first func()) error {
 	for {
 		event, err := events.Next()
 		if err != nil {
@@ -336,6 +340,9 @@
 			gen.next = events.Offset()
 			return nil
 		}
+		if event.Offset == 0 {
+			first()
+		}
 		if err := gen.accept(event); err != nil {
 			return err
 		}
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"bilberryslip.example/bilberryslip/internal/endpoint"
@@ -31,11 +32,43 @@
 	return loads
 }
 
-// utilisations returns the estimated loads as parts of the capacities.
-func utilisations(states []endpoint.State) []float64 {
+const (
+	// minSlowness is how many times the median an endpoint's first tokens
+	// must take for it to count as slow; less is the swing of cache hits.
+	minSlowness = 2.5
+	// maxSlowness bounds by how much slowness makes an endpoint look loaded.
+	maxSlowness = 8
+)
+
+// utilisations returns the estimated loads as parts of the capacities. An
+// endpoint whose first tokens take longer than the median counts as loaded by
+// as much more.
+func utilisations(states []endpoint.State, model string) []float64 {
 	loads := estimates(states)
+	median := medianFirstToken(states, model)
 	for i := range loads {
-		loads[i] /= float64(states[i].Capacity())
+		slowness := 1.0
+		if median > 0 {
+			slowness = min(states[i].FirstTokens[model].Seconds()/median, maxSlowness)
+		}
+		if slowness < minSlowness {
+			slowness = 1
+		}
+		loads[i] = (loads[i] + slowness - 1) * slowness / float64(states[i].Capacity())
 	}
 	return loads
 }
+
+func medianFirstToken(states []endpoint.State, model string) float64 {
+	var known []float64
+	for i := range states {
+		if mean := states[i].FirstTokens[model]; mean > 0 {
+			known = append(known, mean.Seconds())
+		}
+	}
+	if len(known) < 3 {
+		return 0 // too few to tell who is slow
+	}
+	sort.Float64s(known)
+	return known[len(known)/2]
+}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -70,7 +70,7 @@
 
 // Choose implements Policy.
 func (p Affinity) Choose(rng *rand.Rand, states []endpoint.State, req Request) int {
-	c := choice{states: states, loads: utilisations(states), rng: rng}
+	c := choice{states: states, loads: utilisations(states, req.Model), rng: rng}
 	near := c.near(req.Zone, slack(p.ZoneSlack))
 	if req.Prefix != 0 {
 		if chosen, ok := c.withPrefix(near, req, slack(p.PrefixSlack)); ok {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -65,10 +65,10 @@
 }
 
 func withRoom(states []endpoint.State) []endpoint.State {
-	loads := utilisations(states)
+	loads := estimates(states)
 	kept := make([]endpoint.State, 0, len(states))
 	for i := range states {
-		if loads[i] < 1 && states[i].InFlight < states[i].Capacity() {
+		if loads[i] < float64(states[i].Capacity()) && states[i].InFlight < states[i].Capacity() {
 			kept = append(kept, states[i])
 		}
 	}
--- a/internal/routing/simulation_test.go
+++ b/internal/routing/simulation_test.go
@@ -91,6 +91,7 @@
 	host, engine int
 	prefix       uint64
 	arrived      time.Time
+	sent         time.Time
 	tried        []string
 	attempts     int
 	measured     bool
@@ -100,6 +101,7 @@
 	states  []endpoint.State
 	seen    []int // cache events taken from each engine
 	sentLog [][]loadSample
+	latency []endpoint.Latency
 	ejector *endpoint.Ejector
 	budget  *RetryBudget
 }
@@ -160,7 +162,7 @@
 
 func newHostSim() *hostSim {
 	h := &hostSim{
-		seen: make([]int, simEngines), sentLog: make([][]loadSample, simEngines),
+		seen: make([]int, simEngines), sentLog: make([][]loadSample, simEngines), latency: make([]endpoint.Latency, simEngines),
 		ejector: endpoint.NewEjector(endpoint.DefaultEjectorConfig()), budget: NewRetryBudget(RetryBudgetConfig{}),
 	}
 	for i := range simEngines {
@@ -262,6 +264,7 @@
 		states[i].SentSinceReport = states[i].InFlight - atReport
 		states[i].ReportAge = now.Sub(states[i].ReportedAt) + s.lag
 		if !s.contender.unprotected {
+			states[i].FirstTokens = map[string]time.Duration{"m": h.latency[i].Mean(now)}
 			states[i].Ejected = ejected[states[i].Config.GetName()]
 			states[i].Penalty = h.ejector.Penalty(now, states[i].Config.GetName())
 		}
@@ -305,6 +308,7 @@
 // reach is the call's arrival at its engine.
 func (s *simulation) reach(now time.Time, call *callSim) {
 	e := s.engines[call.engine]
+	call.sent = now
 	call.attempts++
 	if call.measured {
 		s.attempts++
@@ -342,6 +346,9 @@
 			s.publish(e, call.prefix, false)
 		}
 		s.first(now.Add(factor*prefill), call, hit)
+		s.at(now, factor*prefill, func(now time.Time) {
+			s.hosts[call.host].latency[call.engine].Observe(now, now.Sub(call.sent))
+		})
 		s.at(now, factor*(prefill+generation), func(now time.Time) { s.done(now, e, call) })
 	}
 	e.loads = append(e.loads, loadSample{now, e.running, len(e.queue)})
