--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -121,7 +121,7 @@
 	r.entries[name] = &entry{
 		config:   cfg,
 		client:   newClient(name, cfg.GetUrl(), r.config.DialTimeout),
-		prefixes: newPrefixSet(),
+		prefixes: NewPrefixSet(),
 	}
 }
 
@@ -178,6 +178,7 @@
 	state := known.state()
 	state.Reachable = !known.lastAnswer.IsZero() && now.Sub(known.lastAnswer) < r.config.HealthTimeout
 	state.Ejected = ejected[name]
+	state.ReportAge = now.Sub(known.reportedAt) + time.Duration(known.report.AgeMillis)*time.Millisecond
 	state.Penalty = r.ejector.Penalty(now, name)
 	return state
 }
@@ -243,6 +244,13 @@
 // Cached remembers that the engine has seen the prompt prefix.
 func (a *Attempt) Cached(model string, prefix uint64) { a.entry.prefixes.Add(model, prefix) }
 
+// FirstToken notes the time from the send to the first part of the answer.
+func (a *Attempt) FirstToken(model string, elapsed time.Duration) {
+	a.registry.mu.Lock()
+	defer a.registry.mu.Unlock()
+	a.entry.latencies.observe(a.registry.config.Clock(), model, elapsed)
+}
+
 // Refused takes account of the endpoint's own word that it is leaving.
 func (a *Attempt) Refused() {
 	a.registry.mu.Lock()
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -40,6 +40,8 @@
 	CodeModelUnknown       Code = "model_not_found"
 	CodeRouteUnknown       Code = "route_not_found"
 	CodeRateExceeded       Code = "rate_limit_exceeded"
+	CodeOverBurst          Code = "over_burst"
+	CodeRatePolicyMissing  Code = "rate_policy_missing"
 	CodeRateUnavailable    Code = "rate_unavailable"
 	CodeOverloaded         Code = "overloaded"
 	CodeNoEndpoint         Code = "no_endpoint"
@@ -51,6 +53,7 @@
 	CodeIdempotencyReused  Code = "idempotency_key_reused"
 	CodeStillRunning       Code = "still_running"
 	CodeOutcomeUnknown     Code = "outcome_unknown"
+	CodeAnswerNotKept      Code = "answer_not_kept"
 	CodeClaimUnavailable   Code = "claim_unavailable"
 	CodeNotReady           Code = "not_ready"
 	CodeCallerGone         Code = "caller_gone"
@@ -185,6 +188,14 @@
 	return newError(http.StatusTooManyRequests, CodeRateExceeded, "your organisation's rate is used up: retry after the time in Retry-After").retryIn(delay)
 }
 
+func errOverBurst(tokens float64) *Error {
+	return newError(http.StatusBadRequest, CodeOverBurst, "the request of %.0f tokens is over your organisation's burst: ask for fewer tokens, or ask your operator for a larger burst", tokens)
+}
+
+func errNoRatePolicy() *Error {
+	return newError(http.StatusForbidden, CodeRatePolicyMissing, "your organisation has no rate policy: ask your operator to create one")
+}
+
 func errRateUnavailable() *Error {
 	return newError(http.StatusServiceUnavailable, CodeRateUnavailable, "your organisation's rate could not be read: retry after the time in Retry-After").retryIn(time.Second)
 }
@@ -241,6 +252,10 @@
 	return newError(status, CodeOutcomeUnknown, "the request was sent and its answer was lost, so whether it ran is unknown: check with the service before you send it under a new key").withRun(RunUnknown)
 }
 
+func errAnswerNotKept() *Error {
+	return newError(http.StatusGone, CodeAnswerNotKept, "the request with this Idempotency-Key ran and its answer was too large to keep: look its result up at the service").withRun(RunRan)
+}
+
 func errClaimUnavailable(delay time.Duration) *Error {
 	return newError(http.StatusServiceUnavailable, CodeClaimUnavailable, "the request could not be recorded, so it was not sent: retry after the time in Retry-After").retryIn(delay)
 }
