--- /dev/null
+++ b/internal/placement/owner/faults_test.go
@@ -0,0 +1,506 @@
+package owner_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/placement"
+	"bilberryslip.example/bilberryslip/internal/placement/owner"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// faultyStore is one process's way to the platform.
+type faultyStore struct {
+	platform.Store
+	mu         sync.Mutex
+	down       bool
+	loseAnswer bool
+	// gate, where set, holds writes until it is closed.
+	gate chan struct{}
+}
+
+func (s *faultyStore) before() (bool, error) {
+	s.mu.Lock()
+	gate := s.gate
+	s.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false, &platform.UnavailableError{Outcome: platform.OutcomeUnknown, Cause: errors.New("down")}
+	}
+	return s.loseAnswer, nil
+}
+
+func (s *faultyStore) after(obj platform.Object, err error, lose bool) (platform.Object, error) {
+	if err == nil && lose {
+		return platform.Object{}, &platform.UnavailableError{Outcome: platform.OutcomeUnknown, Cause: errors.New("answer lost")}
+	}
+	return obj, err
+}
+
+func (s *faultyStore) Create(ctx context.Context, kind platform.Kind, name, id string, value json.RawMessage) (platform.Object, error) {
+	lose, err := s.before()
+	if err != nil {
+		return platform.Object{}, err
+	}
+	obj, err := s.Store.Create(ctx, kind, name, id, value)
+	return s.after(obj, err, lose)
+}
+
+func (s *faultyStore) Update(ctx context.Context, kind platform.Kind, name string, version platform.Version, id string, value json.RawMessage) (platform.Object, error) {
+	lose, err := s.before()
+	if err != nil {
+		return platform.Object{}, err
+	}
+	obj, err := s.Store.Update(ctx, kind, name, version, id, value)
+	return s.after(obj, err, lose)
+}
+
+// process is one would-be owner.
+type process struct {
+	owner   *owner.Owner
+	lease   *fixedLease
+	store   *faultyStore
+	reports reports
+	cancel  context.CancelFunc
+	ctx     context.Context
+	// busy is set while a cycle is paused inside.
+	busy chan struct{}
+}
+
+// reports is a process's own view of the engines, which may stand still.
+type reports struct {
+	*fleet
+	frozen []endpoint.State
+}
+
+// States implements owner.Endpoints.
+func (r *reports) States() []endpoint.State {
+	if r.frozen != nil {
+		return r.frozen
+	}
+	return r.fleet.States()
+}
+
+// op is one drawn event.
+type op struct {
+	At     int
+	Kind   int
+	Target int
+	Length int
+}
+
+// The kinds of op.
+const (
+	opTakeover = iota
+	opStaleHolder
+	opKill
+	opPauseWrite
+	opPauseSend
+	opKillSend
+	opPlatformDown
+	opLoseAnswer
+	opStaleReports
+	opVersion
+	opDemand
+	opDrain
+	opRestart
+	opDown
+	opKinds
+)
+
+// scenario is a drawn run.
+type scenario struct {
+	seed    uint64
+	fencing []bool
+	ops     []op
+	// lossOfEndpoints allows restarts and deaths of engines.
+	lossOfEndpoints bool
+	// ticks is the length in seconds.
+	ticks int
+}
+
+func drawScenario(t *rapid.T, lossOfEndpoints bool) scenario {
+	kinds := opKinds
+	if !lossOfEndpoints {
+		kinds = opRestart
+	}
+	ops := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) op {
+		return op{
+			At:     rapid.IntRange(20, 380).Draw(t, "at"),
+			Kind:   rapid.IntRange(0, kinds-1).Draw(t, "kind"),
+			Target: rapid.IntRange(0, 5).Draw(t, "target"),
+			Length: rapid.IntRange(1, 90).Draw(t, "length"),
+		}
+	}), 10, 60).Draw(t, "ops")
+	return scenario{
+		seed:            rapid.Uint64().Draw(t, "seed"),
+		fencing:         rapid.SliceOfN(rapid.Bool(), 4, 4).Draw(t, "fencing"),
+		ops:             ops,
+		lossOfEndpoints: lossOfEndpoints,
+		ticks:           400,
+	}
+}
+
+const (
+	testModels   = 6
+	testLifetime = 40 * time.Second
+)
+
+// run is a scenario under way.
+type run struct {
+	scenario
+	fleet     *fleet
+	store     *objectstore.Store
+	source    *source
+	processes []*process
+	term      int64
+	started   int
+	versions  []int
+	demand    map[string]owner.Demand
+	// undo holds what ends at a tick.
+	undo    map[int][]func()
+	pauses  []chan struct{}
+	pause   chan struct{}
+	seen    map[string]bool
+	faulty  bool
+	reasons []string
+}
+
+func newRun(s scenario) *run {
+	r := &run{
+		scenario: s, fleet: newFleet(), store: objectstore.New(), source: &source{},
+		versions: make([]int, testModels), demand: make(map[string]owner.Demand),
+		undo: make(map[int][]func()), seen: make(map[string]bool), faulty: true,
+	}
+	for i, fencing := range s.fencing {
+		r.fleet.add(fmt.Sprintf("e%d", i), "z1", 10*gib, 2*gib, fencing)
+	}
+	r.fleet.fate = r.fate
+	r.fleet.queued = true
+	r.configure()
+	r.processes = []*process{r.start(), r.start()}
+	r.takeover(0)
+	return r
+}
+
+func (r *run) start() *process {
+	r.started++
+	p := &process{lease: &fixedLease{}, store: &faultyStore{Store: r.store}, reports: reports{fleet: r.fleet}}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.owner = owner.New(owner.Config{
+		Host: fmt.Sprintf("h%d", r.started), Incarnation: "1", Zone: "z1", Store: p.store, Source: r.source,
+		Endpoints: &p.reports, Lease: p.lease, Recorder: recorder{}, Now: r.fleet.clock,
+		OrderLifetime: testLifetime, SettleDelay: 3 * time.Second,
+		WeightStore: owner.WeightStore{LoadsPerSecond: 1, LoadsAtOnce: 4},
+		Tuning:      placement.Tuning{MinResidence: 10 * time.Second},
+		Demand:      func() map[string]owner.Demand { return r.demand },
+	})
+	return p
+}
+
+func (r *run) configure() {
+	objects := r.fleet.objects()
+	for i, version := range r.versions {
+		model := fmt.Sprintf("m%d", i)
+		objects = append(objects, modelObjects(model, fmt.Sprintf("%s-v%d", model, version), int64(3+i%2)*gib)...)
+		objects = append(objects, adapterObject(model+"-a", model, gib/2), adapterObject(model+"-b", model, gib/2))
+	}
+	r.source.set(objects)
+}
+
+// fate depends on the seed and the order alone, not on the order of calls.
+func (r *run) fate(name string, order engineapi.Order) fate {
+	if r.pause != nil {
+		return fate{block: r.pause}
+	}
+	if !r.faulty {
+		return fate{}
+	}
+	key := fmt.Sprint(r.seed, name, order.Action, order.Model, order.Version, order.Adapter, order.Fence)
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(key), r.seed))
+	late := func() []time.Duration {
+		return []time.Duration{time.Duration(random.Int64N(int64(testLifetime - 2*time.Second)))}
+	}
+	switch random.IntN(8) {
+	case 0:
+		return fate{lost: true}
+	case 1:
+		return fate{lost: true, late: late()}
+	case 2:
+		return fate{answerLost: true}
+	case 3:
+		return fate{late: late()}
+	default:
+		return fate{}
+	}
+}
+
+func (r *run) takeover(target int) {
+	r.term++
+	for i, p := range r.processes {
+		p.lease.set(i == target, r.term)
+	}
+}
+
+func (r *run) holder() int {
+	for i, p := range r.processes {
+		if p.lease.Holding().Held && p.lease.Holding().Term == r.term {
+			return i
+		}
+	}
+	return 0
+}
+
+func (r *run) later(tick int, f func()) { r.undo[tick] = append(r.undo[tick], f) }
+
+func (r *run) apply(tick int, o op) {
+	end := tick + o.Length
+	e := r.fleet.engines[o.Target%len(r.fleet.engines)]
+	holder := r.holder()
+	p := r.processes[holder]
+	switch o.Kind {
+	case opTakeover:
+		r.takeover(1 - holder)
+	case opStaleHolder:
+		old := p.lease
+		term := r.term
+		r.takeover(1 - holder)
+		old.set(true, term)
+		r.later(end, func() {
+			if old.Holding().Term == term {
+				old.set(false, r.term)
+			}
+		})
+	case opKill:
+		r.kill(holder)
+	case opPauseWrite:
+		gate := r.newPause(end)
+		p.store.mu.Lock()
+		p.store.gate = gate
+		p.store.mu.Unlock()
+		r.later(tick+1, func() {
+			p.store.mu.Lock()
+			p.store.gate = nil
+			p.store.mu.Unlock()
+			r.takeover(1 - holder)
+		})
+	case opPauseSend:
+		r.pauseSends(tick, end)
+		r.later(tick+2, func() { r.takeover(1 - holder) })
+	case opKillSend:
+		r.pauseSends(tick, end)
+		r.later(tick+1, func() { r.kill(holder) })
+	case opPlatformDown:
+		p.store.mu.Lock()
+		p.store.down = true
+		p.store.mu.Unlock()
+		r.later(end, func() {
+			p.store.mu.Lock()
+			defer p.store.mu.Unlock()
+			p.store.down = false
+		})
+	case opLoseAnswer:
+		p.store.mu.Lock()
+		p.store.loseAnswer = true
+		p.store.mu.Unlock()
+		r.later(tick+1, func() {
+			p.store.mu.Lock()
+			defer p.store.mu.Unlock()
+			p.store.loseAnswer = false
+		})
+	case opStaleReports:
+		victim := r.processes[o.Target%2]
+		victim.reports.frozen = r.fleet.States()
+		r.later(end, func() { victim.reports.frozen = nil })
+	case opVersion:
+		r.versions[o.Target%testModels]++
+		r.configure()
+	case opDemand:
+		r.demand = map[string]owner.Demand{fmt.Sprintf("m%d", o.Target%testModels): {TokensPerSecond: 3000}}
+	case opDrain:
+		r.setDraining(e, true)
+		r.later(end, func() { r.setDraining(e, false) })
+	case opRestart:
+		r.fleet.restart(e)
+	case opDown:
+		e.down = true
+		r.later(end, func() { e.down = false })
+	}
+}
+
+func (r *run) kill(target int) {
+	r.processes[target].cancel()
+	r.processes[target] = r.start()
+	r.takeover(1 - target)
+}
+
+// pauseSends keeps the orders of this tick from being sent until the end.
+func (r *run) pauseSends(tick, end int) {
+	r.pause = r.newPause(end)
+	r.later(tick+1, func() { r.pause = nil })
+}
+
+func (r *run) setDraining(e *engine, draining bool) {
+	e.config.Draining = draining
+	r.configure()
+}
+
+func (r *run) newPause(end int) chan struct{} {
+	gate := make(chan struct{})
+	r.pauses = append(r.pauses, gate)
+	r.later(end, func() { r.release(gate) })
+	return gate
+}
+
+func (r *run) release(gate chan struct{}) {
+	select {
+	case <-gate:
+	default:
+		close(gate)
+	}
+}
+
+// cycle runs the process's next cycle unless it is paused in one.
+func (r *run) cycle(p *process) {
+	if p.busy != nil {
+		select {
+		case <-p.busy:
+		default:
+			return
+		}
+	}
+	done := make(chan struct{})
+	p.busy = done
+	go func() {
+		defer close(done)
+		_ = p.owner.Cycle(p.ctx)
+	}()
+	synctest.Wait()
+}
+
+func (r *run) tick(tick int) {
+	for _, f := range r.undo[tick] {
+		f()
+	}
+	for _, o := range r.ops {
+		if o.At == tick && r.faulty {
+			r.apply(tick, o)
+		}
+	}
+	if r.faulty {
+		r.churn(tick)
+	}
+	r.fleet.advance(time.Second)
+	r.fleet.poll()
+	for _, p := range r.processes {
+		r.cycle(p)
+	}
+	r.fleet.network()
+	synctest.Wait()
+	r.checkReachable(tick)
+}
+
+// churn shifts demand and versions, so that replicas move all the time.
+func (r *run) churn(tick int) {
+	random := rand.New(rand.NewPCG(r.seed, uint64(tick)))
+	if tick%15 == 0 {
+		r.demand = map[string]owner.Demand{fmt.Sprintf("m%d", random.IntN(testModels)): {TokensPerSecond: 60_000}}
+	}
+	if tick > 60 && tick%60 == 0 {
+		r.versions[random.IntN(testModels)]++
+		r.configure()
+	}
+}
+
+// checkReachable notes a model that was ready and no longer is, where no
+// engine was lost.
+func (r *run) checkReachable(tick int) {
+	for i := range testModels {
+		model := fmt.Sprintf("m%d", i)
+		switch {
+		case r.fleet.ready(model) > 0:
+			r.seen[model] = true
+		case r.seen[model] && !r.lossOfEndpoints:
+			r.reasons = append(r.reasons, fmt.Sprintf("second %d: %s has no ready replica", tick, model))
+		}
+	}
+}
+
+// execute runs the scenario, then lets the faults end, and returns what went
+// wrong.
+func (r *run) execute() []string {
+	for tick := range r.ticks {
+		r.tick(tick)
+		if len(r.fleet.failures)+len(r.reasons) > 0 {
+			break
+		}
+	}
+	r.faulty = false
+	r.takeover(0)
+	for _, gate := range r.pauses {
+		r.release(gate)
+	}
+	for tick := r.ticks; tick < r.ticks+240; tick++ {
+		r.tick(tick)
+	}
+	for i := range testModels {
+		model := fmt.Sprintf("m%d", i)
+		if r.fleet.ready(model) == 0 {
+			r.reasons = append(r.reasons, model+" is not ready four minutes after the last fault")
+		}
+	}
+	for _, p := range r.processes {
+		p.cancel()
+	}
+	synctest.Wait()
+	r.fleet.network()
+	synctest.Wait()
+	return append(r.fleet.failures, r.reasons...)
+}
+
+func checkScenarios(t *testing.T, lossOfEndpoints bool) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScenario(rt, lossOfEndpoints)
+		var failures []string
+		synctest.Test(t, func(*testing.T) { failures = newRun(s).execute() })
+		if len(failures) > 0 {
+			rt.Fatalf("%d failures, first: %s", len(failures), failures[0])
+		}
+	})
+}
+
+// TestOrderFaults: orders lost, late and doubled, two would-be owners, owners
+// paused before a write or a send, killed between intent and order, platform
+// outages, engines that ignore fencing. No engine's own account exceeds its
+// memory, and every model keeps a ready replica.
+func TestOrderFaults(t *testing.T) { checkScenarios(t, false) }
+
+// TestOrderFaultsAndLostEndpoints adds engines that restart or go away. Every
+// model is ready again once the faults are over.
+func TestOrderFaultsAndLostEndpoints(t *testing.T) { checkScenarios(t, true) }
--- a/internal/placement/owner/fleet_test.go
+++ b/internal/placement/owner/fleet_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -77,9 +79,22 @@
 	engines  []*engine
 	pending  []delivery
 	fate     func(name string, order engineapi.Order) fate
-	lag      time.Duration
 	failures []string
 	orders   []engineapi.Order
+	// queued makes calls wait for network, which serves them in an order of
+	// its own, so that a run does not depend on the scheduler.
+	queued bool
+	calls  []*networkCall
+}
+
+// networkCall is a call that waits for the network.
+type networkCall struct {
+	name   string
+	order  engineapi.Order
+	fate   fate
+	result engineapi.OrderResult
+	err    error
+	done   chan struct{}
 }
 
 func newFleet() *fleet {
@@ -115,30 +130,60 @@
 
 // Order implements owner.Endpoints.
 func (f *fleet) Order(ctx context.Context, name string, order engineapi.Order) (engineapi.OrderResult, error) {
+	call := &networkCall{name: name, order: order, done: make(chan struct{})}
 	f.mu.Lock()
-	what := fate{}
 	if f.fate != nil {
-		what = f.fate(name, order)
-	}
-	f.orders = append(f.orders, order)
-	for _, delay := range what.late {
-		f.pending = append(f.pending, delivery{f.now.Add(delay), name, order})
+		call.fate = f.fate(name, order)
 	}
 	f.mu.Unlock()
-	if what.block != nil {
-		<-what.block
+	if call.fate.block != nil {
+		<-call.fate.block
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ctx.Err() != nil {
+		return engineapi.OrderResult{}, ctx.Err()
 	}
+	if !f.queued {
+		f.serve(call)
+		return call.result, call.err
+	}
+	f.calls = append(f.calls, call)
+	f.mu.Unlock()
+	<-call.done
+	f.mu.Lock()
+	return call.result, call.err
+}
+
+// network serves the calls that wait.
+func (f *fleet) network() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.engine(name)
-	if what.lost || e.down || ctx.Err() != nil {
-		return engineapi.OrderResult{}, errors.New("no answer")
+	key := func(c *networkCall) string {
+		return fmt.Sprint(c.name, c.order.Fence, c.order.Action, c.order.Model, c.order.Version, c.order.Adapter)
+	}
+	slices.SortFunc(f.calls, func(a, b *networkCall) int { return strings.Compare(key(a), key(b)) })
+	for _, call := range f.calls {
+		f.serve(call)
+		close(call.done)
+	}
+	f.calls = nil
+}
+
+func (f *fleet) serve(call *networkCall) {
+	f.orders = append(f.orders, call.order)
+	for _, delay := range call.fate.late {
+		f.pending = append(f.pending, delivery{f.now.Add(delay), call.name, call.order})
+	}
+	e := f.engine(call.name)
+	call.err = errors.New("no answer")
+	if call.fate.lost || e.down {
+		return
 	}
-	accepted := f.deliver(e, order)
-	if what.answerLost {
-		return engineapi.OrderResult{}, errors.New("no answer")
+	accepted := f.deliver(e, call.order)
+	if !call.fate.answerLost {
+		call.result, call.err = engineapi.OrderResult{Accepted: accepted}, nil
 	}
-	return engineapi.OrderResult{Accepted: accepted}, nil
 }
 
 // deliver carries an order out. The engine checks neither memory nor
