--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,108 @@
+package lease_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"bilberryslip.example/bilberryslip/internal/lease"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLease(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "lease")
+}
+
+// lossyStore carries writes out and loses the next answers.
+type lossyStore struct {
+	platform.Store
+	lose int
+}
+
+func (s *lossyStore) Create(ctx context.Context, kind platform.Kind, name, id string, value json.RawMessage) (platform.Object, error) {
+	return s.after(s.Store.Create(ctx, kind, name, id, value))
+}
+
+func (s *lossyStore) Update(ctx context.Context, kind platform.Kind, name string, version platform.Version, id string, value json.RawMessage) (platform.Object, error) {
+	return s.after(s.Store.Update(ctx, kind, name, version, id, value))
+}
+
+func (s *lossyStore) after(obj platform.Object, err error) (platform.Object, error) {
+	if s.lose == 0 {
+		return obj, err
+	}
+	s.lose--
+	return platform.Object{}, &platform.UnavailableError{Outcome: platform.OutcomeUnknown, Cause: errors.New("answer lost")}
+}
+
+var _ = Describe("Lease", func() {
+	var (
+		ctx   context.Context
+		now   time.Time
+		store *lossyStore
+		a, b  *lease.Lease
+	)
+	candidate := func(host string) *lease.Lease {
+		return lease.New(lease.Config{
+			Store: store, Name: "placement-z1", Host: host, Incarnation: "1",
+			Duration: 10 * time.Second, Now: func() time.Time { return now },
+		})
+	}
+	step := func(l *lease.Lease) { Expect(l.Step(ctx)).To(Succeed()) }
+
+	BeforeEach(func() {
+		ctx = context.Background()
+		now = time.Unix(1_700_000_000, 0)
+		store = &lossyStore{Store: objectstore.New()}
+		a, b = candidate("a"), candidate("b")
+	})
+
+	It("has one holder, and passes to another only after it lapsed unchanged", func() {
+		step(a)
+		step(b)
+		Expect(a.Holding()).To(Equal(lease.Holding{Held: true, Term: 1, Holder: "a"}))
+		Expect(b.Holding().Held).To(BeFalse())
+		for range 5 {
+			now = now.Add(6 * time.Second)
+			step(a)
+			step(b)
+			Expect(b.Holding().Held).To(BeFalse())
+		}
+		now = now.Add(9 * time.Second)
+		step(b)
+		Expect(b.Holding().Held).To(BeFalse())
+		now = now.Add(2 * time.Second)
+		Expect(a.Holding().Held).To(BeFalse(), "a counts from before its last renewal")
+		step(b)
+		Expect(b.Holding()).To(Equal(lease.Holding{Held: true, Term: 2, Holder: "b"}))
+		step(a)
+		Expect(a.Holding()).To(Equal(lease.Holding{Term: 2, Holder: "b"}))
+	})
+
+	It("settles a write whose answer was lost", func() {
+		store.lose = 1
+		step(a)
+		Expect(a.Holding().Held).To(BeTrue())
+		step(b)
+		Expect(b.Holding().Held).To(BeFalse())
+	})
+
+	It("is released at shutdown", func() {
+		served, cancel := context.WithCancel(ctx)
+		done := make(chan error)
+		changed := a.Changed()
+		go func() { done <- a.Serve(served) }()
+		Eventually(changed).Should(BeClosed())
+		cancel()
+		Eventually(done).Should(Receive(MatchError(context.Canceled)))
+		step(b)
+		Expect(b.Holding()).To(Equal(lease.Holding{Held: true, Term: 2, Holder: "b"}))
+	})
+})
--- /dev/null
+++ b/internal/placement/intent_test.go
@@ -0,0 +1,61 @@
+package placement_test
+
+import (
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/placement"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Intents", func() {
+	nothing := func(*placement.Order) placement.Knowledge { return placement.Knowledge{} }
+	over := func(*placement.Order) placement.Knowledge {
+		return placement.Knowledge{CallOver: true, LifetimeOver: true}
+	}
+	item := placement.Item{Model: "m", Version: "v"}
+	limits := placement.Limits{ModelBytes: 10}
+	load := func(id string, fence int64) placement.Order {
+		return placement.Order{ID: id, Action: engineapi.ActionLoadModel, Item: item, Bytes: 7, Fence: fence, Incarnation: "A"}
+	}
+	report := func(incarnation string, settled ...string) *engineapi.Report {
+		r := &engineapi.Report{Incarnation: incarnation, Sequence: 1}
+		for _, id := range settled {
+			r.Settled = append(r.Settled, engineapi.SettledOrder{ID: id, Done: true})
+		}
+		return r
+	}
+
+	It("counts an order again in an incarnation that has not seen a higher fence", func() {
+		intents := placement.Intents{Orders: []placement.Order{load("lost", 1), {ID: "later", Fence: 2, Item: placement.Item{Model: "n"}}}}
+		fenced, _ := intents.Settle(report("A", "later"), true, nothing)
+		Expect(placement.NewAccount(limits, report("A"), &fenced, "").Models).To(BeZero())
+		restarted, _ := fenced.Settle(report("B"), true, nothing)
+		Expect(placement.NewAccount(limits, report("B"), &restarted, "").Models).To(BeEquivalentTo(7))
+	})
+
+	It("keeps the order of another sender until it is known to have ended", func() {
+		intents := placement.Intents{Orders: []placement.Order{load("lost", 1)}}
+		kept, changed := intents.Settle(report("B"), false, nothing)
+		Expect(changed).To(BeFalse())
+		Expect(kept.Orders).To(HaveLen(1))
+		gone, changed := intents.Settle(report("B"), false, over)
+		Expect(changed).To(BeTrue())
+		Expect(gone.Orders).To(BeEmpty())
+	})
+
+	It("refuses reports from before the last write", func() {
+		intents := placement.Intents{Seen: placement.Mark{Incarnation: "B", Sequence: 5}, Retired: []string{"A"}}
+		Expect(intents.Usable(&engineapi.Report{Incarnation: "B", Sequence: 4}, true)).To(BeFalse())
+		Expect(intents.Usable(&engineapi.Report{Incarnation: "A", Sequence: 9}, true)).To(BeFalse())
+		Expect(intents.Usable(&engineapi.Report{Incarnation: "C", Sequence: 1}, false)).To(BeFalse())
+		Expect(intents.Usable(&engineapi.Report{Incarnation: "C", Sequence: 1}, true)).To(BeTrue())
+	})
+
+	It("counts reported memory that no item explains", func() {
+		r := &engineapi.Report{UsedBytes: 9, Models: []engineapi.HeldModel{{Model: "m", Version: "v", Bytes: 4}}}
+		account := placement.NewAccount(limits, r, &placement.Intents{}, "")
+		Expect(account.Fits(placement.Item{Model: "n", Version: "v"}, 2)).To(BeFalse())
+		Expect(account.Fits(item, 4)).To(BeTrue())
+	})
+})
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -329,15 +329,24 @@
 	return false
 }
 
-// addReplica adds a replica of the model where it lowers the highest load.
+// minGain is the least part of an endpoint's load that an added replica must
+// take off it.
+const minGain = 0.1
+
+// addReplica adds a replica of the model where that lowers the endpoint's load
+// enough, and leaves the new replica's endpoint below it.
 func (p *planner) addReplica(m *placed, hot *node) bool {
 	after := m.demand / float64(len(m.here)+1)
-	if n := p.roomFor(m); n != nil && n.load+after < hot.load {
+	target := (1 - minGain) * hot.load
+	if hot.load-m.share()+after > target {
+		return false
+	}
+	if n := p.roomFor(m); n != nil && n.load+after <= target {
 		p.load(m, n, ReasonDemand)
 		return true
 	}
 	n, victims := p.cheapestRoom(m, func(v *placed, on *node) bool {
-		return v != m && on.load+after < hot.load && p.surplus(v, on)
+		return v != m && on.load+after <= target && p.surplus(v, on)
 	})
 	if n == nil {
 		return false
--- a/internal/placement/owner/faults_test.go
+++ b/internal/placement/owner/faults_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,8 @@
 	loseAnswer bool
 	// gate, where set, holds writes until it is closed.
 	gate chan struct{}
+	// waiting counts the writes that are held.
+	waiting atomic.Int32
 }
 
 func (s *faultyStore) before() (bool, error) {
@@ -46,6 +49,7 @@
 	gate := s.gate
 	s.mu.Unlock()
 	if gate != nil {
+		s.waiting.Add(1)
 		<-gate
 	}
 	s.mu.Lock()
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -216,9 +216,12 @@
 	}
 }
 
+// Wait blocks until no order is being sent.
+func (o *Owner) Wait() { o.sends.Wait() }
+
 // stop writes down how this owner's last orders ended.
 func (o *Owner) stop() {
-	o.sends.Wait()
+	o.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), o.cfg.OrderTimeout)
 	defer cancel()
 	o.cycleMu.Lock()
--- a/internal/placement/owner/owner_test.go
+++ b/internal/placement/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,12 +28,14 @@
 	store  platform.Store
 	lease  *fixedLease
 	owner  *owner.Owner
+	demand map[string]owner.Demand
 }
 
 func (b *bench) newOwner(name string, l *fixedLease) *owner.Owner {
 	return owner.New(owner.Config{
 		Host: name, Incarnation: "1", Zone: "z1", Store: b.store, Source: b.source,
 		Endpoints: b.fleet, Lease: l, Recorder: recorder{}, Now: b.fleet.clock,
+		Demand:      func() map[string]owner.Demand { return b.demand },
 		WeightStore: owner.WeightStore{LoadsPerSecond: 1, LoadsAtOnce: 4},
 	})
 }
@@ -51,6 +54,7 @@
 		b.fleet.advance(time.Second)
 		b.fleet.poll()
 		Expect(b.owner.Cycle(context.Background())).To(Succeed())
+		b.owner.Wait()
 		if each != nil {
 			each()
 		}
@@ -80,4 +84,53 @@
 		}
 		Expect(f.failures).To(BeEmpty())
 	})
+
+	It("loads a dead endpoint's models elsewhere before it serves demand", func() {
+		f := newFleet()
+		for i := range 4 {
+			f.add(fmt.Sprintf("e%d", i), "z1", 12*gib, 0, i%2 == 0)
+		}
+		b := newBench(f)
+		objects := f.objects()
+		for i := range 8 {
+			objects = append(objects, modelObjects(fmt.Sprintf("m%d", i), fmt.Sprintf("m%d-v1", i), 4*gib)...)
+		}
+		b.source.set(objects)
+		b.demand = map[string]owner.Demand{"m0": {TokensPerSecond: 5000}}
+		b.run(2*time.Minute, nil)
+		sole := slices.IndexFunc(f.engines, func(e *engine) bool {
+			return f.ready("m7") == 1 && f.holds(e.config.Name, placement.Item{Model: "m7", Version: "m7-v1"})
+		})
+		Expect(sole).To(BeNumerically(">=", 0))
+		f.engines[sole].down = true
+
+		lost := 0
+		for i := range 8 {
+			if f.ready(fmt.Sprintf("m%d", i)) == 0 {
+				lost++
+			}
+		}
+		Expect(lost).To(BeNumerically(">", 0))
+		bound := owner.DefaultStaleReport + time.Duration(lost)*time.Second + loadTime + 2*time.Second
+		b.run(bound, nil)
+		for i := range 8 {
+			Expect(f.ready(fmt.Sprintf("m%d", i))).To(BeNumerically(">=", 1))
+		}
+		Expect(f.failures).To(BeEmpty())
+	})
+
+	It("loads at once what a request waits for, within the weight store's share", func() {
+		f := newFleet()
+		f.add("e0", "z1", 40*gib, 0, false)
+		b := newBench(f)
+		objects := f.objects()
+		for i := range 9 {
+			objects = append(objects, modelObjects(fmt.Sprintf("m%d", i), fmt.Sprintf("m%d-v1", i), 4*gib)...)
+		}
+		b.source.set(objects)
+		b.owner.Want("m8")
+		b.run(20*time.Second, nil)
+		Expect(f.orders[0].Model).To(Equal("m8"))
+		Expect(len(f.orders)).To(BeNumerically("<=", 9))
+	})
 })
