--- /dev/null
+++ b/internal/placement/plan_test.go
@@ -0,0 +1,160 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/placement"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const gib = int64(1) << 30
+
+// endpoint returns an engine that holds the models ready.
+func endpoint(name, zone string, memory int64, models ...*placement.Model) placement.Endpoint {
+	report := engineapi.Report{Incarnation: name}
+	for _, m := range models {
+		report.Models = append(report.Models, engineapi.HeldModel{Model: m.Name, Version: m.Version, State: engineapi.ItemReady, Bytes: m.Bytes})
+		report.UsedBytes += m.Bytes
+	}
+	account := placement.NewAccount(placement.Limits{ModelBytes: memory}, &report, &placement.Intents{}, "")
+	return placement.Endpoint{Name: name, Zone: zone, Account: account, Alive: true, Accounted: true, Orderable: true}
+}
+
+func model(name string, bytes int64) placement.Model {
+	return placement.Model{Name: name, Version: name + "-v1", Weights: name, Bytes: bytes}
+}
+
+func loads(steps []placement.Step) []placement.Step {
+	var out []placement.Step
+	for _, step := range steps {
+		if step.IsLoad() {
+			out = append(out, step)
+		}
+	}
+	return out
+}
+
+var _ = Describe("Plan", func() {
+	It("keeps the serving version reachable while it changes", func() {
+		m := model("m", 4*gib)
+		old := m
+		m.Version = "m-v2"
+		in := placement.Input{
+			Zone: "z1", Models: []placement.Model{m}, Budget: placement.Budget{ModelLoads: 4},
+			Endpoints: []placement.Endpoint{endpoint("e0", "z1", 8*gib, &old)},
+		}
+		Expect(placement.Plan(&in)).To(HaveExactElements(
+			And(HaveField("Action", engineapi.ActionLoadModel), HaveField("Reason", placement.ReasonVersion))))
+		in.Endpoints[0] = endpoint("e0", "z1", 8*gib, &old, &m)
+		Expect(placement.Plan(&in)).To(HaveExactElements(
+			And(HaveField("Action", engineapi.ActionUnloadModel), HaveField("Item.Version", "m-v1"))))
+	})
+
+	It("replaces the sole replica of a leaving endpoint before anything else", func() {
+		a, b, hot := model("a", 4*gib), model("b", 4*gib), model("hot", 4*gib)
+		hot.Demand = 5000
+		leaving := endpoint("e0", "z1", 8*gib, &a, &b)
+		leaving.Leaving = true
+		in := placement.Input{
+			Zone: "z1", Models: []placement.Model{a, b, hot}, Budget: placement.Budget{ModelLoads: 4},
+			Endpoints: []placement.Endpoint{leaving, endpoint("e1", "z1", 8*gib, &hot), endpoint("e2", "z1", 8*gib)},
+		}
+		steps := loads(placement.Plan(&in))
+		Expect(len(steps)).To(BeNumerically(">=", 2))
+		Expect([]string{steps[0].Item.Model, steps[1].Item.Model}).To(ConsistOf("a", "b"))
+	})
+
+	It("moves a sole replica to make one hole of two", func() {
+		a, b, big := model("a", 3*gib), model("b", 3*gib), model("big", 8*gib)
+		in := placement.Input{
+			Zone: "z1", Models: []placement.Model{a, b, big}, Budget: placement.Budget{ModelLoads: 4},
+			Endpoints: []placement.Endpoint{endpoint("e0", "z1", 8*gib, &a), endpoint("e1", "z1", 8*gib, &b)},
+		}
+		Expect(placement.Plan(&in)).To(HaveExactElements(
+			And(HaveField("Action", engineapi.ActionLoadModel), HaveField("Reason", placement.ReasonMakeRoom))))
+	})
+
+	It("leaves a model's last replica of the region to its keeper zone", func() {
+		m, need := model("m", 8*gib), model("need", 8*gib)
+		need.MinPerZone = 1
+		unloading := 0
+		for _, zone := range []string{"z1", "z2"} {
+			in := placement.Input{
+				Zone: zone, Models: []placement.Model{m, need}, Budget: placement.Budget{ModelLoads: 1},
+				Endpoints: []placement.Endpoint{endpoint("e1", "z1", 8*gib, &m), endpoint("e2", "z2", 8*gib, &m)},
+			}
+			unloading += len(placement.Plan(&in))
+		}
+		Expect(unloading).To(Equal(1), "both zones plan at once")
+	})
+
+	It("plans 1,700 models on 840 workers in 7 zones within 100 ms", func() {
+		in := targetInput(7, 160*gib)
+		fastest := time.Hour
+		for range 3 {
+			begun := time.Now()
+			Expect(placement.Plan(in)).NotTo(BeEmpty())
+			fastest = min(fastest, time.Since(begun))
+		}
+		Expect(fastest).To(BeNumerically("<", 100*time.Millisecond))
+	})
+
+	It("does not move again while demand stays the same", func() {
+		models := []placement.Model{model("a", 4*gib), model("b", 4*gib)}
+		models[0].Demand = 1500
+		in := placement.Input{
+			Zone: "z1", Models: models, Budget: placement.Budget{ModelLoads: 4}, Now: time.Unix(1000, 0),
+			Endpoints: []placement.Endpoint{
+				endpoint("e0", "z1", 8*gib, &models[0], &models[1]), endpoint("e1", "z1", 8*gib, &models[0]), endpoint("e2", "z1", 4*gib, &models[0]),
+			},
+		}
+		Expect(placement.Plan(&in)).To(BeEmpty())
+	})
+})
+
+// targetInput is the letter's target: 1,700 models on 840 workers in 7 zones,
+// or in one, with the model memory of each worker given.
+func targetInput(zones int, memory int64) *placement.Input {
+	random := rand.New(rand.NewPCG(1, 2))
+	in := &placement.Input{Zone: "z0", Budget: placement.Budget{ModelLoads: 1, AdapterLoads: 4}, Now: time.Unix(1000, 0)}
+	for i := range 1700 {
+		m := model(fmt.Sprintf("m%04d", i), int64(8+random.IntN(24))*gib)
+		m.Demand = random.ExpFloat64() * 400
+		in.Models = append(in.Models, m)
+	}
+	for i := range 840 {
+		var held []*placement.Model
+		free := memory
+		for range 12 {
+			m := &in.Models[random.IntN(len(in.Models))]
+			if m.Bytes <= free {
+				held = append(held, m)
+				free -= m.Bytes
+			}
+		}
+		in.Endpoints = append(in.Endpoints, endpoint(fmt.Sprintf("e%03d", i), fmt.Sprintf("z%d", i%zones), memory, held...))
+	}
+	return in
+}
+
+func BenchmarkPlanTarget(b *testing.B) {
+	for _, zones := range []int{7, 1} {
+		for _, memory := range []int64{320, 160} {
+			b.Run(fmt.Sprintf("zones=%d/gib=%d", zones, memory), func(b *testing.B) {
+				in := targetInput(zones, memory*gib)
+				b.ReportAllocs()
+				for b.Loop() {
+					if steps := placement.Plan(in); len(steps) == 0 {
+						b.Fatal("empty plan")
+					}
+				}
+			})
+		}
+	}
+}
