--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,7 +16,7 @@
   fi
   pids=()
 }
-trap 'stop_all; rm -rf "$run"' EXIT
+trap 'stop_all; [ -n "${KEEP_LOGS:-}" ] && echo "logs kept in $run" || rm -rf "$run"' EXIT
 
 # start NAME COMMAND...: runs a process with its log in a file.
 start() {
@@ -134,6 +134,16 @@
   curl -sS -X POST -d "{\"hosts\": [${listed[*]}]}" "http://$platform/control" >/dev/null
 }
 
+# wait_hosts: waits until the first host knows of all others.
+wait_hosts() {
+  for _ in $(seq 200); do
+    [ "$("$run/bin/bilberryslip" status 2>/dev/null | grep -c -- '-[ab] ')" -eq 6 ] && return 0
+    sleep 0.1
+  done
+  echo "FAIL the hosts do not know of each other after 20 s"
+  failures=$((failures + 1))
+}
+
 # wait_complete KEY MODEL: waits until every host serves the model.
 wait_complete() {
   local host
@@ -161,6 +171,7 @@
   start_hosts "$region" "$@"
   export BILBERRYSLIP_SERVER="http://$(address "${hosts[0]}" operators)"
   local cli="$run/bin/bilberryslip"
+  wait_hosts
   check "$name: the configuration is accepted" "$("$cli" apply -f "$run/endpoints.json" -f "examples/$name/config.json" --wait-millis 8000 2>&1)" 'accepted as revision 1; in force on 6 hosts'
   local key withdrawn
   key=$("$cli" key grant demo --organisation "$organisation" 2>/dev/null)
