--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -49,8 +49,8 @@
 func (h *host) buildGateway() {
 	h.gateway = gateway.New(gateway.Config{
 		Source:           h.log,
-		Limiter:          &limiter{h.shares},
-		Claims:           &claimBook{h.book},
+		Limiter:          h.shares,
+		Claims:           h.book,
 		Endpoints:        h.endpoints,
 		Recorder:         h.recorder,
 		Freshness:        h.log.Freshness,
@@ -63,16 +63,6 @@
 	})
 }
 
-// limiter offers shares.Service to the gateway.
-type limiter struct {
-	shares *shares.Service
-}
-
-// Reserve implements gateway.Limiter.
-func (l *limiter) Reserve(ctx context.Context, organisation string, tokens float64) (gateway.Reservation, error) {
-	return l.shares.Reserve(ctx, organisation, tokens)
-}
-
 // newDump lists the parts whose state is dumped.
 func (h *host) newDump() *stateDump {
 	return &stateDump{sections: []dumpSection{
