--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -15,6 +15,7 @@
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admission"
+	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/routing"
 )
@@ -109,8 +110,10 @@
 	if err != nil || strings.Contains(decoded, who.secret) {
 		return errKeyMisplaced("path")
 	}
-	if strings.Contains(c.request.http.Header.Get("Content-Type"), who.secret) {
-		return errKeyMisplaced("header Content-Type")
+	for _, name := range []string{"Content-Type", "Accept"} {
+		if strings.Contains(c.request.http.Header.Get(name), who.secret) {
+			return errKeyMisplaced("header " + name)
+		}
 	}
 	return nil
 }
@@ -221,7 +224,7 @@
 }
 
 // serviceOutcome tells what an attempt says of its endpoint.
-func serviceOutcome(ctx context.Context, answer *RecordedAnswer, err error) endpoint.Outcome {
+func serviceOutcome(ctx context.Context, answer *claims.Answer, err error) endpoint.Outcome {
 	if err == nil && answer.Status >= http.StatusInternalServerError {
 		return endpoint.OutcomeFailed
 	}
@@ -252,15 +255,12 @@
 		c.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
 		return nil, failure.withRun(c.runState())
 	}
-	name := sl.attempt.Endpoint()
-	r.at(name)
-	id := r.record(apiv1.DecisionKind_DECISION_KIND_ROUTE, "chosen", name, routeInputs(sl))
-	setIfPresent(r.echo.Response().Header(), HeaderDecisionID, id)
+	r.route(sl)
 	return sl, nil
 }
 
 // attempt sends the call once and reads the whole answer.
-func (c *serviceCall) attempt(ctx context.Context, sl *slot, fresh bool) (*RecordedAnswer, error) {
+func (c *serviceCall) attempt(ctx context.Context, sl *slot, fresh bool) (*claims.Answer, error) {
 	cfg := c.gateway().config
 	limits := endpoint.ProgressLimits{Header: cfg.ServiceFirstByte, FirstByte: cfg.Between, Between: cfg.Between}
 	if c.route.GetRepeatable() && !fresh {
@@ -268,7 +268,7 @@
 	}
 	before := c.request.sent
 	c.request.sent = true
-	answer, err := sl.attempt.Send(ctx, endpoint.Call{
+	call := endpoint.Call{
 		Attempt:     uuid.NewString(),
 		Request:     c.request.id,
 		Method:      c.request.http.Method,
@@ -279,7 +279,9 @@
 		Body:        c.body,
 		Fresh:       fresh,
 		Limits:      limits,
-	})
+	}
+	c.request.assertMayRun(call, c.route.GetOpen() || permits(c.route.GetOrganisations(), c.request.caller.organisation.GetName()))
+	answer, err := sl.attempt.Send(ctx, call)
 	var notSent *endpoint.NotSentError
 	if errors.As(err, &notSent) {
 		c.request.sent = before
@@ -291,7 +293,7 @@
 	return c.readWhole(answer)
 }
 
-func (c *serviceCall) readWhole(answer *endpoint.Answer) (*RecordedAnswer, error) {
+func (c *serviceCall) readWhole(answer *endpoint.Answer) (*claims.Answer, error) {
 	if !answer.Framed {
 		return nil, errors.New("the service's answer has no length, so that it can't be told from a cut one")
 	}
@@ -308,11 +310,12 @@
 			header.Set(name, value)
 		}
 	}
-	return &RecordedAnswer{Status: answer.Status, Header: header, Body: body}, nil
+	return &claims.Answer{Status: answer.Status, Header: header, Body: body}, nil
 }
 
 // write gives the caller a whole answer.
-func (c *serviceCall) write(answer *RecordedAnswer, replayed bool) error {
+func (c *serviceCall) write(answer *claims.Answer, replayed bool) error {
+	c.request.showDecision()
 	response := c.request.echo.Response()
 	for _, name := range answerHeaders {
 		if value := answer.Header.Get(name); value != "" {
