--- a/internal/endpoint/state.go
+++ b/internal/endpoint/state.go
@@ -17,6 +17,8 @@
 	Report engineapi.Report
 	// ReportedAt is when the request for the last report was sent.
 	ReportedAt time.Time
+	// ReportAge is the age of the state that the last report shows.
+	ReportAge time.Duration
 	// Reachable is false after the endpoint failed to answer for longer than
 	// the health timeout.
 	Reachable bool
@@ -32,6 +34,9 @@
 	// grown since the engine took the state that it reported; it may be
 	// negative.
 	SentSinceReport int
+	// FirstTokens is, by model, the recent mean time from a send to the first
+	// part of an answer. A model without one is not known. It is not changed.
+	FirstTokens map[string]time.Duration
 	// Penalty is the number of recent failures, decaying with time.
 	Penalty float64
 	// Prefixes is what is known of the engine's prompt cache. Nil means
@@ -52,6 +57,13 @@
 	return float64(max(load, s.InFlight)) + s.Penalty
 }
 
+// OthersAtReport returns the requests of other hosts that ran or waited at
+// the endpoint when it took the state that it reported.
+func (s *State) OthersAtReport() float64 {
+	own := s.InFlight - s.SentSinceReport
+	return float64(max(s.Report.Running+s.Report.Queued-own, 0))
+}
+
 // defaultMaxConcurrent applies where an endpoint's limit is zero.
 const defaultMaxConcurrent = 16
 
