--- a/internal/claims/book.go
+++ b/internal/claims/book.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -82,10 +83,10 @@
 
 // NewBook returns a book.
 func NewBook(config BookConfig) *Book {
-	setDefault(&config.ClaimTimeout, defaultClaimTimeout)
-	setDefault(&config.MaxSendDelay, defaultMaxSendDelay)
-	setDefault(&config.MaxAnswerBytes, defaultMaxAnswerBytes)
-	setDefault(&config.Retention, defaultRetention)
+	config.ClaimTimeout = cmp.Or(config.ClaimTimeout, defaultClaimTimeout)
+	config.MaxSendDelay = cmp.Or(config.MaxSendDelay, defaultMaxSendDelay)
+	config.MaxAnswerBytes = cmp.Or(config.MaxAnswerBytes, defaultMaxAnswerBytes)
+	config.Retention = cmp.Or(config.Retention, defaultRetention)
 	if config.Clock == nil {
 		config.Clock = time.Now
 	}
@@ -98,13 +99,6 @@
 	}
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // Outcome is what became of a request.
 type Outcome struct {
 	State Result
--- a/internal/claims/pending.go
+++ b/internal/claims/pending.go
@@ -7,7 +7,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/platform"
-	"github.com/cenkalti/backoff/v4"
+	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -132,11 +132,7 @@
 
 // servePending writes what could not be written at once.
 func (b *Book) servePending(ctx context.Context) error {
-	pause := backoff.NewExponentialBackOff(
-		backoff.WithInitialInterval(retryInterval),
-		backoff.WithMaxInterval(retryMaxInterval),
-		backoff.WithMaxElapsedTime(0),
-	)
+	pause := retry.NewBackOff(retryInterval, retryMaxInterval)
 	for {
 		select {
 		case <-ctx.Done():
@@ -145,7 +141,7 @@
 		}
 		pause.Reset()
 		for b.pendingCount() > 0 {
-			if !wait(ctx, pause.NextBackOff()) {
+			if !retry.Sleep(ctx, pause.NextBackOff()) {
 				return ctx.Err()
 			}
 			b.writePending(ctx)
@@ -158,7 +154,7 @@
 func (b *Book) Flush(ctx context.Context) int {
 	for b.pendingCount() > 0 {
 		b.writePending(ctx)
-		if b.pendingCount() > 0 && !wait(ctx, retryInterval) {
+		if b.pendingCount() > 0 && !retry.Sleep(ctx, retryInterval) {
 			break
 		}
 	}
@@ -189,15 +185,3 @@
 	defer b.mu.Unlock()
 	return len(b.pending)
 }
-
-// wait reports false if the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -74,7 +75,7 @@
 func (b *Book) serveSweep(ctx context.Context) error {
 	for {
 		seen, err := b.readSweep(ctx)
-		if !wait(ctx, b.config.Retention/sweepMarks) {
+		if !retry.Sleep(ctx, b.config.Retention/sweepMarks) {
 			return ctx.Err()
 		}
 		if err == nil {
@@ -139,7 +140,7 @@
 			return err
 		}
 		b.metrics.deleted.Inc()
-		if !wait(ctx, deleteInterval) {
+		if !retry.Sleep(ctx, deleteInterval) {
 			return ctx.Err()
 		}
 	}
--- a/internal/config/compact.go
+++ b/internal/config/compact.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 )
 
@@ -80,7 +81,7 @@
 		if err != nil && !errors.As(err, &missing) {
 			return err
 		}
-		if !wait(ctx, deleteInterval) {
+		if !retry.Sleep(ctx, deleteInterval) {
 			return ctx.Err()
 		}
 	}
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -87,12 +88,12 @@
 
 // NewLog returns a log at revision 0 that is not loaded yet.
 func NewLog(config LogConfig) *Log {
-	setDefault(&config.ProofInterval, defaultProofInterval)
-	setDefault(&config.PeerInterval, defaultPeerInterval)
-	setDefault(&config.SnapshotInterval, defaultSnapshotInterval)
-	setDefault(&config.KeepChanges, defaultKeepChanges)
-	setDefault(&config.MinChangeAge, defaultMinChangeAge)
-	setDefault(&config.SnapshotDelay, defaultSnapshotDelay)
+	config.ProofInterval = cmp.Or(config.ProofInterval, defaultProofInterval)
+	config.PeerInterval = cmp.Or(config.PeerInterval, defaultPeerInterval)
+	config.SnapshotInterval = cmp.Or(config.SnapshotInterval, defaultSnapshotInterval)
+	config.KeepChanges = cmp.Or(config.KeepChanges, defaultKeepChanges)
+	config.MinChangeAge = cmp.Or(config.MinChangeAge, defaultMinChangeAge)
+	config.SnapshotDelay = cmp.Or(config.SnapshotDelay, defaultSnapshotDelay)
 	if config.Clock == nil {
 		config.Clock = time.Now
 	}
@@ -107,13 +108,6 @@
 	return l
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // Current implements Source.
 func (l *Log) Current() *Snapshot {
 	l.mu.Lock()
--- a/internal/config/snapshots.go
+++ b/internal/config/snapshots.go
@@ -9,6 +9,7 @@
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -58,7 +59,7 @@
 			return ctx.Err()
 		case <-l.accepted:
 		}
-		if !wait(ctx, rand.N(l.config.SnapshotDelay)) {
+		if !retry.Sleep(ctx, rand.N(l.config.SnapshotDelay)) {
 			return ctx.Err()
 		}
 		if err := l.WriteSnapshot(ctx); err != nil && ctx.Err() == nil {
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -7,7 +7,7 @@
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/platform"
-	"github.com/cenkalti/backoff/v4"
+	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 )
@@ -27,11 +27,7 @@
 
 // serveWatch lists and watches the log, again and again.
 func (l *Log) serveWatch(ctx context.Context) error {
-	pause := backoff.NewExponentialBackOff(
-		backoff.WithInitialInterval(retryInterval),
-		backoff.WithMaxInterval(retryMaxInterval),
-		backoff.WithMaxElapsedTime(0),
-	)
+	pause := retry.NewBackOff(retryInterval, retryMaxInterval)
 	for {
 		started := l.config.Clock()
 		err := l.watchOnce(ctx)
@@ -42,24 +38,12 @@
 			pause.Reset()
 		}
 		logrus.WithError(err).Warn("configuration watch ended; listing again")
-		if !wait(ctx, pause.NextBackOff()) {
+		if !retry.Sleep(ctx, pause.NextBackOff()) {
 			return ctx.Err()
 		}
 	}
 }
 
-// wait reports false if the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (l *Log) watchOnce(ctx context.Context) error {
 	version, err := l.load(ctx)
 	if err != nil {
@@ -155,7 +139,7 @@
 // serveProofs proves at intervals that the revision in force is the latest.
 func (l *Log) serveProofs(ctx context.Context) error {
 	pause := l.config.ProofInterval
-	for wait(ctx, pause) {
+	for retry.Sleep(ctx, pause) {
 		pause = l.config.ProofInterval
 		if err := l.Prove(ctx); err != nil && ctx.Err() == nil {
 			pause = min(pause, proofRetryInterval)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -66,12 +67,8 @@
 
 // NewClient returns a client; it makes no connection yet.
 func NewClient(config ClientConfig) *Client {
-	if config.CallTimeout == 0 {
-		config.CallTimeout = defaultCallTimeout
-	}
-	if config.WatchTimeout == 0 {
-		config.WatchTimeout = defaultWatchTimeout
-	}
+	config.CallTimeout = cmp.Or(config.CallTimeout, defaultCallTimeout)
+	config.WatchTimeout = cmp.Or(config.WatchTimeout, defaultWatchTimeout)
 	if config.Clock == nil {
 		config.Clock = time.Now
 	}
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -17,8 +17,8 @@
 	return &clientMetrics{
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bilberryslip_platform_calls_total",
-			Help: "Calls to the platform's object API, by call and result.",
-		}, []string{"call", "result"}),
+			Help: "Calls to the platform's object API, by call, kind of object and result.",
+		}, []string{"call", "kind", "result"}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "bilberryslip_platform_call_seconds",
 			Help:    "Duration of calls to the platform's object API, by call.",
@@ -31,8 +31,8 @@
 	}
 }
 
-func (m *clientMetrics) observe(name string, err error, took time.Duration) {
-	m.calls.WithLabelValues(name, resultOf(err)).Inc()
+func (m *clientMetrics) observe(name string, kind Kind, err error, took time.Duration) {
+	m.calls.WithLabelValues(name, string(kind), resultOf(err)).Inc()
 	m.seconds.WithLabelValues(name).Observe(took.Seconds())
 }
 
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cenkalti/backoff/v4"
+	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 )
 
@@ -52,7 +52,7 @@
 
 // settle repeats a conditional write while its outcome is unknown.
 func settle(ctx context.Context, writeID string, write func() (Object, error)) (Object, error) {
-	pause := newSettleBackOff()
+	pause := retry.NewBackOff(settleInterval, settleMaxInterval)
 	unknown := false
 	for {
 		obj, err := write()
@@ -68,7 +68,7 @@
 		if !unknown {
 			return Object{}, err
 		}
-		if !sleep(ctx, max(pause.NextBackOff(), unavailable.RetryAfter)) {
+		if !retry.Sleep(ctx, max(pause.NextBackOff(), unavailable.RetryAfter)) {
 			return Object{}, &UnavailableError{Outcome: OutcomeUnknown, RetryAfter: unavailable.RetryAfter, Cause: unavailable.Cause}
 		}
 	}
@@ -83,23 +83,3 @@
 	}
 	return Object{}, conflict
 }
-
-func newSettleBackOff() *backoff.ExponentialBackOff {
-	return backoff.NewExponentialBackOff(
-		backoff.WithInitialInterval(settleInterval),
-		backoff.WithMaxInterval(settleMaxInterval),
-		backoff.WithMaxElapsedTime(0),
-	)
-}
-
-// sleep reports false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
