Keep late writes out of the compacted configuration log

Cause: compaction frees an entry's name. A create that was held up until then, by the network or by a pause of its host, took the free name; the host that sent it took it for accepted, and a host that started read it as the entry.

Ruled out: keeping tombstones (never less data than the entries), and trusting that no request lives for an hour (a stopped process does).

Change: a change is written only with a recent proof; after a slow write the log is listed to see whether the entry is part of it; readers pass over what lies before a gap; a different change at a revision below those that are always kept is no fork.

Also: a repeated change is answered from memory while the platform is down.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -27,27 +27,28 @@
 func (l *Log) Apply(ctx context.Context, mutations []*apiv1.Mutation, changeID, author string) (int64, error) {
 	revision, err := l.apply(ctx, mutations, changeID, author)
 	l.metrics.applies.WithLabelValues(applyResult(err)).Inc()
-	return revision, err
+	if err != nil {
+		return 0, err
+	}
+	logrus.WithFields(logrus.Fields{"revision": revision, "change_id": changeID, "author": author}).Info("configuration change accepted")
+	return revision, nil
 }
 
 func (l *Log) apply(ctx context.Context, mutations []*apiv1.Mutation, changeID, author string) (int64, error) {
-	if err := l.ensureListed(ctx); err != nil {
-		return 0, notApplied(err)
-	}
 	for {
+		proof, err := l.ensureRecent(ctx)
 		if earlier := l.changeByID(changeID); earlier != nil {
 			return repeatedRevision(earlier, mutations)
 		}
+		if err != nil {
+			return 0, notApplied(err)
+		}
 		before := l.Current()
 		if _, err := Validate(before, mutations); err != nil {
-			fresh, proveErr := l.refreshed(ctx, before)
-			if proveErr != nil {
-				return 0, notApplied(proveErr)
-			}
-			if !fresh {
-				continue
+			if err := l.checkLatest(ctx, before, err); err != nil {
+				return 0, err
 			}
-			return 0, err
+			continue
 		}
 		change := &apiv1.Change{
 			Revision:   before.Revision() + 1,
@@ -56,29 +57,29 @@
 			UnixMillis: l.config.Clock().UnixMilli(),
 			Mutations:  mutations,
 		}
-		won, err := l.write(ctx, change)
-		if err != nil {
-			return 0, err
-		}
-		if won {
-			logrus.WithFields(logrus.Fields{"revision": change.Revision, "change_id": changeID, "author": author}).Info("configuration change accepted")
-			return change.Revision, nil
+		if won, err := l.write(ctx, change, proof); won || err != nil {
+			return change.Revision, err
 		}
 	}
 }
 
-// refreshed reads on and reports whether the snapshot was the latest, so that
-// a change is not refused over an outdated state.
-func (l *Log) refreshed(ctx context.Context, before *Snapshot) (bool, error) {
+// checkLatest returns the refusal of a change if the snapshot that it was
+// validated against is the latest, and nil if there is a later one by now, so
+// that no change is refused over an outdated state.
+func (l *Log) checkLatest(ctx context.Context, before *Snapshot, refusal error) error {
 	if err := l.Prove(ctx); err != nil {
-		return false, err
+		return notApplied(err)
+	}
+	if l.Current().Revision() > before.Revision() {
+		return nil
 	}
-	return l.Current().Revision() == before.Revision(), nil
+	return refusal
 }
 
 // write creates the log entry. It reports false where another change took
-// the revision, which is then in force here.
-func (l *Log) write(ctx context.Context, change *apiv1.Change) (won bool, err error) {
+// the revision, or where this host was so slow that the revision may have been
+// taken and compacted since the proof.
+func (l *Log) write(ctx context.Context, change *apiv1.Change, proof time.Time) (won bool, err error) {
 	value, err := encodeChange(change)
 	if err != nil {
 		return false, err
@@ -86,6 +87,9 @@
 	settleCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	obj, err := platform.CreateSettled(settleCtx, l.config.Store, platform.KindConfigChange, changeName(change.Revision), change.ChangeId, value)
+	if l.config.Clock().Sub(proof) > l.config.MinChangeAge {
+		return false, l.discardLate(ctx, obj, change, err)
+	}
 	if err == nil {
 		return l.adopt(obj, change.ChangeId)
 	}
@@ -100,9 +104,29 @@
 	return false, notApplied(err)
 }
 
+// discardLate deletes an entry that was created too late to be part of the
+// log, and leaves one that is part of it.
+func (l *Log) discardLate(ctx context.Context, obj platform.Object, change *apiv1.Change, err error) error {
+	if err != nil {
+		var conflict *platform.ConflictError
+		if errors.As(err, &conflict) {
+			return nil
+		}
+		return &UnknownOutcomeError{ChangeID: change.ChangeId, Cause: err}
+	}
+	if _, err := l.load(ctx); err != nil {
+		return &UnknownOutcomeError{ChangeID: change.ChangeId, Cause: err}
+	}
+	if l.changeByID(change.ChangeId) != nil {
+		return nil
+	}
+	// Left undeleted it does no harm.
+	_ = l.config.Store.Delete(ctx, obj.Kind, obj.Name, obj.Version)
+	return nil
+}
+
 // adopt learns the entry that holds a revision and reports whether it is the
-// caller's change, also by the history: an entry that was compacted long ago
-// could be created anew.
+// caller's change.
 func (l *Log) adopt(obj platform.Object, changeID string) (bool, error) {
 	change, err := decodeChange(obj)
 	if err != nil {
@@ -117,15 +141,20 @@
 	return known.GetChangeId() == changeID, nil
 }
 
-func (l *Log) ensureListed(ctx context.Context) error {
+// ensureRecent returns the time of the last proof, after listing the log where
+// this host never did, or where the proof is so old that the next revision may
+// have been taken and compacted since.
+func (l *Log) ensureRecent(ctx context.Context) (time.Time, error) {
 	l.mu.Lock()
-	listed := l.listed
+	listed, proof := l.listed, l.proof
 	l.mu.Unlock()
-	if listed {
-		return nil
+	if listed && l.isRecent(l.config.Clock(), proof) {
+		return proof, nil
+	}
+	if _, err := l.load(ctx); err != nil {
+		return time.Time{}, err
 	}
-	_, err := l.load(ctx)
-	return err
+	return l.Freshness(), nil
 }
 
 func (l *Log) changeByID(changeID string) *apiv1.Change {
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -101,7 +101,7 @@
 		config:   config,
 		hints:    make(chan struct{}, 1),
 		accepted: make(chan struct{}, 1),
-		replica:  newReplica(),
+		replica:  newReplica(config.KeepChanges),
 		changed:  make(chan struct{}),
 	}
 	l.metrics = newLogMetrics(l)
--- a/internal/config/replica.go
+++ b/internal/config/replica.go
@@ -33,13 +33,18 @@
 	byID    map[string]*apiv1.Change
 	// forked is set once two different changes were seen at one revision.
 	forked bool
+	// keepChanges is the number of latest changes that are never compacted.
+	// Below them the name of a revision may have been free for a late write,
+	// which is no part of the log.
+	keepChanges int64
 }
 
-func newReplica() *replica {
+func newReplica(keepChanges int64) *replica {
 	return &replica{
-		snapshot: NewSnapshot(0, nil),
-		pending:  make(map[int64]learnedChange),
-		byID:     make(map[string]*apiv1.Change),
+		keepChanges: keepChanges,
+		snapshot:    NewSnapshot(0, nil),
+		pending:     make(map[int64]learnedChange),
+		byID:        make(map[string]*apiv1.Change),
 	}
 }
 
@@ -58,7 +63,8 @@
 	revision := change.GetRevision()
 	if revision <= r.revision() {
 		known := r.changeAt(revision)
-		r.forked = r.forked || known != nil && known.ChangeId != change.ChangeId
+		kept := revision > r.revision()-r.keepChanges
+		r.forked = r.forked || kept && known != nil && known.ChangeId != change.ChangeId
 		return
 	}
 	if known, ok := r.pending[revision]; ok {
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -79,6 +79,7 @@
 	if err != nil {
 		return 0, err
 	}
+	changes = denseSuffix(changes)
 	if l.needsSnapshot(changes) {
 		if err := l.loadSnapshot(ctx); err != nil {
 			return 0, err
@@ -108,6 +109,17 @@
 	return changes, nil
 }
 
+// denseSuffix returns the changes up to the last one without a gap. What
+// comes before a gap was written late, under the name of a revision that had
+// been compacted.
+func denseSuffix(changes []*apiv1.Change) []*apiv1.Change {
+	first := len(changes) - 1
+	for first > 0 && changes[first-1].Revision == changes[first].Revision-1 {
+		first--
+	}
+	return changes[max(first, 0):]
+}
+
 func lastRevision(changes []*apiv1.Change) int64 {
 	if len(changes) == 0 {
 		return 0
@@ -205,7 +217,7 @@
 	for {
 		sentAt := l.config.Clock()
 		revision, proof := l.Current().Revision(), l.Freshness()
-		if sentAt.Sub(proof) > l.config.MinChangeAge/2 {
+		if !l.isRecent(sentAt, proof) {
 			_, err := l.load(ctx)
 			return err
 		}
@@ -229,6 +241,12 @@
 	}
 }
 
+// isRecent reports whether the revision after a proof can't have been
+// compacted soon after the time given.
+func (l *Log) isRecent(now, proof time.Time) bool {
+	return now.Sub(proof) <= l.config.MinChangeAge/2
+}
+
 // servePeers asks a peer while the platform gives no proof, and at once when
 // a peer is known to be ahead.
 func (l *Log) servePeers(ctx context.Context) error {
