Be ready only with the highest revision heard of, and measure the copy's memory

A host that starts while the platform is down was ready with whatever the first peer had; now it waits for the highest revision that gossip shows, once.

--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
+	"time"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
@@ -83,6 +85,43 @@
 	}
 }
 
+// BenchmarkMemory is the heap that a host's copy takes: the snapshot, and the
+// history of as many changes as are kept.
+func BenchmarkMemory(b *testing.B) {
+	for _, d := range deployments {
+		b.Run(d.name, func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				r := newReplica(defaultKeepChanges)
+				r.offerSnapshot(d.snapshot())
+				r.offer(time.Time{}, fullHistory()...)
+				b.ReportMetric(float64(heapBytes()-before), "heap-bytes")
+				runtime.KeepAlive(r)
+			}
+		})
+	}
+}
+
+// fullHistory returns as many changes of one object as a host keeps.
+func fullHistory() []*apiv1.Change {
+	changes := make([]*apiv1.Change, maxHistory)
+	for i := range changes {
+		changes[i] = &apiv1.Change{
+			Revision: int64(i + 2), ChangeId: uuid.NewString(), Author: "operator",
+			Mutations: []*apiv1.Mutation{putOrganisation("org-0", int64(i+1), float64(i))},
+		}
+	}
+	return changes
+}
+
+// heapBytes returns the bytes of reachable heap objects.
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 // BenchmarkApply counts the platform's calls for one change.
 func BenchmarkApply(b *testing.B) {
 	logrus.SetLevel(logrus.ErrorLevel)
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -73,6 +73,7 @@
 	changed chan struct{}
 	loaded  bool
 	listed  bool
+	ready   bool
 	// highest is the highest revision that a peer is known to have.
 	highest int64
 	// failure is when EnsureFresh last failed to get a proof.
@@ -166,15 +167,23 @@
 	}
 }
 
-// Behind reports whether a peer is known to have a later revision. A host
-// that starts while the platform is down is ready once it is loaded and not
-// behind.
+// Behind reports whether a peer is known to have a later revision.
 func (l *Log) Behind() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.highest > l.replica.revision()
 }
 
+// Ready reports whether this host has ever been loaded and not behind: from
+// then on it serves. A host that starts while the platform is down thus first
+// takes the highest revision that it hears of.
+func (l *Log) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ready = l.ready || l.loaded && l.highest <= l.replica.revision()
+	return l.ready
+}
+
 // Changes answers a peer.
 func (l *Log) Changes(_ context.Context, req *peerv1.ChangesRequest) (*peerv1.ChangesResponse, error) {
 	limit := int(req.GetLimit())
--- a/internal/config/standin_test.go
+++ b/internal/config/standin_test.go
@@ -111,7 +111,10 @@
 		s.srv.Switches().Update(func(f *platformserver.Faults) { f.StaleWatches = true })
 		s.apply(a, "second")
 		s.srv.Switches().Update(func(f *platformserver.Faults) { f.Down = true })
-		s.start(b) // Starts in the outage, and learns from one that learns.
+		late := s.start(b) // Starts in the outage, and learns from one that learns.
+		late.Hint(2)
+		Eventually(late.Loaded, inForceBound).Should(BeTrue())
+		Expect(late.Ready()).To(Equal(late.Current().Revision() == 2))
 		b.Hint(2)
 		s.expectInForce(2, inForceBound)
 		_, err := a.Apply(s.ctx, []*apiv1.Mutation{putOrganisation("third", 0, 1)}, "third", "operator")
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -67,7 +67,7 @@
 	h.buildEndpoints()
 	h.buildLimits()
 	h.buildGateway()
-	h.ready = newReadiness(h.log.Loaded)
+	h.ready = newReadiness(h.log.Ready)
 	h.dump = h.newDump()
 	if err := h.buildTree(); err != nil {
 		return nil, err
