Place on the stand-in engines; unload adapters before their model

The stand-in engine refuses to unload a model while it holds adapters of it, so the plan unloads these first and the model in a later plan; the fake engine of the random runs now refuses likewise.

Found by running two hosts' owners against four stand-in engines over HTTP, with late orders and half of the engines ignoring fencing: a version change stood still where memory was full and the only spare replica was of the old version. An old replica may now go while another one stays ready; a plan test shows it (before: an empty plan). A replica whose share is idle may go even where the other holders are busy.

--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -177,8 +177,11 @@
 
 // victim is a replica that may be removed.
 type victim struct {
-	model *placed
-	cost  float64
+	item  Item
+	bytes int64
+	// cost is the demand that other replicas have to take, in tokens per
+	// second.
+	cost float64
 }
 
 // evictFor removes the cheapest set of replicas of one endpoint that makes
@@ -190,7 +193,7 @@
 		return
 	}
 	for _, v := range victims {
-		p.unload(n, v.model.item, ReasonMakeRoom)
+		p.unload(n, v.item, ReasonMakeRoom)
 	}
 	p.load(m, n, reason)
 }
@@ -214,20 +217,13 @@
 // victimsOn returns the cheapest removable replicas whose memory adds up to
 // the bytes needed.
 func (p *planner) victimsOn(n *node, needed int64, removable func(*placed, *node) bool) ([]victim, float64, bool) {
-	var candidates []victim
-	for item := range n.items {
-		m := p.byName[item.Model]
-		if m == nil || item != m.item || !n.items[item].Secure() || n.items[item].MayAppear || !removable(m, n) {
-			continue
-		}
-		candidates = append(candidates, victim{m, m.share()})
-	}
+	candidates := p.removableOn(n, removable)
 	slices.SortFunc(candidates, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.model.Name, b.model.Name))
+		return cmp.Or(cmp.Compare(a.cost, b.cost), compareItems(a.item, b.item))
 	})
 	cost := 0.0
 	for i, v := range candidates {
-		needed -= v.model.Bytes
+		needed -= v.bytes
 		cost += v.cost
 		if needed <= 0 {
 			return candidates[:i+1], cost, true
@@ -236,6 +232,35 @@
 	return nil, 0, needed <= 0
 }
 
+func (p *planner) removableOn(n *node, removable func(*placed, *node) bool) []victim {
+	var candidates []victim
+	for item, holding := range n.items {
+		m := p.byName[item.Model]
+		if m == nil || item.IsAdapter() || !holding.Secure() || holding.MayAppear {
+			continue
+		}
+		if item == m.item && removable(m, n) {
+			candidates = append(candidates, victim{item, m.Bytes, m.share()})
+		}
+		if item != m.item && m.oldSecure(n) > 0 {
+			candidates = append(candidates, victim{item, holding.Bytes, 0})
+		}
+	}
+	return candidates
+}
+
+// oldSecure counts the zone's replicas of versions other than the serving one
+// that are ready and stay, without the node given.
+func (m *placed) oldSecure(without *node) int {
+	count := 0
+	for _, old := range m.old {
+		if old.node != without && old.node.Accounted && old.node.items[old.item].Secure() {
+			count++
+		}
+	}
+	return count
+}
+
 // spare reports whether the model stays reachable, and at its minimum,
 // without the replica on the endpoint.
 func (p *planner) spare(m *placed, n *node) bool {
@@ -352,12 +377,16 @@
 		return false
 	}
 	for _, v := range victims {
-		p.unload(n, v.model.item, ReasonMakeRoom)
+		p.unload(n, v.item, ReasonMakeRoom)
 	}
 	p.load(m, n, ReasonDemand)
 	return true
 }
 
+// idlePart is the part of an endpoint's tokens per second below which a
+// replica's share of demand may move to any other endpoint.
+const idlePart = 0.01
+
 // surplus reports whether demand leaves the replica idle enough to remove:
 // the endpoints that would take its share stay under the low threshold.
 func (p *planner) surplus(m *placed, n *node) bool {
@@ -366,6 +395,9 @@
 	}
 	low := p.tuning.LowLoad * p.tuning.EndpointTokensPerSecond
 	extra := m.share() / float64(len(m.here)-1)
+	if extra <= idlePart*p.tuning.EndpointTokensPerSecond {
+		return true
+	}
 	for _, other := range m.here {
 		if other != n && other.load+extra > low {
 			return false
--- a/internal/placement/owner/fleet_test.go
+++ b/internal/placement/owner/fleet_test.go
@@ -207,6 +207,12 @@
 		if e.used() > e.config.MemoryBytes {
 			f.failures = append(f.failures, fmt.Sprintf("%s overcommitted by %s: %d of %d bytes", e.config.Name, item, e.used(), e.config.MemoryBytes))
 		}
+	case engineapi.ActionUnloadModel:
+		if e.carriesAdapters(item) {
+			e.settle(order.ID, false)
+			return false
+		}
+		fallthrough
 	default:
 		if held != nil && !held.ready {
 			e.settle(held.orderID, false)
@@ -217,6 +223,21 @@
 	return true
 }
 
+// carriesAdapters reports whether adapters would be left without their model.
+func (e *engine) carriesAdapters(model placement.Item) bool {
+	carries := false
+	for item := range e.items {
+		if item.Model != model.Model || item == model {
+			continue
+		}
+		if !item.IsAdapter() {
+			return false
+		}
+		carries = true
+	}
+	return carries
+}
+
 // advance moves time on, delivers late orders and finishes loads.
 func (f *fleet) advance(d time.Duration) {
 	f.mu.Lock()
--- a/internal/placement/owner/input.go
+++ b/internal/placement/owner/input.go
@@ -11,9 +11,6 @@
 	"bilberryslip.example/bilberryslip/internal/placement"
 )
 
-// demandTimeConstant is that of the demand's exponential average.
-const demandTimeConstant = time.Minute
-
 // input collects what a plan depends on.
 func (o *Owner) input(views []*view, now time.Time) placement.Input {
 	snapshot := o.cfg.Source.Current()
@@ -147,7 +144,7 @@
 	for _, a := range snapshot.Adapters() {
 		current[a.GetModel()] += current[a.GetName()]
 	}
-	return o.demand.update(current, now)
+	return o.demand.update(current, now, o.cfg.DemandWindow)
 }
 
 // smoother is an exponential average of demand. The zero value starts with
@@ -157,10 +154,10 @@
 	values map[string]float64
 }
 
-func (s *smoother) update(current map[string]float64, now time.Time) map[string]float64 {
+func (s *smoother) update(current map[string]float64, now time.Time, window time.Duration) map[string]float64 {
 	weight := 1.0
 	if !s.at.IsZero() {
-		weight = 1 - math.Exp(-now.Sub(s.at).Seconds()/demandTimeConstant.Seconds())
+		weight = 1 - math.Exp(-now.Sub(s.at).Seconds()/window.Seconds())
 	}
 	next := make(map[string]float64, len(current))
 	for name, value := range s.values {
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -28,6 +28,7 @@
 	DefaultOrderLifetime = 2 * time.Minute
 	DefaultStaleReport   = 15 * time.Second
 	DefaultSettleDelay   = 5 * time.Second
+	DefaultDemandWindow  = time.Minute
 )
 
 // wantLifetime is how long a request's wish for a model is remembered.
@@ -88,9 +89,12 @@
 	Lease       Holder
 	Recorder    Recorder
 	// Demand gives the demand by model or adapter name. Nil means none.
-	Demand      func() map[string]Demand
-	WeightStore WeightStore
-	Tuning      placement.Tuning
+	Demand func() map[string]Demand
+	// DemandWindow is the time constant of the demand's exponential average.
+	// Zero means DefaultDemandWindow.
+	DemandWindow time.Duration
+	WeightStore  WeightStore
+	Tuning       placement.Tuning
 	// Now is the clock. Nil means time.Now.
 	Now func() time.Time
 	// Interval is the time between two plans. Zero means DefaultInterval.
@@ -120,6 +124,7 @@
 	c.OrderLifetime = orDefault(c.OrderLifetime, DefaultOrderLifetime)
 	c.StaleReport = orDefault(c.StaleReport, DefaultStaleReport)
 	c.SettleDelay = orDefault(c.SettleDelay, DefaultSettleDelay)
+	c.DemandWindow = orDefault(c.DemandWindow, DefaultDemandWindow)
 	c.WeightStore = c.WeightStore.withDefaults()
 	return c
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -40,6 +40,15 @@
 	load float64
 }
 
+// release notes that the item's memory will be free.
+func (n *node) release(item Item, bytes int64) {
+	if item.IsAdapter() {
+		n.freeAdapter += bytes
+		return
+	}
+	n.free += bytes
+}
+
 func (n *node) orderable() bool { return n.Orderable && n.Serves() }
 
 // placed is a model with its replicas while a plan is made.
@@ -138,11 +147,8 @@
 	n.free, n.freeAdapter = n.freeNow, n.freeAdapterNow
 	for item, holding := range account.Items {
 		n.items[item] = holding
-		if holding.Going && !item.IsAdapter() {
-			n.free += holding.Bytes
-		}
-		if holding.Going && item.IsAdapter() {
-			n.freeAdapter += holding.Bytes
+		if holding.Going || holding.State == engineapi.ItemUnloading {
+			n.release(item, holding.Bytes)
 		}
 		p.indexHolding(n, item, holding)
 	}
@@ -251,22 +257,42 @@
 	})
 }
 
-// unload removes a replica of any version from the plan's view.
+// unload removes an item from the plan's view. An engine keeps a model while
+// it holds adapters of it, so these go first, and the model in a later plan.
 func (p *planner) unload(n *node, item Item, reason Reason) {
 	holding := n.items[item]
 	holding.Going, holding.MayVanish = true, true
 	n.items[item] = holding
-	action := engineapi.ActionUnloadModel
+	n.release(item, holding.Bytes)
+	step := Step{Endpoint: n.Name, Action: engineapi.ActionUnloadModel, Item: item, Bytes: holding.Bytes, Reason: reason}
 	if item.IsAdapter() {
-		action = engineapi.ActionUnloadAdapter
-		n.freeAdapter += holding.Bytes
-	} else {
-		n.free += holding.Bytes
+		step.Action = engineapi.ActionUnloadAdapter
+		p.emit(step)
+		return
 	}
 	if m := p.byName[item.Model]; m != nil && item == m.item {
 		p.forgetReplica(m, n)
 	}
-	p.emit(Step{Endpoint: n.Name, Action: action, Item: item, Bytes: holding.Bytes, Reason: reason})
+	if n.holdsModel(item.Model) || !p.unloadAdapters(n, item.Model, reason) {
+		p.emit(step)
+	}
+}
+
+// unloadAdapters unloads the model's adapters from the endpoint, and reports
+// whether it still has any.
+func (p *planner) unloadAdapters(n *node, model string, reason Reason) bool {
+	found := false
+	for _, item := range sortedItems(n) {
+		holding := n.items[item]
+		if !item.IsAdapter() || item.Model != model || holding.State == "" {
+			continue
+		}
+		found = true
+		if holding.State == engineapi.ItemReady && !holding.Going {
+			p.unload(n, item, reason)
+		}
+	}
+	return found
 }
 
 func (p *planner) forgetReplica(m *placed, n *node) {
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -56,6 +56,18 @@
 			And(HaveField("Action", engineapi.ActionUnloadModel), HaveField("Item.Version", "m-v1"))))
 	})
 
+	It("gives up one of two old replicas where memory is full", func() {
+		a, b := model("a", 4*gib), model("b", 4*gib)
+		old := a
+		a.Version = "a-v2"
+		in := placement.Input{
+			Zone: "z1", Models: []placement.Model{a, b}, Budget: placement.Budget{ModelLoads: 4},
+			Endpoints: []placement.Endpoint{endpoint("e0", "z1", 8*gib, &old, &b), endpoint("e1", "z1", 4*gib, &old)},
+		}
+		Expect(placement.Plan(&in)).To(HaveExactElements(
+			And(HaveField("Action", engineapi.ActionUnloadModel), HaveField("Item.Model", "a"))))
+	})
+
 	It("replaces the sole replica of a leaving endpoint before anything else", func() {
 		a, b, hot := model("a", 4*gib), model("b", 4*gib), model("hot", 4*gib)
 		hot.Demand = 5000
--- a/internal/placement/reachable.go
+++ b/internal/placement/reachable.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		if replica.Item != m.item {
-			return m.secure(n) > 0
+			return m.secure(n) > 0 || m.oldSecure(n) > 0
 		}
 		return p.reachableWithout(m, n)
 	}
