Name the weights in orders that load adapters

The demo's adapters stayed in state loading for good: the order carried no name of weights, and the weight store answered 404 to the engine's fetch. Ruled out: routing (the report said loading), the adapter pool (room left). The new test failed first: expected Weights a, got an empty text. Before: adapters never ready.

--- a/internal/placement/adapters.go
+++ b/internal/placement/adapters.go
@@ -114,7 +114,7 @@
 	if adapter.Wanted {
 		reason = ReasonWanted
 	}
-	p.emit(Step{Endpoint: n.Name, Action: engineapi.ActionLoadAdapter, Item: item, Bytes: adapter.Bytes, Reason: reason})
+	p.emit(Step{Endpoint: n.Name, Action: engineapi.ActionLoadAdapter, Item: item, Bytes: adapter.Bytes, Weights: item.Adapter, Reason: reason})
 }
 
 // evictAdapters unloads adapters with the least demand that other endpoints
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -56,6 +56,22 @@
 			And(HaveField("Action", engineapi.ActionUnloadModel), HaveField("Item.Version", "m-v1"))))
 	})
 
+	It("names the weights of adapters as well as of models", func() {
+		m := model("m", 4*gib)
+		held := endpoint("e0", "z1", 8*gib, &m)
+		report := engineapi.Report{Incarnation: "e0", UsedBytes: m.Bytes, Models: []engineapi.HeldModel{
+			{Model: "m", Version: m.Version, State: engineapi.ItemReady, Bytes: m.Bytes},
+		}}
+		held.Account = placement.NewAccount(placement.Limits{ModelBytes: 8 * gib, AdapterBytes: gib}, &report, &placement.Intents{}, "")
+		in := placement.Input{
+			Zone: "z1", Models: []placement.Model{m}, Endpoints: []placement.Endpoint{held},
+			Adapters: []placement.Adapter{{Name: "a", Model: "m", Bytes: 1 << 20}},
+			Budget:   placement.Budget{ModelLoads: 1, AdapterLoads: 1},
+		}
+		Expect(placement.Plan(&in)).To(HaveExactElements(
+			And(HaveField("Action", engineapi.ActionLoadAdapter), HaveField("Weights", "a"))))
+	})
+
 	It("gives up one of two old replicas where memory is full", func() {
 		a, b := model("a", 4*gib), model("b", 4*gib)
 		old := a
