--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,10 +6,17 @@
 cd "$(dirname "$0")/.."
 run=$(mktemp -d)
 pids=()
+host_pids=()
 failures=0
 
-# Ends the processes that this script started, by id.
+# Ends the processes that this script started, by id: hosts first, which hand
+# back what they hold in the platform.
 stop_all() {
+  if [ "${#host_pids[@]}" -gt 0 ]; then
+    kill "${host_pids[@]}" 2>/dev/null
+    wait "${host_pids[@]}" 2>/dev/null
+  fi
+  host_pids=()
   if [ "${#pids[@]}" -gt 0 ]; then
     kill "${pids[@]}" 2>/dev/null
     wait "${pids[@]}" 2>/dev/null
@@ -121,6 +128,8 @@
       hosts+=("$zone-$letter")
       settings "$zone-$letter" "$zone" "$region" >"$run/$zone-$letter.settings"
       start "$zone-$letter" "$run/bin/bilberryslipd" --settings "$run/$zone-$letter.settings"
+      host_pids+=("${pids[-1]}")
+      unset 'pids[-1]'
     done
   done
   for host in "${hosts[@]}"; do
