Close the callers' listener in a drain once the balancer has moved away

Cause: a host told to leave went on accepting until no request ran, so under a load that went on arriving it never ended before shutdown.limit. Failing first: go test ./test/process -ginkgo.focus graceful: SIGTERM on a host under 50 streams a second, 'Timed out after 25.000s. Expected <chan struct {}> to be closed'. Ruled out: refusing requests after the delay, which are then requests refused wrongly. Change: gateway.Config.StopAccepting, called after the balancer's delay; the daemon shuts the callers' server down, which closes the port and waits.

--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -48,6 +48,7 @@
 	book      *claims.Book
 	demand    *demand.Tracker
 	gateway   *gateway.Gateway
+	callers   *httpServer
 
 	ready *readiness
 	dump  *stateDump
@@ -172,6 +173,7 @@
 	if err != nil {
 		return err
 	}
+	h.callers = h.tlsServer("callers", h.sockets.callers, h.gateway.Handler())
 	control := &selfControl{dump: h.dump, leave: h.leave}
 	h.tree = newTree([]branch{
 		{"platform", []suture.Service{h.log}},
@@ -179,7 +181,7 @@
 		{"endpoints", []suture.Service{h.endpoints}},
 		{"placement", []suture.Service{h.lease, h.owner, h.recorder}},
 		{"limits", []suture.Service{h.shares, h.book}},
-		{"gateway", []suture.Service{h.gateway, h.tlsServer("callers", h.sockets.callers, h.gateway.Handler())}},
+		{"gateway", []suture.Service{h.gateway, h.callers}},
 		{"admin", []suture.Service{h.tlsServer("operators", h.sockets.operators, h.adminHandler(control))}},
 		{"debug", []suture.Service{h.server("debug", h.sockets.debug, newDebugHandler(h.ready, h.metrics(), h.dump))}},
 	}, h.ready.onEvent)
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -60,6 +60,7 @@
 		FirstByte:        h.settings.Endpoints.FirstByteTimeout.Std(),
 		Between:          h.settings.Endpoints.ProgressTimeout.Std(),
 		ServiceFirstByte: h.settings.Endpoints.FirstByteTimeout.Std(),
+		StopAccepting:    func(ctx context.Context) { h.callers.stopAccepting(ctx) },
 	})
 }
 
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,10 @@
 	address  string
 	handler  http.Handler
 	tls      *certificate
+
+	mu sync.Mutex
+	// server runs; it is nil before the first start.
+	server *http.Server
 }
 
 // certificate names a certificate and its key.
@@ -46,6 +51,9 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	s.mu.Lock()
+	s.server = server
+	s.mu.Unlock()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -63,6 +71,18 @@
 	return errors.Wrapf(err, "serve %s", s.name)
 }
 
+// stopAccepting closes the listener for good and waits until no request runs
+// or ctx ends. Serve goes on until its own context ends, so that the
+// supervisor does not open the address again.
+func (s *httpServer) stopAccepting(ctx context.Context) {
+	s.mu.Lock()
+	server := s.server
+	s.mu.Unlock()
+	if server != nil {
+		_ = server.Shutdown(ctx)
+	}
+}
+
 func (s *httpServer) serve(server *http.Server) error {
 	listener, err := s.takeListener()
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,10 @@
 	// MaxAttempts bounds the attempts of a repeatable request. It defaults
 	// to 3.
 	MaxAttempts int
+	// StopAccepting closes the callers' listener in a drain, once the balancer
+	// has moved away, and waits for the requests that run. Nil means that it
+	// stays open.
+	StopAccepting func(ctx context.Context)
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -85,8 +85,8 @@
 }
 
 // Drain makes the gateway not ready, goes on answering new requests for
-// balancerDelay, and then waits until no request runs. It returns the
-// requests that still ran when ctx ended.
+// balancerDelay, and then stops accepting and waits until no request runs. It
+// returns the requests that still ran when ctx ended.
 func (g *Gateway) Drain(ctx context.Context, balancerDelay time.Duration) []CutRequest {
 	g.running.startDrain()
 	logrus.WithField("balancer_delay_ms", balancerDelay.Milliseconds()).Info("gateway drains")
@@ -94,6 +94,9 @@
 	case <-ctx.Done():
 	case <-time.After(balancerDelay):
 	}
+	if g.config.StopAccepting != nil {
+		g.config.StopAccepting(ctx)
+	}
 	select {
 	case <-g.running.awaitIdle():
 		return nil
