Let the engine stand-in serve the version that a request names

Cause: hosts send the version beside the model, and with two versions held the stand-in answered with the one that became ready last. Change: the version in the body picks the weights; without one it is as before. Conclusion: answers during a change of version can be checked.

--- a/internal/standin/engineserver/completion.go
+++ b/internal/standin/engineserver/completion.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return refuse(c, http.StatusBadRequest, "invalid_request", err.Error())
 	}
-	release, generation, ok := s.memory.use(req.Model)
+	release, generation, ok := s.memory.use(req.Model, req.Version)
 	if !ok {
 		return refuse(c, http.StatusNotFound, "model_not_found", "load the model first")
 	}
--- a/internal/standin/engineserver/load.go
+++ b/internal/standin/engineserver/load.go
@@ -100,7 +100,7 @@
 	if held, ok := m.adapters[name]; ok {
 		return begin{reason: reasonHeld, settled: true, done: held.state == engineapi.ItemReady}
 	}
-	if _, loaded := m.latest(base); loaded == nil {
+	if _, loaded := m.latest(base, ""); loaded == nil {
 		return refusedBegin(reasonModelMissing)
 	}
 	if refuseOvercommit && !m.fits(bytes) {
--- a/internal/standin/engineserver/memory.go
+++ b/internal/standin/engineserver/memory.go
@@ -81,9 +81,9 @@
 	return m.total.UsedBytes+bytes <= m.total.MemoryBytes
 }
 
-// use marks the model or adapter with the name as running a request. Of
-// several versions the one that became ready last is taken.
-func (m *memory) use(name string) (release func(), generation Generation, ok bool) {
+// use marks the model or adapter with the name as running a request. Without
+// a version, the one that became ready last is taken.
+func (m *memory) use(name, version string) (release func(), generation Generation, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	held := m.adapters[name]
@@ -94,7 +94,7 @@
 		}
 		base = held.model
 	}
-	key, chosen := m.latest(base)
+	key, chosen := m.latest(base, version)
 	if chosen == nil {
 		return nil, Generation{}, false
 	}
@@ -107,11 +107,11 @@
 	return func() { m.release(chosen, held) }, generation, true
 }
 
-func (m *memory) latest(name string) (modelKey, *model) {
+func (m *memory) latest(name, version string) (modelKey, *model) {
 	var latestKey modelKey
 	var latest *model
 	for key, held := range m.models {
-		if key.model != name || held.state != engineapi.ItemReady {
+		if key.model != name || version != "" && key.version != version || held.state != engineapi.ItemReady {
 			continue
 		}
 		if latest == nil || held.loadedAt > latest.loadedAt {
--- a/internal/standin/engineserver/orders_test.go
+++ b/internal/standin/engineserver/orders_test.go
@@ -22,6 +22,11 @@
 		Expect(e.report().UsedBytes).To(BeEquivalentTo(91))
 		Expect(e.settled()).To(BeEmpty())
 		Eventually(e.settled).Should(done("o1"))
+		for version, status := range map[string]int{"": http.StatusOK, "v1": http.StatusOK, "v2": http.StatusNotFound} {
+			resp, _, err := e.complete(context.Background(), completion{Model: "m2", Version: version, MaxTokens: 1})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(status))
+		}
 		Expect(e.order(engineapi.Order{ID: "o2", Action: engineapi.ActionUnloadModel, Model: "m2", Version: "v1"}).Accepted).To(BeTrue())
 		Expect(e.report().UsedBytes).To(BeEquivalentTo(91))
 		Eventually(e.settled).Should(done("o2"))
--- a/internal/standin/engineserver/server_test.go
+++ b/internal/standin/engineserver/server_test.go
@@ -58,6 +58,7 @@
 
 type completion struct {
 	Model     string `json:"model"`
+	Version   string `json:"version,omitempty"`
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
 	Stream    bool   `json:"stream"`
--- a/internal/standin/engineserver/text.go
+++ b/internal/standin/engineserver/text.go
@@ -64,7 +64,10 @@
 
 // request is the part of an OpenAI request that the stand-in understands.
 type request struct {
-	Model     string          `json:"model"`
+	Model string `json:"model"`
+	// Version picks one of the model's versions. Empty picks the one that
+	// became ready last.
+	Version   string          `json:"version"`
 	Prompt    json.RawMessage `json:"prompt"`
 	Messages  []message       `json:"messages"`
 	MaxTokens *int            `json:"max_tokens"`
--- a/test/cluster/caller.go
+++ b/test/cluster/caller.go
@@ -18,6 +18,9 @@
 // callTimeout is the limit of a caller's request.
 const callTimeout = 30 * time.Second
 
+// idleTimeout closes a caller's idle connections.
+const idleTimeout = 30 * time.Second
+
 // Caller sends callers' requests to hosts over connections of its own.
 type Caller struct {
 	Key    string
@@ -26,8 +29,7 @@
 
 // NewCaller returns a caller with a key, which may be empty.
 func NewCaller(key string) *Caller {
-	transport := &http.Transport{MaxIdleConnsPerHost: 64}
-	ginkgo.DeferCleanup(transport.CloseIdleConnections)
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout}
 	return &Caller{Key: key, client: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/test/process/answers_test.go
+++ b/test/process/answers_test.go
@@ -21,9 +21,10 @@
 		caller = cluster.NewCaller(c.Grant(c.Hosts[0], "key", cluster.OrganisationA))
 		caller.ExpectServes(c.Hosts[0])
 	}
-	complete := func(stream bool, change cluster.Change) (*cluster.Answer, cluster.Completion) {
+	// complete asks while the engines have a fault.
+	complete := func(engines []*cluster.Engine, stream bool, change cluster.Change) (*cluster.Answer, cluster.Completion) {
 		GinkgoHelper()
-		for _, engine := range c.Engines {
+		for _, engine := range engines {
 			engine.Control(change)
 		}
 		request := cluster.Completion{Model: cluster.Adapter, Prompt: unique("whole"), MaxTokens: 24, Stream: stream}
@@ -40,9 +41,11 @@
 		start()
 		whole := func(name string, stream bool, change cluster.Change) {
 			GinkgoHelper()
-			answer, request := complete(stream, change)
-			Expect(answer.Whole(request)).To(BeTrue(), "%s, stream %v: status %d, error %v, body %s", name, stream, answer.Status, answer.Err, answer.Body)
-			reset()
+			for _, engine := range c.Engines {
+				answer, request := complete([]*cluster.Engine{engine}, stream, change)
+				Expect(answer.Whole(request)).To(BeTrue(), "%s, stream %v: status %d, error %v, body %s", name, stream, answer.Status, answer.Err, answer.Body)
+				reset()
+			}
 		}
 		for _, after := range []int{0, 1, 7, 23, 24, 25} {
 			whole("cut", true, cluster.Change{"cut": 1, "cutAfter": after})
@@ -73,7 +76,7 @@
 			{"crossed": 100},
 		} {
 			for _, stream := range []bool{true, false} {
-				answer, request := complete(stream, change)
+				answer, request := complete(c.Engines, stream, change)
 				Expect(answer.OK() && strings.Contains(answer.Body, "[DONE]")).To(BeFalse(), answer.Body)
 				Expect(answer.Body).To(ContainSubstring(`"error"`))
 				Expect(request.Generation().Text()).To(HavePrefix(answer.Text()))
