--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -72,6 +73,7 @@
 	changed chan struct{}
 	loaded  bool
 	listed  bool
+	ready   bool
 	// highest is the highest revision that a peer is known to have.
 	highest int64
 	// failure is when EnsureFresh last failed to get a proof.
@@ -87,12 +89,12 @@
 
 // NewLog returns a log at revision 0 that is not loaded yet.
 func NewLog(config LogConfig) *Log {
-	setDefault(&config.ProofInterval, defaultProofInterval)
-	setDefault(&config.PeerInterval, defaultPeerInterval)
-	setDefault(&config.SnapshotInterval, defaultSnapshotInterval)
-	setDefault(&config.KeepChanges, defaultKeepChanges)
-	setDefault(&config.MinChangeAge, defaultMinChangeAge)
-	setDefault(&config.SnapshotDelay, defaultSnapshotDelay)
+	config.ProofInterval = cmp.Or(config.ProofInterval, defaultProofInterval)
+	config.PeerInterval = cmp.Or(config.PeerInterval, defaultPeerInterval)
+	config.SnapshotInterval = cmp.Or(config.SnapshotInterval, defaultSnapshotInterval)
+	config.KeepChanges = cmp.Or(config.KeepChanges, defaultKeepChanges)
+	config.MinChangeAge = cmp.Or(config.MinChangeAge, defaultMinChangeAge)
+	config.SnapshotDelay = cmp.Or(config.SnapshotDelay, defaultSnapshotDelay)
 	if config.Clock == nil {
 		config.Clock = time.Now
 	}
@@ -100,20 +102,13 @@
 		config:   config,
 		hints:    make(chan struct{}, 1),
 		accepted: make(chan struct{}, 1),
-		replica:  newReplica(),
+		replica:  newReplica(config.KeepChanges),
 		changed:  make(chan struct{}),
 	}
 	l.metrics = newLogMetrics(l)
 	return l
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // Current implements Source.
 func (l *Log) Current() *Snapshot {
 	l.mu.Lock()
@@ -172,15 +167,23 @@
 	}
 }
 
-// Behind reports whether a peer is known to have a later revision. A host
-// that starts while the platform is down is ready once it is loaded and not
-// behind.
+// Behind reports whether a peer is known to have a later revision.
 func (l *Log) Behind() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.highest > l.replica.revision()
 }
 
+// Ready reports whether this host has ever been loaded and not behind: from
+// then on it serves. A host that starts while the platform is down thus first
+// takes the highest revision that it hears of.
+func (l *Log) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ready = l.ready || l.loaded && l.highest <= l.replica.revision()
+	return l.ready
+}
+
 // Changes answers a peer.
 func (l *Log) Changes(_ context.Context, req *peerv1.ChangesRequest) (*peerv1.ChangesResponse, error) {
 	limit := int(req.GetLimit())
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -7,7 +7,7 @@
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/platform"
-	"github.com/cenkalti/backoff/v4"
+	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 )
@@ -27,11 +27,7 @@
 
 // serveWatch lists and watches the log, again and again.
 func (l *Log) serveWatch(ctx context.Context) error {
-	pause := backoff.NewExponentialBackOff(
-		backoff.WithInitialInterval(retryInterval),
-		backoff.WithMaxInterval(retryMaxInterval),
-		backoff.WithMaxElapsedTime(0),
-	)
+	pause := retry.NewBackOff(retryInterval, retryMaxInterval)
 	for {
 		started := l.config.Clock()
 		err := l.watchOnce(ctx)
@@ -42,24 +38,12 @@
 			pause.Reset()
 		}
 		logrus.WithError(err).Warn("configuration watch ended; listing again")
-		if !wait(ctx, pause.NextBackOff()) {
+		if !retry.Sleep(ctx, pause.NextBackOff()) {
 			return ctx.Err()
 		}
 	}
 }
 
-// wait reports false if the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (l *Log) watchOnce(ctx context.Context) error {
 	version, err := l.load(ctx)
 	if err != nil {
@@ -95,6 +79,7 @@
 	if err != nil {
 		return 0, err
 	}
+	changes = denseSuffix(changes)
 	if l.needsSnapshot(changes) {
 		if err := l.loadSnapshot(ctx); err != nil {
 			return 0, err
@@ -124,6 +109,17 @@
 	return changes, nil
 }
 
+// denseSuffix returns the changes up to the last one without a gap. What
+// comes before a gap was written late, under the name of a revision that had
+// been compacted.
+func denseSuffix(changes []*apiv1.Change) []*apiv1.Change {
+	first := len(changes) - 1
+	for first > 0 && changes[first-1].Revision == changes[first].Revision-1 {
+		first--
+	}
+	return changes[max(first, 0):]
+}
+
 func lastRevision(changes []*apiv1.Change) int64 {
 	if len(changes) == 0 {
 		return 0
@@ -155,7 +151,7 @@
 // serveProofs proves at intervals that the revision in force is the latest.
 func (l *Log) serveProofs(ctx context.Context) error {
 	pause := l.config.ProofInterval
-	for wait(ctx, pause) {
+	for retry.Sleep(ctx, pause) {
 		pause = l.config.ProofInterval
 		if err := l.Prove(ctx); err != nil && ctx.Err() == nil {
 			pause = min(pause, proofRetryInterval)
@@ -221,7 +217,7 @@
 	for {
 		sentAt := l.config.Clock()
 		revision, proof := l.Current().Revision(), l.Freshness()
-		if sentAt.Sub(proof) > l.config.MinChangeAge/2 {
+		if !l.isRecent(sentAt, proof) {
 			_, err := l.load(ctx)
 			return err
 		}
@@ -245,6 +241,12 @@
 	}
 }
 
+// isRecent reports whether the revision after a proof can't have been
+// compacted soon after the time given.
+func (l *Log) isRecent(now, proof time.Time) bool {
+	return now.Sub(proof) <= l.config.MinChangeAge/2
+}
+
 // servePeers asks a peer while the platform gives no proof, and at once when
 // a peer is known to be ahead.
 func (l *Log) servePeers(ctx context.Context) error {
