Read on before the first request after a pause of the process

The callers' server asks for a proof not older than 4 s before each request. Normally that is a look at a time; after a pause it reads the platform for at most 250 ms. Where an attempt failed in the last 4 s, which the background attempts see to in an outage, no request waits.

--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -76,7 +76,7 @@
 	ready   bool
 	// highest is the highest revision that a peer is known to have.
 	highest int64
-	// failure is when EnsureFresh last failed to get a proof.
+	// failure is when an attempt to prove last failed.
 	failure time.Time
 	// proof is when the read was sent that proved the revision to be the
 	// latest. Zero means never.
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -153,7 +153,7 @@
 	pause := l.config.ProofInterval
 	for retry.Sleep(ctx, pause) {
 		pause = l.config.ProofInterval
-		if err := l.Prove(ctx); err != nil && ctx.Err() == nil {
+		if err := l.proveNoting(ctx); err != nil && ctx.Err() == nil {
 			pause = min(pause, proofRetryInterval)
 			logrus.WithError(err).Debug("no proof that the configuration is the latest")
 		}
@@ -163,21 +163,22 @@
 
 // EnsureFresh reports whether the snapshot in force was the latest at most
 // maxAge ago, and where it was not, as after a pause of this process, tries to
-// prove it now. Calls at the same time share one attempt, and after one that
-// failed the next is made only after a while, so that an outage does not hold
-// up every request.
+// prove it now. Calls at the same time share one attempt. None is made where one
+// failed in the last maxAge, in the background or here: that is an outage and
+// not a pause, and must not hold up requests.
 func (l *Log) EnsureFresh(ctx context.Context, maxAge time.Duration) bool {
 	if l.isFresh(maxAge) {
 		return true
 	}
-	if l.config.Clock().Sub(l.lastFailure()) < proofRetryInterval {
+	if l.config.Clock().Sub(l.lastFailure()) < maxAge {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, ensureTimeout)
 	defer cancel()
 	attempt := l.proving.DoChan("", func() (any, error) {
-		err := l.proveNow(ctx)
-		return nil, err
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ensureTimeout)
+		defer cancel()
+		return nil, l.proveNoting(ctx)
 	})
 	select {
 	case <-attempt:
@@ -190,10 +191,8 @@
 	return l.config.Clock().Sub(l.Freshness()) <= maxAge
 }
 
-// proveNow makes an attempt for EnsureFresh and notes its failure.
-func (l *Log) proveNow(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ensureTimeout)
-	defer cancel()
+// proveNoting is Prove, and notes a failure for EnsureFresh.
+func (l *Log) proveNoting(ctx context.Context) error {
 	err := l.Prove(ctx)
 	if err != nil {
 		l.mu.Lock()
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -179,7 +179,7 @@
 		{"endpoints", []suture.Service{h.endpoints}},
 		{"placement", []suture.Service{h.lease, h.owner, h.recorder}},
 		{"limits", []suture.Service{h.shares, h.book}},
-		{"gateway", []suture.Service{h.gateway, h.tlsServer("callers", h.sockets.callers, h.gateway.Handler())}},
+		{"gateway", []suture.Service{h.gateway, h.tlsServer("callers", h.sockets.callers, proveFirst(h.log, h.gateway.Handler()))}},
 		{"admin", []suture.Service{h.tlsServer("operators", h.sockets.operators, h.adminHandler(control))}},
 		{"debug", []suture.Service{h.server("debug", h.sockets.debug, newDebugHandler(h.ready, h.metrics(), h.dump))}},
 	}, h.ready.onEvent)
