--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		return err
 	}
-	h.callers = h.tlsServer("callers", h.sockets.callers, h.gateway.Handler())
+	h.callers = h.tlsServer("callers", h.sockets.callers, proveFirst(h.log, h.gateway.Handler()))
 	control := &selfControl{dump: h.dump, leave: h.leave}
 	h.tree = newTree([]branch{
 		{"platform", []suture.Service{h.log}},
