--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -16,6 +16,7 @@
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/lease"
 	"bilberryslip.example/bilberryslip/internal/membership"
+	"bilberryslip.example/bilberryslip/internal/netmeter"
 	"bilberryslip.example/bilberryslip/internal/peer"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
 	"bilberryslip.example/bilberryslip/internal/platform"
@@ -218,7 +219,7 @@
 // metrics returns the registry with the metrics of all parts.
 func (h *host) metrics() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(invariant.Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(invariant.Collector(), netmeter.Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, part := range []interface{ Collectors() []prometheus.Collector }{
 		h.platform, h.log, h.recorder, h.endpoints, h.owner, h.shares, h.book, h.gateway,
 	} {
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 
+	"bilberryslip.example/bilberryslip/internal/netmeter"
 	"bilberryslip.example/bilberryslip/internal/settings"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,8 @@
 		}
 		*socket.target = listener
 	}
+	l.peers = netmeter.Listen(netmeter.Peers, l.peers)
+	l.callers = netmeter.Listen(netmeter.Callers, l.callers)
 	return l, nil
 }
 
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/netmeter"
 )
 
 const (
@@ -46,7 +47,7 @@
 func newTransport(dialTimeout time.Duration, fresh bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         netmeter.Dial(netmeter.Endpoints, dialer.DialContext),
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -13,6 +13,8 @@
 
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+
+	"bilberryslip.example/bilberryslip/internal/netmeter"
 )
 
 const (
@@ -123,7 +125,7 @@
 		return c
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         netmeter.Dial(netmeter.Peers, (&net.Dialer{Timeout: dialTimeout}).DialContext),
 		TLSClientConfig:     p.config.TLS,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleConnTimeout,
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"bilberryslip.example/bilberryslip/internal/netmeter"
 )
 
 const (
@@ -89,7 +91,7 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         netmeter.Dial(netmeter.Platform, dialer.DialContext),
 		MaxIdleConnsPerHost: maxIdlePerAddress,
 		IdleConnTimeout:     idleTimeout,
 		TLSHandshakeTimeout: dialTimeout,
