Take a remainder of rounding for no violation of the rate

Cause: the parts of a request's use are summed as floats, and a sum that reached the reservation exceeded it by less than 1e-15 tokens; the invariant rate_within_share was then reported, and with fatal_invariants the host died. Ruled out: rounding each part, which would add up to real tokens. Change: an excess below a millionth of a token is not counted.

--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -24,6 +24,9 @@
 // return; a longer one means that the process was paused and decides anew.
 const maxHold = 100 * time.Millisecond
 
+// roundingTokens is the excess that sums of fractions of tokens may show.
+const roundingTokens = 1e-6
+
 // Members gives the host itself and the other hosts.
 type Members interface {
 	Self() membership.Host
@@ -143,7 +146,7 @@
 	r.service.mu.Lock()
 	excess := r.funding.Consume(max(0, tokens))
 	r.service.mu.Unlock()
-	if excess > 0 {
+	if excess > roundingTokens {
 		r.service.metrics.excess.Add(excess)
 		invariant.Assert(false, invariant.RateWithinShare, logrus.Fields{"organisation": r.organisation, "excess_tokens": excess})
 	}
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
@@ -83,6 +85,21 @@
 
 func units(h *host) int64 { return h.shares.DumpState().(shares.State).UsableUnits }
 
+// excessTokens returns what the host counts as used beyond reservations.
+func excessTokens(h *host) float64 {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(h.shares.Collectors()...)
+	families, err := registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, family := range families {
+		if strings.HasSuffix(family.GetName(), "excess_tokens_total") {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	Fail("no metric of the excess")
+	return 0
+}
+
 var _ = Describe("Service", func() {
 	ctx := context.Background()
 
@@ -101,6 +118,18 @@
 		}).Should(Succeed())
 	})
 
+	It("takes a remainder of rounding for no use beyond the reservation", func() {
+		only := startHost(objectstore.New(), policy(1000, 1000), "a")
+		var reservation ratelimit.Reservation
+		Eventually(func() (err error) { reservation, err = only.shares.Reserve(ctx, "aqej", 0.3); return err }).Should(Succeed())
+		for _, part := range []float64{0.1, 0.2} {
+			reservation.Consume(part)
+		}
+		Expect(excessTokens(only)).To(BeZero())
+		reservation.Consume(0.1)
+		Expect(excessTokens(only)).To(BeNumerically("~", 0.1, 0.01))
+	})
+
 	It("lets one of three hosts use most of a burst by borrowing, and returns units on leaving", func() {
 		store := objectstore.New()
 		source := policy(30000, 30000)
