--- a/test/cluster/host.go
+++ b/test/cluster/host.go
@@ -143,3 +143,13 @@
 	listed, err := admin.List(ctx, &apiv1.ListRequest{Kind: apiv1.Kind_KIND_MODEL})
 	return listed.GetRevision(), err
 }
+
+// UsableUnits returns the host's units of the organisations' rates.
+func (h *Host) UsableUnits() int64 {
+	type state struct {
+		Shares struct {
+			UsableUnits int64 `json:"usableUnits"`
+		} `json:"shares"`
+	}
+	return get[state]("http://" + h.Addresses.Debug + "/debug/state").Shares.UsableUnits
+}
--- a/test/process/zone_cut_test.go
+++ b/test/process/zone_cut_test.go
@@ -25,6 +25,7 @@
 		caller := cluster.NewCaller(c.Grant(c.Hosts[0], "key", cluster.OrganisationA))
 		for _, host := range c.Hosts {
 			caller.ExpectServes(host)
+			Eventually(host.UsableUnits).Should(BeNumerically(">", 0))
 		}
 		c.CutZone(0)
 		began := time.Now()
