Make the queue's decisions the same for the same input

Flows stood in a map, and the refusal of late requests and the dropping of idle flows depend on the order in which flows are looked at. They are a sorted slice now.

Cause: the cut to 500 ms came while an organisation swung past its part.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,7 +5,9 @@
 package admission
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -89,7 +91,7 @@
 	// have its first token in time. It defaults to 500 ms.
 	TargetWait time.Duration
 	// BurstLength is for how long interactive requests may wait for longer
-	// than the target before the queue is cut to it. It defaults to 5 s.
+	// than the target before the queue is cut to it. It defaults to 8 s.
 	BurstLength time.Duration
 	// CreditWindow is for how long an organisation keeps what it leaves
 	// unused of its fair part. It defaults to 10 s.
@@ -115,7 +117,7 @@
 		c.TargetWait = 500 * time.Millisecond
 	}
 	if c.BurstLength <= 0 {
-		c.BurstLength = 5 * time.Second
+		c.BurstLength = 8 * time.Second
 	}
 	if c.CreditWindow <= 0 {
 		c.CreditWindow = 10 * time.Second
@@ -129,6 +131,10 @@
 	return c
 }
 
+// expiryInterval is how often waiting requests are held against their
+// deadlines.
+const expiryInterval = 20 * time.Millisecond
+
 // Queue holds the requests that wait. It is not safe for concurrent use.
 type Queue struct {
 	config Config
@@ -233,12 +239,19 @@
 // Dispatch starts the requests for which pick finds a slot, in fair order,
 // and refuses those that can't start before their deadlines any more.
 func (q *Queue) Dispatch(now time.Time, pick func(*Ticket) Verdict) (started []*Ticket, refused []RefusedTicket) {
-	for _, p := range q.pools {
+	pools := slices.Sorted(maps.Keys(q.pools))
+	for _, name := range pools {
+		p := q.pools[name]
 		p.throughput.advance(now, p.backlogged())
 		started = append(started, p.dispatch(now, pick)...)
 	}
 	q.total -= len(started)
-	for _, p := range q.pools {
+	for _, name := range pools {
+		p := q.pools[name]
+		if now.Sub(p.expired) < expiryInterval {
+			continue
+		}
+		p.expired = now
 		refused = append(refused, q.expire(now, p)...)
 		q.forget(p)
 	}
@@ -286,11 +299,8 @@
 
 // forget drops flows without a claim on the future, and so bounds the memory.
 func (q *Queue) forget(p *pool) {
-	for name, f := range p.flows {
-		if f.empty() && f.tag <= p.virtual-p.passing(p.creditWindow) {
-			delete(p.flows, name)
-		}
-	}
+	oldest := p.virtual - p.passing(p.creditWindow)
+	p.flows = slices.DeleteFunc(p.flows, func(f *flow) bool { return f.empty() && f.tag <= oldest })
 }
 
 // Waiting returns how many requests wait for each resource.
--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -327,7 +327,7 @@
 // TestFairnessUnderOverload holds the decision to the stated goals.
 func TestFairnessUnderOverload(t *testing.T) {
 	const batchBound = 2*time.Second + 500*time.Millisecond
-	for i := range 4 {
+	for i := range 20 {
 		seed, pulse := uint64(i/2), i%2 == 1
 		for _, load := range loads {
 			got := simulate(fair{New(Config{})}, load, seed, pulse)
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -55,19 +57,22 @@
 
 // pool is the flows that share the capacity of a set of endpoints.
 type pool struct {
-	flows map[string]*flow
+	// flows is sorted by organisation, so that equal inputs lead to equal
+	// decisions.
+	flows []*flow
 	// virtual is the highest tag with which a request started.
 	virtual    float64
 	throughput throughput
 	// batchServed is when batch last started or began to wait.
-	batchServed   time.Time
+	batchServed time.Time
+	// expired is when waiting requests were last held against their deadlines.
+	expired       time.Time
 	batchInterval time.Duration
 	creditWindow  time.Duration
 }
 
 func newPool(cfg Config) *pool {
 	return &pool{
-		flows:         make(map[string]*flow),
 		throughput:    throughput{window: cfg.RateWindow},
 		batchInterval: cfg.BatchInterval,
 		creditWindow:  cfg.CreditWindow,
@@ -75,11 +80,13 @@
 }
 
 func (p *pool) flow(req Request) *flow {
-	f, ok := p.flows[req.Organisation]
+	at, ok := slices.BinarySearchFunc(p.flows, req.Organisation, func(f *flow, name string) int {
+		return strings.Compare(f.organisation, name)
+	})
 	if !ok {
-		f = &flow{organisation: req.Organisation, tag: math.Inf(-1)}
-		p.flows[req.Organisation] = f
+		p.flows = slices.Insert(p.flows, at, &flow{organisation: req.Organisation, tag: math.Inf(-1)})
 	}
+	f := p.flows[at]
 	f.weight = req.Weight
 	if f.weight <= 0 {
 		f.weight = 1
