Take units from the largest host when another is short of its part

Cause: three hosts that started at once could stay at a third, a sixth and a half of the units. A host with more than 1.25 of its part gave up only while another held less than half of its part, and a sixth is exactly that half. Ruled out: membership (all three saw three living hosts) and free units (0). Change: the largest host gives up while any other is below three quarters.

--- a/internal/ratelimit/ledger.go
+++ b/internal/ratelimit/ledger.go
@@ -115,14 +115,13 @@
 	if grab := min(target-units, l.Free()); grab > 0 && (units == 0 || grab >= target/16) {
 		return units + grab
 	}
-	short := l.short(living, target)
-	if len(short) == 0 || l.Free() >= target/4 {
+	if l.Free() >= target/4 {
 		return units
 	}
-	if units > target+target/4 {
+	if units > target+target/4 && len(l.below(living, target*3/4)) > 0 {
 		return target
 	}
-	for _, incarnation := range short {
+	for _, incarnation := range l.below(living, target/2) {
 		if l.donates(self, incarnation, living, target) {
 			return max(target*3/4, units-target/maxDonors)
 		}
@@ -137,11 +136,11 @@
 	return 0
 }
 
-// short returns the living incarnations with less than half the target.
-func (l *Ledger) short(living []string, target int64) []string {
+// below returns the living incarnations with fewer units than the limit.
+func (l *Ledger) below(living []string, limit int64) []string {
 	var short []string
 	for _, incarnation := range living {
-		if l.units(incarnation) < target/2 {
+		if l.units(incarnation) < limit {
 			short = append(short, incarnation)
 		}
 	}
