--- /dev/null
+++ b/internal/gateway/fuzz_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"path"
+	"strings"
+	"testing"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+)
+
+// FuzzCompletionBody holds that no body breaks the accounts, and that what an
+// engine is sent is valid and within the model's limit.
+func FuzzCompletionBody(f *testing.F) {
+	for _, body := range []string{
+		`{"model":"m","prompt":"x","max_tokens":3,"stop":["a"],"user":"u"}`,
+		`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}],"stream":true}`,
+		`{"model":"m","messages":[{"role":"user","content":null,"tool_calls":[]}],"max_tokens":-1e308}`,
+		`{"model":"m","prompt":["x"],"n":1e1,"tools":0,"MODEL":"n"}`,
+		`{"model":"m","prompt":"\ud800","max_tokens":2147483648}`, `[`, `null`, `{"a":` + strings.Repeat("[", 100),
+	} {
+		f.Add([]byte(body), true)
+		f.Add([]byte(body), false)
+	}
+	f.Fuzz(func(t *testing.T, body []byte, chat bool) {
+		c, failure := parseCompletion(body, chat)
+		if failure == nil {
+			failure = c.limit(1000, 100)
+		}
+		if failure != nil {
+			if failure.Status != http.StatusBadRequest || failure.Run != RunNot || failure.Message == "" {
+				t.Fatalf("%+v", failure)
+			}
+			return
+		}
+		if c.maxTokens < 1 || c.promptTokens() < 0 || c.tokens() > 1000 {
+			t.Fatalf("%d + %d tokens", c.promptTokens(), c.maxTokens)
+		}
+		sent, err := c.engineBody(target{model: &apiv1.Model{Name: "m", ServingVersion: "v"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var engine engineRequest
+		if err := json.Unmarshal(sent, &engine); err != nil || engine.Model != "m" || !engine.Stream || engine.MaxTokens != c.maxTokens {
+			t.Fatalf("%s: %v", sent, err)
+		}
+	})
+}
+
+// FuzzServicePath holds that a path that passes means the same to all who
+// read it, so that no route's check is got round.
+func FuzzServicePath(f *testing.F) {
+	for _, p := range []string{"/a", "/a/../b", "/a%2fb", "/a/%2e%2e/b", "//b", "/a\\b", "/%", "/a;b/c?d=e;f", "/a/"} {
+		f.Add(p)
+	}
+	f.Fuzz(func(t *testing.T, raw string) {
+		u, err := url.ParseRequestURI("/services/registry" + raw)
+		if err != nil || !strings.HasPrefix(u.EscapedPath(), "/services/registry/") {
+			return
+		}
+		clean, ok := cleanPath(u)
+		if !ok {
+			return
+		}
+		sent, err := url.ParseRequestURI(clean)
+		if err != nil {
+			t.Fatalf("%q passes and can't be read: %v", clean, err)
+		}
+		if normal := path.Clean(sent.Path); normal != strings.TrimSuffix(sent.Path, "/") && sent.Path != "/" || strings.Count(sent.Path, "/") != strings.Count(clean, "/") {
+			t.Fatalf("%q may be read as %q", clean, normal)
+		}
+	})
+}
+
+// FuzzBearer holds that at most one well-formed header yields a key.
+func FuzzBearer(f *testing.F) {
+	f.Add("Bearer x", "")
+	f.Add("bearer  x ", "Bearer y")
+	f.Add("Basic x", "")
+	f.Fuzz(func(t *testing.T, first, second string) {
+		header := http.Header{"Authorization": {first}}
+		if second != "" {
+			header.Add("Authorization", second)
+		}
+		secret, failure := bearer(header)
+		if (failure == nil) != (secret != "") || failure == nil && second != "" {
+			t.Fatalf("%q %v", secret, failure)
+		}
+	})
+}
