--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -9,9 +10,9 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/platform"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -64,12 +65,19 @@
 	metrics *logMetrics
 	// hints wakes the peer loop when a peer is known to be ahead.
 	hints chan struct{}
+	// proving joins the attempts of EnsureFresh.
+	proving singleflight.Group
 
 	mu      sync.Mutex
 	replica *replica
 	changed chan struct{}
 	loaded  bool
 	listed  bool
+	ready   bool
+	// highest is the highest revision that a peer is known to have.
+	highest int64
+	// failure is when an attempt to prove last failed.
+	failure time.Time
 	// proof is when the read was sent that proved the revision to be the
 	// latest. Zero means never.
 	proof time.Time
@@ -81,30 +89,24 @@
 
 // NewLog returns a log at revision 0 that is not loaded yet.
 func NewLog(config LogConfig) *Log {
-	setDefault(&config.ProofInterval, defaultProofInterval)
-	setDefault(&config.PeerInterval, defaultPeerInterval)
-	setDefault(&config.SnapshotInterval, defaultSnapshotInterval)
-	setDefault(&config.KeepChanges, defaultKeepChanges)
-	setDefault(&config.MinChangeAge, defaultMinChangeAge)
-	setDefault(&config.SnapshotDelay, defaultSnapshotDelay)
+	config.ProofInterval = cmp.Or(config.ProofInterval, defaultProofInterval)
+	config.PeerInterval = cmp.Or(config.PeerInterval, defaultPeerInterval)
+	config.SnapshotInterval = cmp.Or(config.SnapshotInterval, defaultSnapshotInterval)
+	config.KeepChanges = cmp.Or(config.KeepChanges, defaultKeepChanges)
+	config.MinChangeAge = cmp.Or(config.MinChangeAge, defaultMinChangeAge)
+	config.SnapshotDelay = cmp.Or(config.SnapshotDelay, defaultSnapshotDelay)
 	if config.Clock == nil {
 		config.Clock = time.Now
 	}
-	return &Log{
+	l := &Log{
 		config:   config,
-		metrics:  newLogMetrics(),
 		hints:    make(chan struct{}, 1),
 		accepted: make(chan struct{}, 1),
-		replica:  newReplica(),
+		replica:  newReplica(config.KeepChanges),
 		changed:  make(chan struct{}),
 	}
-}
-
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
+	l.metrics = newLogMetrics(l)
+	return l
 }
 
 // Current implements Source.
@@ -153,7 +155,10 @@
 
 // Hint tells that a peer has a revision in force.
 func (l *Log) Hint(revision int64) {
-	if revision <= l.Current().Revision() {
+	l.mu.Lock()
+	l.highest = max(l.highest, revision)
+	l.mu.Unlock()
+	if !l.Behind() {
 		return
 	}
 	select {
@@ -162,15 +167,38 @@
 	}
 }
 
+// Behind reports whether a peer is known to have a later revision.
+func (l *Log) Behind() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.highest > l.replica.revision()
+}
+
+// Ready reports whether this host has ever been loaded and not behind: from
+// then on it serves. A host that starts while the platform is down thus first
+// takes the highest revision that it hears of.
+func (l *Log) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ready = l.ready || l.loaded && l.highest <= l.replica.revision()
+	return l.ready
+}
+
+// Changes answers a peer.
+func (l *Log) Changes(_ context.Context, req *peerv1.ChangesRequest) (*peerv1.ChangesResponse, error) {
+	limit := int(req.GetLimit())
+	if limit <= 0 || limit > changesLimit {
+		limit = changesLimit
+	}
+	return l.ChangesAfter(req.GetAfterRevision(), limit), nil
+}
+
 // ChangesAfter answers a peer: changes that follow a revision, or a snapshot
 // where they are no longer kept.
 func (l *Log) ChangesAfter(revision int64, limit int) *peerv1.ChangesResponse {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	resp := &peerv1.ChangesResponse{Revision: l.replica.revision(), ProofAgeMillis: -1}
-	if !l.proof.IsZero() {
-		resp.ProofAgeMillis = ceilMillis(l.config.Clock().Sub(l.proof))
-	}
+	resp := &peerv1.ChangesResponse{Revision: l.replica.revision(), ProofAgeMillis: l.proofAgeMillis()}
 	changes, ok := l.replica.changesAfter(revision, limit)
 	if ok {
 		resp.Changes = changes
@@ -232,7 +260,6 @@
 	l.loaded = true
 	close(l.changed)
 	l.changed = make(chan struct{})
-	l.metrics.revision.Set(float64(after))
 	l.wakeSnapshots(before, after)
 }
 
@@ -244,27 +271,3 @@
 		l.replica.forked = false
 	}
 }
-
-// logMetrics are the log's metrics.
-type logMetrics struct {
-	revision prometheus.Gauge
-	applies  *prometheus.CounterVec
-}
-
-func newLogMetrics() *logMetrics {
-	return &logMetrics{
-		revision: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "bilberryslip_config_revision",
-			Help: "Revision of the configuration in force on this host.",
-		}),
-		applies: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bilberryslip_config_applies_total",
-			Help: "Changes that operators asked this host to apply, by result.",
-		}, []string{"result"}),
-	}
-}
-
-// Collectors returns the log's metrics, for registration.
-func (l *Log) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{l.metrics.revision, l.metrics.applies}
-}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,12 +1,15 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"bilberryslip.example/bilberryslip/internal/netmeter"
 )
 
 const (
@@ -66,12 +69,8 @@
 
 // NewClient returns a client; it makes no connection yet.
 func NewClient(config ClientConfig) *Client {
-	if config.CallTimeout == 0 {
-		config.CallTimeout = defaultCallTimeout
-	}
-	if config.WatchTimeout == 0 {
-		config.WatchTimeout = defaultWatchTimeout
-	}
+	config.CallTimeout = cmp.Or(config.CallTimeout, defaultCallTimeout)
+	config.WatchTimeout = cmp.Or(config.WatchTimeout, defaultWatchTimeout)
 	if config.Clock == nil {
 		config.Clock = time.Now
 	}
@@ -92,7 +91,7 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         netmeter.Dial(netmeter.Platform, dialer.DialContext),
 		MaxIdleConnsPerHost: maxIdlePerAddress,
 		IdleConnTimeout:     idleTimeout,
 		TLSHandshakeTimeout: dialTimeout,
@@ -160,3 +159,21 @@
 	err := c.do(ctx, call{name: callHosts, method: http.MethodGet, path: "/v1/hosts"}, &answer)
 	return answer.Hosts, err
 }
+
+// ClientState is a Client's part of the state dump.
+type ClientState struct {
+	Available bool `json:"available"`
+	// AnswerAgeMillis is the time since the last answer. Negative means that
+	// there was none.
+	AnswerAgeMillis int64 `json:"answerAgeMillis"`
+}
+
+// DumpState returns the client's part of the state dump.
+func (c *Client) DumpState() any {
+	availability := c.Availability()
+	state := ClientState{Available: availability.Available, AnswerAgeMillis: -1}
+	if !availability.LastAnswer.IsZero() {
+		state.AnswerAgeMillis = c.config.Clock().Sub(availability.LastAnswer).Milliseconds()
+	}
+	return state
+}
