Move tokens from full hosts, and wait briefly for what the rate brings

What was seen: a host whose bucket is full loses what its rate would bring while another has room, and most refusals lacked less than 0.3 s of the rate.

Only a host that was not refused lately waits, so that an organisation above its rate is mostly answered at once.

--- a/internal/ratelimit/borrow.go
+++ b/internal/ratelimit/borrow.go
@@ -35,8 +35,8 @@
 type hintKey struct{ peer, organisation string }
 
 type hint struct {
-	tokens float64
-	at     time.Time
+	tokens, room float64
+	at           time.Time
 }
 
 type dryState struct {
@@ -63,16 +63,17 @@
 		}
 	}
 	for _, spare := range spares[:min(len(spares), maxSpares)] {
-		b.hints[hintKey{peer, spare.Organisation}] = hint{spare.Tokens, now}
+		b.hints[hintKey{peer, spare.Organisation}] = hint{spare.Tokens, spare.Room, now}
 	}
 }
 
 // Answered corrects a hint by what the peer gave.
 func (b *Borrower) Answered(now time.Time, organisation string, asked Question, given float64) {
 	key := hintKey{asked.Peer, organisation}
-	left := hint{at: now}
+	left := hint{room: asked.Tokens, at: now}
 	if given >= asked.Tokens {
 		left.tokens = max(0, b.hints[key].tokens-given)
+		left.room = b.hints[key].room + given
 	}
 	b.hints[key] = left
 }
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -86,21 +86,32 @@
 	}
 	grant := &Grant{bucket: b, remaining: tokens, refundable: tokens}
 	b.level -= tokens
-	b.refundable += tokens
+	b.add(grant)
+	return grant, true
+}
+
+func (b *Bucket) add(grant *Grant) {
+	b.refundable += grant.refundable
 	if b.grants == nil {
 		b.grants = make(map[*Grant]struct{})
 	}
 	b.grants[grant] = struct{}{}
-	return grant, true
 }
 
 // TakeUpTo grants as many of the tokens as are available.
 func (b *Bucket) TakeUpTo(now time.Time, tokens float64) *Grant {
+	grant := &Grant{bucket: b}
+	b.add(grant)
+	grant.Extend(now, tokens)
+	return grant
+}
+
+// reserveRoom grants tokens that are yet to come in: they count under the
+// burst, but are not taken from the level.
+func (b *Bucket) reserveRoom(now time.Time, tokens float64) *Grant {
 	b.Advance(now)
-	grant, _ := b.Take(now, max(0, min(tokens, b.level)))
-	if grant == nil {
-		grant = &Grant{bucket: b}
-	}
+	grant := &Grant{bucket: b, remaining: tokens, refundable: tokens}
+	b.add(grant)
 	return grant
 }
 
@@ -118,6 +129,21 @@
 	return excess
 }
 
+// Extend adds as many of the tokens as are available, and returns how many.
+func (g *Grant) Extend(now time.Time, tokens float64) (added float64) {
+	b := g.bucket
+	b.Advance(now)
+	added = max(0, min(tokens, b.level))
+	if _, open := b.grants[g]; !open || added == 0 {
+		return 0
+	}
+	b.level -= added
+	b.refundable += added
+	g.remaining += added
+	g.refundable += added
+	return added
+}
+
 // Release returns tokens that will not be used to the bucket.
 func (g *Grant) Release(now time.Time, tokens float64) {
 	g.bucket.Advance(now)
--- a/internal/ratelimit/funding.go
+++ b/internal/ratelimit/funding.go
@@ -86,6 +86,21 @@
 	return []Report{{part.Peer, Settlement{ID: part.ID, Unused: surplus}}}
 }
 
+// TopUp adds what this host's share has gained since.
+func (l *Limiter) TopUp(now time.Time, f *Funding) {
+	l.advance(now)
+	if !f.closed && !f.granted {
+		f.missing -= f.local.Extend(now, f.Missing())
+	}
+}
+
+// WorthWaiting reports whether the whole rate brings the missing tokens within
+// a time, and the request's tokens can still be granted then.
+func (l *Limiter) WorthWaiting(now time.Time, f *Funding, wait time.Duration) bool {
+	a := l.accounts[f.organisation]
+	return a != nil && !f.closed && f.missing <= a.policy.Rate*wait.Seconds() && now.Add(wait).Before(f.deadline)
+}
+
 // Consume uses tokens, borrowed ones first. What exceeds the reservation is
 // charged to this host's bucket and returned.
 func (f *Funding) Consume(tokens float64) (excess float64) {
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -45,6 +45,8 @@
 	updated, next time.Time
 	// held are the transfers to peers, by identifier.
 	held map[string]*transfer
+	// pulled are the running transfers to this host's own bucket.
+	pulled map[string]*pull
 }
 
 type account struct {
@@ -95,7 +97,7 @@
 	setDefault(&config.Hold, time.Minute)
 	return &Limiter{
 		config: config, tenure: NewTenure(config.Lease, self),
-		accounts: make(map[string]*account), held: make(map[string]*transfer),
+		accounts: make(map[string]*account), held: make(map[string]*transfer), pulled: make(map[string]*pull),
 	}
 }
 
@@ -213,6 +215,8 @@
 type Spare struct {
 	Organisation string
 	Tokens       float64
+	// Room is how many tokens the host could take in.
+	Room float64
 }
 
 // Spares returns hints for peers, largest first, of bounded number.
@@ -222,7 +226,7 @@
 	for organisation, a := range l.accounts {
 		a.bucket.Advance(now)
 		if a.bucket.level >= 1 {
-			spares = append(spares, Spare{organisation, a.bucket.level})
+			spares = append(spares, Spare{organisation, a.bucket.level, a.bucket.Room()})
 		}
 	}
 	sort.Slice(spares, func(i, j int) bool {
@@ -293,6 +297,11 @@
 			delete(l.held, id)
 		}
 	}
+	for id, p := range l.pulled {
+		if !at.Before(p.until) {
+			l.endPull(at, id, p, 0)
+		}
+	}
 }
 
 func earliest(a, b time.Time) time.Time {
--- a/internal/shares/borrow.go
+++ b/internal/shares/borrow.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 )
@@ -16,6 +18,12 @@
 	// admitMillis is how long after its question a request may be granted what
 	// was borrowed.
 	admitMillis = 1000
+	// maxWait is how long a request waits for tokens that the rate brings
+	// soon, and waitStep the time between looks.
+	maxWait  = 300 * time.Millisecond
+	waitStep = 100 * time.Millisecond
+	// pullInterval is the time between moves of tokens from full peers.
+	pullInterval = 500 * time.Millisecond
 )
 
 type question struct {
@@ -23,30 +31,81 @@
 	url, id, organisation string
 }
 
-// borrow asks peers, a few at a time, until the tokens are there or no peer is
-// left. What comes too late is returned.
+// cancel reports that nothing of a transfer will be used.
+func (q question) cancel() ratelimit.Report {
+	return ratelimit.Report{Peer: q.Peer, Settlement: ratelimit.Settlement{ID: q.id, Unused: q.Tokens, Final: true}}
+}
+
+// borrow asks peers until the tokens are there. It waits a little where the
+// rate brings the missing ones soon; while an organisation is above its rate
+// that happens only after a pause.
 func (s *Service) borrow(ctx context.Context, organisation string, funding *ratelimit.Funding) bool {
 	if s.config.Limiter.NoBorrowing || !s.mayBorrow(organisation) {
 		return false
 	}
+	until := s.config.Now().Add(maxWait)
+	for {
+		if s.askAll(ctx, organisation, funding) {
+			s.noteBorrowed(organisation, funding)
+			return true
+		}
+		if !s.worthWaiting(funding, until) || !pause(ctx, waitStep) {
+			break
+		}
+		if s.topUp(funding); s.grant(funding) {
+			s.noteBorrowed(organisation, funding)
+			return true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.borrower.Failed(s.config.Now(), organisation)
+	return false
+}
+
+// askAll asks peers, a few at a time, until the tokens are there or no peer is
+// left. What comes too late is returned.
+func (s *Service) askAll(ctx context.Context, organisation string, funding *ratelimit.Funding) bool {
 	urls := s.peerURLs()
 	for range maxRounds {
 		asked := s.round(organisation, funding, urls)
 		if len(asked) == 0 {
-			break
+			return false
 		}
 		if s.await(s.send(ctx, asked, funding), len(asked), funding) {
-			s.noteBorrowed(organisation, funding)
 			return true
 		}
 		for _, one := range asked {
 			delete(urls, one.Peer)
 		}
 	}
+	return false
+}
+
+func (s *Service) worthWaiting(funding *ratelimit.Funding, until time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.borrower.Failed(s.config.Now(), organisation)
-	return false
+	now := s.config.Now()
+	left := until.Sub(now)
+	return left >= waitStep && s.limiter.WorthWaiting(now, funding, left)
+}
+
+func (s *Service) topUp(funding *ratelimit.Funding) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.TopUp(s.config.Now(), funding)
+}
+
+// pause reports whether the context is still alive after a time.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
 func (s *Service) mayBorrow(organisation string) bool {
@@ -112,19 +171,22 @@
 		Host: self.Name, Incarnation: self.Incarnation, TransferId: one.id,
 		Organisation: one.organisation, Tokens: one.Tokens, AdmitMillis: admitMillis,
 	})
-	return response.GetTokens(), err
+	if err != nil {
+		return 0, err
+	}
+	if tokens = response.GetTokens(); !(tokens >= 0 && tokens <= one.Tokens) {
+		return 0, errors.Newf("peer %s answered %v tokens of %v; run the same version on all hosts", one.Peer, tokens, one.Tokens)
+	}
+	return tokens, nil
 }
 
 func (s *Service) accept(one question, funding *ratelimit.Funding, tokens float64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.config.Now()
-	// An answer beyond what was asked for is a fault of the peer.
-	if err != nil || !(tokens >= 0 && tokens <= one.Tokens) {
+	if err != nil {
 		s.borrower.Answered(now, one.organisation, one.Question, 0)
-		s.settlements.add([]ratelimit.Report{{
-			Peer: one.Peer, Settlement: ratelimit.Settlement{ID: one.id, Unused: one.Tokens, Final: true},
-		}})
+		s.settlements.add([]ratelimit.Report{one.cancel()})
 		return
 	}
 	s.borrower.Answered(now, one.organisation, one.Question, tokens)
--- a/internal/shares/gossip.go
+++ b/internal/shares/gossip.go
@@ -71,7 +71,7 @@
 	s.mu.Unlock()
 	messages := make([]*peerv1.Spare, 0, len(spares))
 	for _, spare := range spares {
-		messages = append(messages, &peerv1.Spare{Organisation: spare.Organisation, Tokens: spare.Tokens})
+		messages = append(messages, &peerv1.Spare{Organisation: spare.Organisation, Tokens: spare.Tokens, Room: spare.Room})
 	}
 	return messages
 }
@@ -79,7 +79,7 @@
 func (s *Service) hint(from string, messages []*peerv1.Spare) {
 	spares := make([]ratelimit.Spare, 0, len(messages))
 	for _, m := range messages {
-		spares = append(spares, ratelimit.Spare{Organisation: m.GetOrganisation(), Tokens: max(0, m.GetTokens())})
+		spares = append(spares, ratelimit.Spare{Organisation: m.GetOrganisation(), Tokens: max(0, m.GetTokens()), Room: max(0, m.GetRoom())})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/shares/sync.go
+++ b/internal/shares/sync.go
@@ -23,6 +23,7 @@
 // Serve keeps policies and ledger current until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
 	go s.settleLoop(ctx)
+	go s.pullLoop(ctx)
 	for {
 		changed := s.config.Source.Changed()
 		s.applyPolicies()
