--- a/test/process/not_run_test.go
+++ b/test/process/not_run_test.go
@@ -71,4 +71,23 @@
 			Expect(answer.Error.Run).NotTo(BeEmpty(), answer.Body)
 		}
 	})
+
+	It("is true for the repeat of an idempotency key whose first call ran", func() {
+		c := cluster.Start(programs, cluster.Options{ServicesPerZone: 1})
+		host := c.Hosts[0]
+		caller := cluster.NewCaller(c.Grant(host, "key", cluster.OrganisationA))
+		Eventually(host.UsableUnits).Should(BeNumerically(">", 0))
+		limit := &apiv1.RatePolicy{Name: cluster.OrganisationA, Organisation: cluster.OrganisationA, TokensPerSecond: 0.001, BurstTokens: 1.5}
+		ctx, admin := host.Admin()
+		_, err := admin.Apply(ctx, &apiv1.ApplyRequest{Mutations: []*apiv1.Mutation{{
+			Kind: apiv1.Kind_KIND_RATE_POLICY, Name: limit.Name, ExpectedVersion: 1,
+			Object: &apiv1.Object{Spec: &apiv1.Object_RatePolicy{RatePolicy: limit}},
+		}}})
+		Expect(err).NotTo(HaveOccurred())
+		first := caller.Certify(host, "certificate", "certificate")
+		Expect(first.OK()).To(BeTrue(), first.Body)
+		repeat := caller.Certify(host, "certificate", "certificate")
+		Expect(c.Runs("certificate")).To(Equal(1))
+		Expect(repeat.NotRun()).To(BeFalse(), repeat.Body)
+	})
 })
