--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -58,7 +58,7 @@
 func (p *planner) placeUnreachable() {
 	var needs []*placed
 	for _, m := range p.models {
-		nowhere := len(m.here) == 0 && m.elsewhere == 0 && !m.oldReady
+		nowhere := len(m.here) == 0 && !m.readyThere && !m.oldReady
 		if nowhere && (m.Wanted || rescueZone(m.Model, p.zones) == p.in.Zone) {
 			needs = append(needs, m)
 		}
@@ -111,6 +111,26 @@
 	return 0
 }
 
+// placeSecond loads models whose replicas are all in one other zone into free
+// memory of the first further zone, so that they outlive the loss of a zone.
+func (p *planner) placeSecond() {
+	var needs []*placed
+	for _, m := range p.models {
+		if len(m.here) > 0 || len(m.there) == 0 || m.full() {
+			continue
+		}
+		only := m.there[0].Zone
+		if slices.ContainsFunc(m.there, func(n *node) bool { return n.Zone != only }) {
+			continue
+		}
+		others := slices.DeleteFunc(slices.Clone(p.zones), func(z zoneRoom) bool { return z.name == only })
+		if rescueZone(m.Model, others) == p.in.Zone {
+			needs = append(needs, m)
+		}
+	}
+	p.placeAll(byUrgency(needs), ReasonSpread, false)
+}
+
 // placeWanted loads models that a request of this zone waits for, where only
 // other zones hold them.
 func (p *planner) placeWanted() {
@@ -131,7 +151,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(b.demand, a.demand), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Name, b.Name))
 	})
 	return needs
 }
@@ -326,20 +346,44 @@
 // endpoints, on those with the least load.
 func (p *planner) spreadLoad() {
 	high := p.tuning.HighLoad * p.tuning.EndpointTokensPerSecond
-	for range p.tuning.MaxMoves {
-		hot := slices.MaxFunc(append([]*node{{}}, p.nodes...), func(a, b *node) int { return cmp.Compare(a.load, b.load) })
-		if hot.load <= high || !p.relieve(hot) {
-			return
+	hot := append([]*node(nil), p.nodes...)
+	if p.leastLoadedZone() {
+		hot = append(hot, p.remote...)
+	}
+	hot = slices.DeleteFunc(hot, func(n *node) bool { return n.load <= high })
+	slices.SortStableFunc(hot, func(a, b *node) int { return cmp.Compare(b.load, a.load) })
+	for _, n := range hot[:min(len(hot), p.tuning.MaxMoves)] {
+		if n.load > high {
+			p.relieve(n)
+		}
+	}
+}
+
+// leastLoadedZone reports whether this zone has the least load for each of its
+// endpoints, so that it is the one to relieve other zones.
+func (p *planner) leastLoadedZone() bool {
+	load := make(map[string]float64)
+	count := make(map[string]float64)
+	for _, n := range append(append([]*node(nil), p.nodes...), p.remote...) {
+		if n.Serves() {
+			load[n.Zone] += n.load
+			count[n.Zone]++
 		}
 	}
+	mine := load[p.in.Zone] / max(1, count[p.in.Zone])
+	for zone := range load {
+		if zone != p.in.Zone && load[zone]/count[zone] < mine {
+			return false
+		}
+	}
+	return true
 }
 
-// relieve adds one replica that takes load off the endpoint, and reports
-// whether it found one.
-func (p *planner) relieve(hot *node) bool {
+// relieve adds one replica that takes load off the endpoint, if it finds one.
+func (p *planner) relieve(hot *node) {
 	var carried []*placed
-	for item := range hot.items {
-		if m := p.byName[item.Model]; m != nil && item == m.item && slices.Contains(m.here, hot) && !m.full() {
+	for item, holding := range hot.items {
+		if m := p.byName[item.Model]; m != nil && item == m.item && holding.Present() && !m.full() {
 			carried = append(carried, m)
 		}
 	}
@@ -348,10 +392,9 @@
 	})
 	for _, m := range carried {
 		if p.addReplica(m, hot) {
-			return true
+			return
 		}
 	}
-	return false
 }
 
 // minGain is the least part of an endpoint's load that an added replica must
@@ -361,7 +404,7 @@
 // addReplica adds a replica of the model where that lowers the endpoint's load
 // enough, and leaves the new replica's endpoint below it.
 func (p *planner) addReplica(m *placed, hot *node) bool {
-	after := m.demand / float64(len(m.here)+1)
+	after := m.Demand / float64(m.replicas()+1)
 	target := (1 - minGain) * hot.load
 	if hot.load-m.share()+after > target {
 		return false
@@ -371,7 +414,7 @@
 		return true
 	}
 	n, victims := p.cheapestRoom(m, func(v *placed, on *node) bool {
-		return v != m && on.load+after <= target && p.surplus(v, on)
+		return v != m && on.load-v.share()+after <= target && p.surplus(v, on, target)
 	})
 	if n == nil {
 		return false
@@ -387,23 +430,20 @@
 // replica's share of demand may move to any other endpoint.
 const idlePart = 0.01
 
-// surplus reports whether demand leaves the replica idle enough to remove:
-// the endpoints that would take its share stay under the low threshold.
-func (p *planner) surplus(m *placed, n *node) bool {
-	if !p.spare(m, n) || len(m.here) < 2 || p.young(m, n) {
+// surplus reports whether demand allows to remove the replica: its share is
+// idle, or the endpoints that take it stay under the low threshold, or well
+// under the load that the removal relieves.
+func (p *planner) surplus(m *placed, n *node, relieved float64) bool {
+	if !p.spare(m, n) || m.replicas() < 2 || p.young(m, n) {
 		return false
 	}
-	low := p.tuning.LowLoad * p.tuning.EndpointTokensPerSecond
-	extra := m.share() / float64(len(m.here)-1)
+	extra := m.share() / float64(m.replicas()-1)
 	if extra <= idlePart*p.tuning.EndpointTokensPerSecond {
 		return true
 	}
-	for _, other := range m.here {
-		if other != n && other.load+extra > low {
-			return false
-		}
-	}
-	return true
+	limit := max(p.tuning.LowLoad*p.tuning.EndpointTokensPerSecond, (1-minGain)*relieved)
+	overloaded := func(other *node) bool { return other != n && other.load+extra > limit }
+	return !slices.ContainsFunc(m.here, overloaded) && !slices.ContainsFunc(m.there, overloaded)
 }
 
 func (p *planner) young(m *placed, n *node) bool {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -19,6 +19,7 @@
 	p.placeMinimum()
 	p.placeWanted()
 	p.placeAdapters()
+	p.placeSecond()
 	p.spreadLoad()
 	p.spreadFree()
 	return p.steps
@@ -60,15 +61,16 @@
 	here []*node
 	// old are the zone's serving replicas of other versions.
 	old []oldReplica
-	// elsewhere is the number of ready replicas of the serving version in
-	// other zones; keeperReady tells whether the keeper zone has one.
-	elsewhere   int
+	// there are the other zones' endpoints that hold or are loading it.
+	there []*node
+	// readyThere tells whether one of them is ready, keeperReady whether one
+	// of the keeper zone is, and oldReady whether any zone has another
+	// version ready.
+	readyThere  bool
 	oldReady    bool
 	keeper      string
 	keeperReady bool
-	// demand is this zone's part, in tokens per second.
-	demand   float64
-	adapters []*Adapter
+	adapters    []*Adapter
 }
 
 type oldReplica struct {
@@ -80,10 +82,11 @@
 	in     *Input
 	tuning Tuning
 	nodes  []*node
+	// remote are the endpoints of other zones that serve.
+	remote []*node
 	models []*placed
 	byName map[string]*placed
 	zones  []zoneRoom
-	alive  int
 	budget Budget
 	steps  []Step
 }
@@ -108,11 +111,6 @@
 	for i := range p.in.Endpoints {
 		p.zones = addRoom(p.zones, &p.in.Endpoints[i])
 	}
-	for i := range p.zones {
-		if p.zones[i].alive {
-			p.alive++
-		}
-	}
 }
 
 func (p *planner) indexModels() {
@@ -123,7 +121,6 @@
 			Model:  model,
 			item:   Item{Model: model.Name, Version: model.Version},
 			keeper: keeperZone(model, p.zones),
-			demand: model.Demand / float64(max(1, p.alive)),
 		}
 		p.models = append(p.models, m)
 		p.byName[model.Name] = m
@@ -174,17 +171,21 @@
 	if !endpoint.Serves() {
 		return
 	}
+	n := &node{Endpoint: endpoint, items: endpoint.Account.Items}
+	p.remote = append(p.remote, n)
 	for item, holding := range endpoint.Account.Items {
 		m := p.byName[item.Model]
-		if m == nil || item.IsAdapter() || holding.State != engineapi.ItemReady {
+		if m == nil || item.IsAdapter() || !holding.Present() {
 			continue
 		}
+		ready := holding.State == engineapi.ItemReady
 		if item != m.item {
-			m.oldReady = true
+			m.oldReady = m.oldReady || ready
 			continue
 		}
-		m.elsewhere++
-		m.keeperReady = m.keeperReady || endpoint.Zone == m.keeper
+		m.there = append(m.there, n)
+		m.readyThere = m.readyThere || ready
+		m.keeperReady = m.keeperReady || (ready && endpoint.Zone == m.keeper)
 	}
 }
 
@@ -195,15 +196,24 @@
 		slices.SortFunc(m.old, func(a, b oldReplica) int {
 			return cmp.Or(cmp.Compare(a.node.Name, b.node.Name), cmp.Compare(a.item.Version, b.item.Version))
 		})
-		for _, n := range m.here {
-			n.load += m.share()
-		}
+		m.addLoad(m.share())
 	}
 }
 
-// share is the demand that each of the model's replicas in the zone takes.
+// share is the demand that each of the model's replicas takes, in tokens per
+// second: requests go to the replicas of all zones.
 func (m *placed) share() float64 {
-	return m.demand / float64(max(1, len(m.here)))
+	return m.Demand / float64(max(1, m.replicas()))
+}
+
+// addLoad adds to the load of each endpoint that holds the model.
+func (m *placed) addLoad(tokensPerSecond float64) {
+	for _, n := range m.here {
+		n.load += tokensPerSecond
+	}
+	for _, n := range m.there {
+		n.load += tokensPerSecond
+	}
 }
 
 // secure counts the zone's replicas of the serving version that are ready and
@@ -219,7 +229,7 @@
 }
 
 // replicas counts the replicas over all zones, those under way included.
-func (m *placed) replicas() int { return len(m.here) + m.elsewhere }
+func (m *placed) replicas() int { return len(m.here) + len(m.there) }
 
 func (m *placed) full() bool { return m.MaxReplicas > 0 && m.replicas() >= m.MaxReplicas }
 
@@ -232,7 +242,6 @@
 func (p *planner) load(m *placed, n *node, reason Reason) {
 	counted := n.items[m.item].Bytes
 	needed := max(0, m.Bytes-counted)
-	before := m.share()
 	fitsNow := needed <= n.freeNow
 	n.free -= needed
 	n.freeNow -= needed
@@ -240,13 +249,9 @@
 	holding.Coming = true
 	holding.Bytes = max(holding.Bytes, m.Bytes)
 	n.items[m.item] = holding
-	for _, other := range m.here {
-		other.load -= before
-	}
+	m.addLoad(-m.share())
 	m.here = append(m.here, n)
-	for _, other := range m.here {
-		other.load += m.share()
-	}
+	m.addLoad(m.share())
 	if !fitsNow || p.budget.ModelLoads <= 0 {
 		return
 	}
@@ -296,14 +301,9 @@
 }
 
 func (p *planner) forgetReplica(m *placed, n *node) {
-	before := m.share()
-	for _, other := range m.here {
-		other.load -= before
-	}
+	m.addLoad(-m.share())
 	m.here = slices.DeleteFunc(m.here, func(other *node) bool { return other == n })
-	for _, other := range m.here {
-		other.load += m.share()
-	}
+	m.addLoad(m.share())
 }
 
 func (p *planner) emit(step Step) { p.steps = append(p.steps, step) }
