--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -6,11 +6,14 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/invariant"
 )
 
 // maxIdempotencyKeyBytes bounds an idempotency key.
@@ -25,33 +28,44 @@
 	if key == "" {
 		return c.sendOnce(ctx, unclaimed{})
 	}
-	outcome, err := c.gateway().config.Claims.Begin(ctx, ClaimRequest{
+	outcome, err := c.gateway().config.Claims.Begin(ctx, claims.Request{
 		Organisation:   c.request.caller.organisation.GetName(),
 		Route:          c.route.GetName(),
 		IdempotencyKey: key,
 		Fingerprint:    c.fingerprint(),
 	})
 	if err != nil {
-		var unavailable RetryDelayer
-		if errors.As(err, &unavailable) {
-			return errClaimUnavailable(unavailable.RetryDelay())
-		}
-		return errClaimUnavailable(0)
+		return claimFailure(err)
 	}
 	switch outcome.State {
-	case ClaimClaimed:
+	case claims.Claimed:
 		return c.sendOnce(ctx, outcome.Claim)
-	case ClaimRecorded:
-		return c.write(outcome.Answer, true)
-	case ClaimStillRunning:
+	case claims.Recorded:
+		return c.replay(outcome.Answer)
+	case claims.StillRunning:
 		return errStillRunning()
-	case ClaimMismatch:
+	case claims.Mismatch:
 		return errIdempotencyReused()
 	default:
 		return errUnknownRepeat()
 	}
 }
 
+func claimFailure(err error) *Error {
+	var unavailable *claims.UnavailableError
+	if errors.As(err, &unavailable) {
+		return errClaimUnavailable(unavailable.RetryAfter)
+	}
+	return errClaimUnavailable(time.Second)
+}
+
+func (c *serviceCall) replay(answer *claims.Answer) error {
+	if answer.TooLarge {
+		return errAnswerNotKept()
+	}
+	return c.write(answer, true)
+}
+
 func (c *serviceCall) idempotencyKey() (string, *Error) {
 	values := c.request.http.Header.Values(HeaderIdempotencyKey)
 	if len(values) > 1 {
@@ -84,33 +98,78 @@
 	return hex.EncodeToString(digest.Sum(nil))
 }
 
-// sendOnce sends a claimed call. Only an endpoint that provably got nothing
-// is followed by another one.
-func (c *serviceCall) sendOnce(ctx context.Context, claim Claim) error {
-	// The run and its record go on when the caller goes away.
+// onceResult is how a claimed call ended.
+type onceResult struct {
+	answer  *claims.Answer
+	failure *Error
+}
+
+// sendOnce sends a claimed call. The run and the record of its outcome go on
+// when the caller's time limit passes or the caller goes away.
+func (c *serviceCall) sendOnce(ctx context.Context, own claim) error {
+	sl, failure := c.acquire(ctx)
+	if failure != nil {
+		c.settle(ctx, "not_run", own.NotRun)
+		return failure
+	}
+	detached := c.detach()
+	done := make(chan onceResult, 1)
+	c.gateway().running.add(detached.request)
+	go func() {
+		defer c.gateway().running.remove(detached.request)
+		done <- detached.carryOut(ctx, sl, own)
+	}()
+	select {
+	case result := <-done:
+		c.request.adopt(detached.request)
+		if result.failure != nil {
+			return result.failure
+		}
+		return c.write(result.answer, false)
+	case <-ctx.Done():
+		c.request.sent = true // for all that is known here
+		return errOutcomeUnknown(http.StatusGatewayTimeout).retryIn(c.gateway().config.ServiceFirstByte)
+	}
+}
+
+// detach returns a call that shares nothing with the caller's connection.
+func (c *serviceCall) detach() *serviceCall {
+	detached := *c
+	detached.request = c.request.detach()
+	return &detached
+}
+
+// carryOut sends the call. Only an endpoint that provably got nothing is
+// followed by another one.
+func (c *serviceCall) carryOut(ctx context.Context, sl *slot, own claim) onceResult {
 	runCtx := context.WithoutCancel(ctx)
 	for attempts := 1; ; attempts++ {
-		sl, failure := c.acquire(ctx)
-		if failure != nil {
-			c.settle(runCtx, "not_run", claim.NotRun)
-			return failure
+		if !own.Valid() {
+			c.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
+			c.settle(runCtx, "not_run", own.NotRun)
+			return onceResult{failure: errClaimUnavailable(time.Second)}
 		}
+		invariant.Assert(!c.request.sent, invariant.AtMostOnce, logrus.Fields{"request": c.request.id})
 		answer, err := c.attempt(runCtx, sl, true)
 		c.gateway().scheduler.finish(sl, serviceOutcome(runCtx, answer, err), int64(c.tokens()))
 		if err == nil {
-			c.recordAnswer(runCtx, claim, answer)
-			return c.write(answer, false)
+			c.recordAnswer(runCtx, own, answer)
+			return onceResult{answer: answer}
 		}
 		var notSent *endpoint.NotSentError
 		if !errors.As(err, &notSent) {
-			c.settle(runCtx, "unknown", claim.Unknown)
-			return c.unknown(err)
-		}
-		if attempts >= c.gateway().config.MaxAttempts || !c.gateway().retryAllowed() {
-			c.settle(runCtx, "not_run", claim.NotRun)
-			return errEndpointFailed(RunNot)
+			c.settle(runCtx, "unknown", own.Unknown)
+			return onceResult{failure: c.unknown(err)}
 		}
 		c.tried = append(c.tried, sl.attempt.Endpoint())
+		failure := errEndpointFailed(RunNot)
+		if attempts < c.gateway().config.MaxAttempts && c.gateway().retryAllowed() {
+			sl, failure = c.acquire(ctx)
+		}
+		if failure != nil {
+			c.settle(runCtx, "not_run", own.NotRun)
+			return onceResult{failure: failure}
+		}
 	}
 }
 
@@ -126,22 +185,15 @@
 	return errOutcomeUnknown(http.StatusBadGateway)
 }
 
-// maxRecordedBytes bounds the body of a recorded answer.
-const maxRecordedBytes = 256 << 10
-
-func (c *serviceCall) recordAnswer(ctx context.Context, claim Claim, answer *RecordedAnswer) {
-	recorded := *answer
-	if len(recorded.Body) > maxRecordedBytes {
-		recorded.Body = nil
-	}
-	c.settle(ctx, "recorded", func(ctx context.Context) error { return claim.Finish(ctx, recorded) })
+func (c *serviceCall) recordAnswer(ctx context.Context, own claim, answer *claims.Answer) {
+	c.settle(ctx, "recorded", func(ctx context.Context) error { return own.Finish(ctx, *answer) })
 }
 
 // settle records how a claim ended. Where that fails, a repeat of the key
 // is told that it still runs or that the outcome is unknown, never that it
 // did not run.
 func (c *serviceCall) settle(ctx context.Context, end string, record func(context.Context) error) {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	defer cancel()
 	if err := record(ctx); err != nil {
 		logrus.WithFields(logrus.Fields{
@@ -155,12 +207,7 @@
 // that allows it.
 type unclaimed struct{}
 
-// Finish implements Claim.
-func (unclaimed) Finish(context.Context, RecordedAnswer) error { return nil }
-
-// NotRun implements Claim.
-func (unclaimed) NotRun(context.Context) error { return nil }
-
-// Unknown implements Claim.
-func (unclaimed) Unknown(context.Context) error { return nil }
-
+func (unclaimed) Valid() bool                                 { return true }
+func (unclaimed) Finish(context.Context, claims.Answer) error { return nil }
+func (unclaimed) NotRun(context.Context) error                { return nil }
+func (unclaimed) Unknown(context.Context) error               { return nil }
