--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -244,23 +244,42 @@
 	}
 }
 
-// follow unloads what the target lacks and loads what it has.
+// follow loads what the target has, and unloads what it lacks where the memory
+// is needed.
 func (r *policyRun) follow() {
 	for _, w := range r.workers {
 		target := r.target[w.name]
-		for item := range w.items {
-			if !slices.Contains(target, item) {
-				delete(w.items, item)
-			}
-		}
 		for _, item := range target {
 			if _, held := w.items[item]; !held && w.up && r.budget[w.zone] >= 1 {
+				r.makeRoom(w, target, r.bytes(item))
 				r.load(w, item)
 			}
 		}
 	}
 }
 
+func (r *policyRun) makeRoom(w *worker, target []placement.Item, bytes int64) {
+	free := r.memory - bytes
+	for item := range w.items {
+		free -= r.bytes(item)
+	}
+	for _, item := range sortedHeld(w) {
+		if free < 0 && !slices.Contains(target, item) {
+			free += r.bytes(item)
+			delete(w.items, item)
+		}
+	}
+}
+
+func sortedHeld(w *worker) []placement.Item {
+	var items []placement.Item
+	for item := range w.items {
+		items = append(items, item)
+	}
+	slices.SortFunc(items, func(a, b placement.Item) int { return cmp.Compare(a.Model, b.Model) })
+	return items
+}
+
 // account adds what the tick demanded and attained. Requests go to a model's
 // replicas by water filling: three rounds move share to the less loaded.
 func (r *policyRun) account() {
