Divide the weight store over the zones that have engines

Cause: the number of zones had to be set, nothing set it, and so each zone's owner took one load a second for itself: three in three zones. It is now counted from the configuration. Shown failing first on the former default: the test of a zone's part would see 12 model loads in 30 s where a third of one a second allows 10 or 11.

--- a/internal/placement/owner/fleet_test.go
+++ b/internal/placement/owner/fleet_test.go
@@ -81,6 +81,8 @@
 	fate     func(name string, order engineapi.Order) fate
 	failures []string
 	orders   []engineapi.Order
+	// adapterPeak is the most adapters that loaded at the same time.
+	adapterPeak int
 	// queued makes calls wait for network, which serves them in an order of
 	// its own, so that a run does not depend on the scheduler.
 	queued bool
@@ -204,6 +206,7 @@
 			return true
 		}
 		e.items[item] = &heldItem{bytes: order.Bytes, readyAt: f.now.Add(loadTime), orderID: order.ID}
+		f.adapterPeak = max(f.adapterPeak, f.adaptersLoading())
 		if e.used() > e.config.MemoryBytes {
 			f.failures = append(f.failures, fmt.Sprintf("%s overcommitted by %s: %d of %d bytes", e.config.Name, item, e.used(), e.config.MemoryBytes))
 		}
@@ -223,6 +226,18 @@
 	return true
 }
 
+func (f *fleet) adaptersLoading() int {
+	count := 0
+	for _, e := range f.engines {
+		for item, held := range e.items {
+			if item.IsAdapter() && !held.ready {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // carriesAdapters reports whether adapters would be left without their model.
 func (e *engine) carriesAdapters(model placement.Item) bool {
 	carries := false
--- a/internal/placement/owner/input.go
+++ b/internal/placement/owner/input.go
@@ -22,7 +22,7 @@
 		Endpoints: o.planned(views),
 		Models:    models(snapshot, demand, wanted),
 		Adapters:  adapters(snapshot, demand, wanted),
-		Budget:    o.budget.now(now, ordersUnderWay(views, o.sender)),
+		Budget:    o.budget.now(now, ordersUnderWay(views), o.weightStoreZones(views)),
 		Tuning:    o.cfg.Tuning,
 		Since:     o.since,
 		Now:       now,
@@ -192,7 +192,7 @@
 	adapters int
 }
 
-func ordersUnderWay(views []*view, sender string) underWay {
+func ordersUnderWay(views []*view) underWay {
 	var count underWay
 	for _, v := range views {
 		for item, holding := range v.account.Items {
@@ -211,37 +211,41 @@
 
 // loadBudget is this zone's part of the weight store.
 type loadBudget struct {
-	rate     float64
-	atOnce   int
-	adapters int
-	tokens   float64
-	at       time.Time
-}
-
-func newLoadBudget(w WeightStore) loadBudget {
-	return loadBudget{
-		rate:     w.LoadsPerSecond / float64(w.Zones),
-		atOnce:   max(1, w.LoadsAtOnce/w.Zones),
-		adapters: max(1, w.AdapterLoadsAtOnce/w.Zones),
-		tokens:   1,
-	}
+	store  WeightStore
+	tokens float64
+	at     time.Time
 }
 
-// now returns the loads that may start.
-func (b *loadBudget) now(now time.Time, running underWay) placement.Budget {
+// now returns the loads that may start, where the weight store is divided over
+// the number of zones given.
+func (b *loadBudget) now(now time.Time, running underWay, zones int) placement.Budget {
 	if !b.at.IsZero() {
-		b.tokens = min(1, b.tokens+now.Sub(b.at).Seconds()*b.rate)
+		b.tokens = min(1, b.tokens+now.Sub(b.at).Seconds()*b.store.LoadsPerSecond/float64(zones))
 	}
 	b.at = now
+	atOnce := max(1, b.store.LoadsAtOnce/zones)
+	adapters := max(1, b.store.AdapterLoadsAtOnce/zones)
 	return placement.Budget{
-		ModelLoads:   max(0, min(int(b.tokens+1e-9), b.atOnce-running.models)),
-		AdapterLoads: max(0, b.adapters-running.adapters),
+		ModelLoads:   max(0, min(int(b.tokens+1e-9), atOnce-running.models)),
+		AdapterLoads: max(0, adapters-running.adapters),
 	}
 }
 
 // take uses one load's part of the rate.
 func (b *loadBudget) take() { b.tokens-- }
 
+// weightStoreZones returns the number of zones that share the weight store.
+func (o *Owner) weightStoreZones(views []*view) int {
+	if o.cfg.WeightStore.Zones > 0 {
+		return o.cfg.WeightStore.Zones
+	}
+	zones := make(map[string]bool)
+	for _, v := range views {
+		zones[v.zone] = true
+	}
+	return max(1, len(zones))
+}
+
 // sortedNames is used by dumps that must not change from call to call.
 func sortedNames[V any](m map[string]V) []string {
 	names := make([]string, 0, len(m))
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -73,7 +73,8 @@
 	// AdapterLoadsAtOnce is the number of adapter loads in flight at full
 	// speed. Zero means 32.
 	AdapterLoadsAtOnce int
-	// Zones is the number of availability zones in the region. Zero means 1.
+	// Zones is the number of availability zones that share it. Zero means
+	// those with engines in the configuration.
 	Zones int
 }
 
@@ -146,9 +147,6 @@
 	if w.AdapterLoadsAtOnce <= 0 {
 		w.AdapterLoadsAtOnce = 32
 	}
-	if w.Zones <= 0 {
-		w.Zones = 1
-	}
 	return w
 }
 
@@ -186,7 +184,7 @@
 		calls:   make(map[string]*call),
 		wanted:  make(map[string]time.Time),
 		records: make(map[string]*record),
-		budget:  newLoadBudget(cfg.WeightStore),
+		budget:  loadBudget{store: cfg.WeightStore, tokens: 1},
 		since:   make(map[placement.Replica]time.Time),
 	}
 }
--- a/internal/placement/owner/owner_test.go
+++ b/internal/placement/owner/owner_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/placement"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
 	"bilberryslip.example/bilberryslip/internal/platform"
@@ -133,4 +134,34 @@
 		Expect(f.orders[0].Model).To(Equal("m8"))
 		Expect(len(f.orders)).To(BeNumerically("<=", 9))
 	})
+
+	It("takes this zone's part of the weight store only", func() {
+		f := newFleet()
+		f.add("e0", "z1", 60*gib, 8*gib, false)
+		f.add("e1", "z2", 60*gib, 8*gib, false)
+		f.add("e2", "z3", 60*gib, 8*gib, false)
+		b := newBench(f)
+		objects := f.objects()
+		for i := range 12 {
+			model := fmt.Sprintf("m%d", i)
+			objects = append(objects, modelObjects(model, model+"-v1", 4*gib)...)
+			objects = append(objects, policyObject(model, model, 1))
+			for j := range 5 {
+				objects = append(objects, adapterObject(fmt.Sprintf("%s-a%d", model, j), model, gib/8))
+			}
+		}
+		b.source.set(objects)
+		b.run(30*time.Second, nil)
+		models, adapters := 0, 0
+		for _, order := range f.orders {
+			if order.Action == engineapi.ActionLoadModel {
+				models++
+			} else {
+				adapters++
+			}
+		}
+		Expect(models).To(And(BeNumerically(">=", 9), BeNumerically("<=", 11)), "a third of one load a second for 30 s")
+		Expect(adapters).To(BeNumerically(">", 10))
+		Expect(f.adapterPeak).To(BeNumerically("<=", 32/3))
+	})
 })
