Let an operator's word end a dead owner's orders, and notice such ends

An order of an owner that died between intent and answer, at an endpoint that does not check fencing, was counted for good. ForgetHost marks it as ended; it is dropped the order lifetime later.

Found by its test, failing first ('Expected 0 to equal 1' ready replicas, three minutes on): the present owner never learned of ends that another process wrote, a deposed owner's among them, since it reads an object only after a conflict, and writes none while memory is full.

--- a/internal/placement/owner/calls.go
+++ b/internal/placement/owner/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -173,7 +174,23 @@
 	}
 }
 
-// markEnded leaves the object's owner and term as they are.
+// ForgetHost marks the orders of a host's processes as ended, on an operator's
+// word that the host is dead. They are no longer counted once the order
+// lifetime is over.
+func (o *Owner) ForgetHost(ctx context.Context, host string) error {
+	listing, err := o.cfg.Store.List(ctx, platform.KindEndpointIntent, "")
+	if err != nil {
+		return errors.Wrap(err, "list intents")
+	}
+	for _, obj := range listing.Items {
+		err := o.markEndedIn(ctx, obj, func(order *placement.Order) bool { return strings.HasPrefix(order.Sender, host+"/") })
+		if err != nil {
+			return errors.Wrapf(err, "orders of host %s to %s", host, obj.Name)
+		}
+	}
+	return nil
+}
+
 func (o *Owner) markEnded(ctx context.Context, name string, ids map[string]bool) error {
 	obj, err := o.cfg.Store.Get(ctx, platform.KindEndpointIntent, name)
 	var missing *platform.NotFoundError
@@ -183,6 +200,11 @@
 	if err != nil {
 		return errors.Wrap(err, "read intents")
 	}
+	return o.markEndedIn(ctx, obj, func(order *placement.Order) bool { return ids[order.ID] })
+}
+
+// markEndedIn leaves the object's owner and term as they are.
+func (o *Owner) markEndedIn(ctx context.Context, obj platform.Object, ended func(*placement.Order) bool) error {
 	var intents placement.Intents
 	if err := json.Unmarshal(obj.Value, &intents); err != nil {
 		return errors.Wrap(err, "decode intents")
@@ -190,7 +212,7 @@
 	changed := false
 	for i := range intents.Orders {
 		order := &intents.Orders[i]
-		if ids[order.ID] && !order.Ended {
+		if !order.Ended && ended(order) {
 			order.Ended = true
 			changed = true
 		}
@@ -202,6 +224,6 @@
 	if err != nil {
 		return errors.Wrap(err, "encode intents")
 	}
-	_, err = o.cfg.Store.Update(ctx, platform.KindEndpointIntent, name, obj.Version, uuid.NewString(), raw)
+	_, err = o.cfg.Store.Update(ctx, platform.KindEndpointIntent, obj.Name, obj.Version, uuid.NewString(), raw)
 	return errors.Wrap(err, "write intents")
 }
--- a/internal/placement/owner/record.go
+++ b/internal/placement/owner/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,8 @@
 	intents placement.Intents
 	// readAt is when the first read of the object was answered.
 	readAt time.Time
+	// checkedAt is when the object was last read or written.
+	checkedAt time.Time
 	// known is false while the object has to be read: at first, and after a
 	// write with an unknown outcome.
 	known bool
@@ -64,13 +67,27 @@
 			o.records[v.name] = r
 		}
 		v.record = r
-		if !o.claimed(r) {
+		switch {
+		case !o.claimed(r):
 			group.Go(func() error { return o.claim(ctx, r) })
+		case o.recheckDue(r):
+			group.Go(func() error { return o.read(ctx, r) })
 		}
 	}
 	return group.Wait()
 }
 
+// recheckDue reports whether another sender may have written the end of its
+// order in the meantime.
+func (o *Owner) recheckDue(r *record) bool {
+	if o.cfg.Now().Sub(r.checkedAt) < o.cfg.SettleDelay {
+		return false
+	}
+	return slices.ContainsFunc(r.intents.Orders, func(order placement.Order) bool {
+		return !order.Ended && order.Sender != o.sender
+	})
+}
+
 func (o *Owner) claim(ctx context.Context, r *record) error {
 	if !r.known {
 		if err := o.read(ctx, r); err != nil {
@@ -105,8 +122,9 @@
 	if intents.Term > o.term {
 		return &deposedError{owner: intents.Owner}
 	}
+	r.checkedAt = o.cfg.Now()
 	if !r.known {
-		r.readAt = o.cfg.Now()
+		r.readAt = r.checkedAt
 	}
 	r.version, r.exists, r.known = obj.Version, true, true
 	r.intents = intents
--- a/internal/placement/owner/takeover_test.go
+++ b/internal/placement/owner/takeover_test.go
@@ -86,4 +86,36 @@
 		Expect(f.orders).To(HaveLen(sent + 1))
 		Expect(f.orders[sent].Action).To(Equal(engineapi.ActionUnloadModel))
 	})
+
+	It("counts a dead owner's order until an operator forgets its host", func() {
+		f := newFleet()
+		f.add("e0", "z1", 10*gib, 0, false)
+		b := newBench(f)
+		b.source.set(append(f.objects(), modelObjects("m", "m-v1", 6*gib)...))
+		died := make(chan struct{})
+		f.fate = func(string, engineapi.Order) fate {
+			close(died)
+			return fate{block: make(chan struct{})}
+		}
+		for range 2 {
+			f.advance(time.Second)
+			f.poll()
+			Expect(b.owner.Cycle(context.Background())).To(Succeed())
+		}
+		Eventually(died).Should(BeClosed())
+
+		f.mu.Lock()
+		f.fate = nil
+		f.mu.Unlock()
+		b.source.set(append(f.objects(), modelObjects("x", "x-v1", 6*gib)...))
+		b.lease.set(true, 2)
+		b.owner = b.newOwner("b", b.lease)
+		b.run(10*time.Minute, nil)
+		Expect(f.orders).To(BeEmpty(), "the dead owner's load may yet arrive")
+		Expect(b.owner.ForgetHost(context.Background(), "a")).To(Succeed())
+		b.run(time.Minute, nil)
+		Expect(f.orders).To(BeEmpty())
+		b.run(2*time.Minute, nil)
+		Expect(f.ready("x")).To(Equal(1))
+	})
 })
