Read an endpoint's kind under the registry's lock

The race detector found the poller reading the configured object while a new configuration replaced it. go test -race ./internal/gateway: a data race before, none after (71 specs passed).

--- a/internal/endpoint/poller.go
+++ b/internal/endpoint/poller.go
@@ -64,6 +64,12 @@
 	return r.config.RemotePollInterval
 }
 
+func (r *Registry) kind(known *entry) apiv1.EndpointKind {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return known.config.GetKind()
+}
+
 func (r *Registry) poll(ctx context.Context, known *entry) {
 	ticker := time.NewTicker(r.interval(known))
 	defer ticker.Stop()
@@ -92,7 +98,7 @@
 		logrus.WithField("endpoint", name).WithError(err).Debug("endpoint poll failed")
 		return
 	}
-	if known.config.GetKind() == apiv1.EndpointKind_ENDPOINT_KIND_ENGINE {
+	if r.kind(known) == apiv1.EndpointKind_ENDPOINT_KIND_ENGINE {
 		r.pollEvents(ctx, known)
 	}
 }
@@ -100,7 +106,7 @@
 func (r *Registry) pollReport(ctx context.Context, known *entry) error {
 	sent := r.config.Clock()
 	path := engineReportPath
-	if known.config.GetKind() == apiv1.EndpointKind_ENDPOINT_KIND_SERVICE {
+	if r.kind(known) == apiv1.EndpointKind_ENDPOINT_KIND_SERVICE {
 		path = serviceReportPath
 	}
 	report, err := known.client.report(ctx, path)
