Resume a stream at another engine where its own is gone

Cause: a stream whose engine died after the first events ended as answer_cut although another engine may be able to continue it. Such an engine is asked with the stream's attempt and offset; one that can't answers 409, which ends the stream as before and is not counted as the endpoint's failure.

--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -93,6 +93,26 @@
 		Expect(f.resumes()).To(Equal(2))
 	})
 
+	It("resumes at another engine that can, where the first one is gone", func() {
+		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) {
+			o.TokenInterval, o.ResumesAny = 50*time.Millisecond, true
+		})
+		f.everyEngine(func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 3 })
+		done := make(chan reply, 1)
+		go func() { done <- f.chat(`,"stream":true`) }()
+		Eventually(func() int { return len(f.journal()) }).Should(Equal(1))
+		for _, engine := range f.engines {
+			if len(engine.State().Journal) == 1 {
+				engine.Switches().Update(func(x *engineserver.Faults) { x.CloseBeforeRun = 100 })
+			} else {
+				engine.Switches().Update(func(x *engineserver.Faults) { x.Cut = 0 })
+			}
+		}
+		text, last := streamText((<-done).body)
+		Expect(text).To(Equal(generated("")))
+		Expect(last).To(Equal("[DONE]"))
+	})
+
 	It("passes on nothing of an answer that is crossed at every attempt", func() {
 		f := newFixture()
 		f.everyEngine(func(x *engineserver.Faults) { x.Crossed = 10 })
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 )
 
@@ -41,9 +42,12 @@
 
 // outcomeOf tells what an attempt's end says of its endpoint.
 func outcomeOf(ctx context.Context, err error) endpoint.Outcome {
+	var status *statusError
 	switch {
 	case err == nil:
 		return endpoint.OutcomeAnswered
+	case errors.As(err, &status) && status.status == http.StatusConflict:
+		return endpoint.OutcomeCancelled // it can't resume, which is no failure
 	case ctx.Err() != nil || final(err):
 		return endpoint.OutcomeCancelled
 	default:
@@ -82,6 +86,32 @@
 	}
 }
 
+// admissionFailure is the answer to a request that left the queue unserved.
+func (r *request) admissionFailure(ctx context.Context, refusal *admission.Refusal, err error) *Error {
+	run := RunNot
+	if r.sent {
+		run = RunUnknown
+	}
+	switch {
+	case err != nil:
+		return ended(ctx, run)
+	case refusal == nil:
+		return nil
+	case refusal.Reason == admission.ReasonNoEndpoint:
+		return errNoEndpoint(refusal.RetryAfter).withRun(run)
+	default:
+		return errOverloaded(refusal.RetryAfter).withRun(run)
+	}
+}
+
+// ended is the answer to a request whose context ended.
+func ended(ctx context.Context, run Run) *Error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return errTimeout(run)
+	}
+	return errCallerGone(run)
+}
+
 // fail ends the request with an error, in the stream if one has begun.
 func (gen *generation) fail(failure *Error) error {
 	if !gen.sink.started() {
