--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,6 +70,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// names holds the entries' names in order.
+	names   []string
 	ejector *Ejector
 	// changed is closed when an endpoint may have gained room.
 	changed chan struct{}
@@ -104,6 +107,7 @@
 			delete(r.entries, name)
 		}
 	}
+	r.names = slices.Sorted(maps.Keys(r.entries))
 	r.notify()
 }
 
@@ -155,10 +159,9 @@
 	now := r.config.Clock()
 	ejected := r.ejector.Ejected(now)
 	states := make([]State, 0, len(r.entries))
-	for name, known := range r.entries {
-		states = append(states, r.complete(name, known, now, ejected))
+	for _, name := range r.names {
+		states = append(states, r.complete(name, r.entries[name], now, ejected))
 	}
-	sort.Slice(states, func(i, j int) bool { return states[i].Config.GetName() < states[j].Config.GetName() })
 	return states
 }
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -69,7 +69,7 @@
 	gen.tried = append(gen.tried, failedAt)
 	gen.resumeRefused = false
 	if gen.sink.started() {
-		gen.gateway().metrics.retries.WithLabelValues("resume elsewhere").Inc()
+		gen.gateway().metrics.retries.WithLabelValues("resume_elsewhere").Inc()
 		return
 	}
 	gen.gateway().metrics.retries.WithLabelValues("restart").Inc()
@@ -86,7 +86,6 @@
 			Organisation: r.caller.organisation.GetName(),
 			Weight:       gen.weight,
 			Class:        r.class,
-			Pool:         gen.gateway().scheduler.poolOf(gen.routing()),
 			Resource:     gen.target.name(),
 			Tokens:       float64(gen.asked.tokens()),
 			Deadline:     r.queueDeadline(ctx),
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -86,13 +86,15 @@
 func (s *scheduler) offer(req slotRequest) (*waiter, *admission.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	states := s.endpoints.States()
+	req.admission.Pool = routing.Pool(states, req.routing)
 	ticket, refusal := s.queue.Offer(s.clock(), req.admission)
 	if refusal != nil {
 		return nil, refusal
 	}
 	w := &waiter{request: req, ticket: ticket, result: make(chan slotResult, 1)}
 	s.waiters[ticket] = w
-	s.dispatch()
+	s.dispatch(states)
 	return w, nil
 }
 
@@ -118,7 +120,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Finish(sl.ticket, float64(usedTokens))
-	s.dispatch()
+	s.dispatchIfWaiting()
 }
 
 // serve keeps the queue moving until ctx ends.
@@ -127,7 +129,7 @@
 	defer ticker.Stop()
 	for {
 		changed := s.endpoints.Changed()
-		s.dispatchIfWaiting()
+		s.wake()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -137,20 +139,22 @@
 	}
 }
 
-func (s *scheduler) dispatchIfWaiting() {
+func (s *scheduler) wake() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dispatchIfWaiting()
+}
+
+// dispatchIfWaiting must be called with the mutex held.
+func (s *scheduler) dispatchIfWaiting() {
 	if s.queue.Len() > 0 {
-		s.dispatch()
+		s.dispatch(s.endpoints.States())
 	}
 }
 
 // dispatch must be called with the mutex held.
-func (s *scheduler) dispatch() {
-	if s.queue.Len() == 0 {
-		return
-	}
-	round := &round{scheduler: s, states: s.endpoints.States()}
+func (s *scheduler) dispatch(states []endpoint.State) {
+	round := &round{scheduler: s, states: states}
 	started, refused := s.queue.Dispatch(s.clock(), round.pick)
 	for _, ticket := range started {
 		delete(s.waiters, ticket)
@@ -216,10 +220,3 @@
 	defer s.mu.Unlock()
 	return s.queue.Waiting()
 }
-
-// poolOf names the endpoints that a request competes for: the group of the
-// first endpoint that holds what it needs.
-func (s *scheduler) poolOf(req routing.Request) string {
-	states := s.endpoints.States()
-	return routing.Pool(states, req)
-}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -241,7 +241,6 @@
 			Organisation: r.caller.organisation.GetName(),
 			Weight:       c.weight,
 			Class:        r.class,
-			Pool:         "service/" + c.service,
 			Resource:     c.service,
 			Tokens:       c.tokens(),
 			Deadline:     r.queueDeadline(ctx),
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -91,15 +91,15 @@
 
 // plainSink puts the events together to one JSON answer.
 type plainSink struct {
-	request *request
-	chat    bool
-	model   string
-	prompt  int64
-	text    strings.Builder
-	first   engineChunk
-	finishR string
-	usage   *tokenUsage
-	count   int64
+	request      *request
+	chat         bool
+	model        string
+	prompt       int64
+	text         strings.Builder
+	first        engineChunk
+	finishReason string
+	usage        *tokenUsage
+	count        int64
 }
 
 // tokenUsage is the OpenAI account of an answer's tokens.
@@ -167,7 +167,7 @@
 		s.text.WriteString(choice.Text)
 		s.text.WriteString(choice.Delta.Content)
 		if choice.FinishReason != "" {
-			s.finishR = choice.FinishReason
+			s.finishReason = choice.FinishReason
 		}
 	}
 	return nil
@@ -177,12 +177,12 @@
 
 func (s *plainSink) reset() {
 	s.text.Reset()
-	s.first, s.finishR, s.usage, s.count = engineChunk{}, "", nil, 0
+	s.first, s.finishReason, s.usage, s.count = engineChunk{}, "", nil, 0
 }
 
 func (s *plainSink) finish() error {
 	text := s.text.String()
-	choice := answerChoice{FinishReason: s.finishR}
+	choice := answerChoice{FinishReason: s.finishReason}
 	object := "text_completion"
 	if s.chat {
 		object = "chat.completion"
