Say what became of the first attempt where a repeat exceeds the rate

Cause: a call with an idempotency key was charged before its claim was looked at, so a repeat on a host without tokens was refused as 'not run' although the first attempt had run; its caller could take a new key and run it twice. Found by the process test that kills hosts at every step: 'rate_limit_exceeded ... run: not run' after the service ran. Ruled out: the claim itself (run count 1) and claiming before charging, which would let an organisation above its rate spend the platform's writes. Change: a refused non-repeatable call looks its claim up (one read) and answers by it. Before: the new test fails with 429 and 'not run'. After: the recorded answer; a new key still gets 'not run'.

--- a/internal/claims/book.go
+++ b/internal/claims/book.go
@@ -132,6 +132,32 @@
 	return outcome, err
 }
 
+// Lookup tells what became of an earlier attempt and claims nothing. It costs
+// the platform one read. An error is always *UnavailableError.
+func (b *Book) Lookup(ctx context.Context, req Request) (Outcome, error) {
+	b.mu.Lock()
+	own := b.local[req.name()]
+	b.mu.Unlock()
+	if own != nil {
+		return decideOwn(own, req), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, b.config.ClaimTimeout)
+	defer cancel()
+	existing, err := b.config.Store.Get(ctx, platform.KindClaim, req.name())
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return Outcome{State: NotClaimed}, nil
+	}
+	if err != nil {
+		return Outcome{}, unavailable(err)
+	}
+	outcome := b.decide(existing, req)
+	if outcome.State == takeOver {
+		return Outcome{State: NotClaimed}, nil
+	}
+	return outcome, nil
+}
+
 // reserve makes the claim the process's own for its name, unless there is one
 // already, which it returns. Two attempts in one process thus cost the
 // platform one write, and the answer of the first can be given while the
--- a/internal/claims/decide.go
+++ b/internal/claims/decide.go
@@ -92,6 +92,9 @@
 	Unknown Result = "unknown"
 	// Mismatch means that the key belongs to another request.
 	Mismatch Result = "mismatch"
+	// NotClaimed means that no attempt has run or may be running. Only Lookup
+	// returns it.
+	NotClaimed Result = "not claimed"
 	// takeOver means that the claim is free: its request was never sent.
 	takeOver Result = "take over"
 )
--- a/internal/gateway/deps.go
+++ b/internal/gateway/deps.go
@@ -22,6 +22,8 @@
 // that nothing is claimed and nothing may be sent.
 type Claims interface {
 	Begin(ctx context.Context, req claims.Request) (claims.Outcome, error)
+	// Lookup tells what became of an earlier attempt and claims nothing.
+	Lookup(ctx context.Context, req claims.Request) (claims.Outcome, error)
 }
 
 // claim is the right to send a request once.
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/standin/control"
 	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
 	"bilberryslip.example/bilberryslip/internal/standin/serviceserver"
@@ -220,6 +221,22 @@
 		Expect(f.serviceRuns()).To(BeEquivalentTo(1))
 	})
 
+	It("says what became of the first attempt where its repeat exceeds the rate", func() {
+		f := newFixture()
+		first := register(f)
+		Expect(first.status).To(Equal(http.StatusOK), first.body)
+		f.limiter.mu.Lock()
+		f.limiter.refuse = &ratelimit.RefusedError{Organisation: "aqej", Reason: ratelimit.ReasonRate, RetryAfter: time.Second}
+		f.limiter.mu.Unlock()
+		repeat := register(f)
+		Expect(repeat.status).To(Equal(http.StatusOK), repeat.body)
+		Expect(repeat.body).To(Equal(first.body))
+		fresh := f.do("POST", "/services/registry/certificates", `{"request":"ring 2"}`, "Idempotency-Key", "c-2")
+		Expect(fresh.status).To(Equal(http.StatusTooManyRequests))
+		Expect(fresh.failure().Error.Run).To(Equal("not run"))
+		Expect(f.serviceRuns()).To(BeEquivalentTo(1))
+	})
+
 	It("sends nothing when the claim can't be recorded", func() {
 		f := newFixture()
 		f.platform.down.Store(true)
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -28,18 +28,42 @@
 	if key == "" {
 		return c.sendOnce(ctx, unclaimed{})
 	}
-	outcome, err := c.gateway().config.Claims.Begin(ctx, claims.Request{
+	outcome, err := c.gateway().config.Claims.Begin(ctx, c.claimRequest(key))
+	if err != nil {
+		return claimFailure(err)
+	}
+	if outcome.State == claims.Claimed {
+		return c.sendOnce(ctx, outcome.Claim)
+	}
+	return c.recall(outcome)
+}
+
+// refuse answers a call that can't be taken up now. It is "not run" only if
+// no earlier attempt with its idempotency key may have run.
+func (c *serviceCall) refuse(ctx context.Context, failure *Error) error {
+	key, invalid := c.idempotencyKey()
+	if c.route.GetRepeatable() || invalid != nil || key == "" {
+		return failure
+	}
+	outcome, err := c.gateway().config.Claims.Lookup(ctx, c.claimRequest(key))
+	if err != nil || outcome.State == claims.NotClaimed {
+		return failure
+	}
+	return c.recall(outcome)
+}
+
+func (c *serviceCall) claimRequest(key string) claims.Request {
+	return claims.Request{
 		Organisation:   c.request.caller.organisation.GetName(),
 		Route:          c.route.GetName(),
 		IdempotencyKey: key,
 		Fingerprint:    c.fingerprint(),
-	})
-	if err != nil {
-		return claimFailure(err)
 	}
+}
+
+// recall answers a repeat by what became of the earlier attempt.
+func (c *serviceCall) recall(outcome claims.Outcome) error {
 	switch outcome.State {
-	case claims.Claimed:
-		return c.sendOnce(ctx, outcome.Claim)
 	case claims.Recorded:
 		return c.replay(outcome.Answer)
 	case claims.StillRunning:
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	settle, failure := g.charge(ctx, call)
 	if failure != nil {
-		return failure
+		return call.refuse(ctx, failure)
 	}
 	defer settle()
 	g.firstAttempt()
