--- /dev/null
+++ b/test/capacity/capacity_test.go
@@ -0,0 +1,135 @@
+//go:build measure
+
+// Package capacity measures what control costs a host, with real daemons at
+// several sizes, without callers. Run it with
+//
+//	go test -tags measure -timeout 30m -v ./test/capacity
+package capacity
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/settings"
+	"bilberryslip.example/bilberryslip/test/cluster"
+)
+
+// Times of one measurement.
+const (
+	warmUp   = 15 * time.Second
+	interval = 15 * time.Second
+)
+
+// zones is the number of availability zones in every measurement.
+const zones = 3
+
+func TestCapacity(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "capacity")
+}
+
+// sample is the control cost of one host, or the mean of several.
+type sample struct {
+	cpuSeconds, residentBytes, heapBytes    float64
+	platformBytes, peerBytes, endpointBytes float64
+}
+
+var programs cluster.Programs
+
+var _ = BeforeSuite(func() {
+	programs = cluster.Build(GinkgoT().TempDir())
+	fmt.Fprintf(os.Stderr, "hosts endpoints models | cpu%% of a core, RSS MB, heap MB | KB/s: platform, peers, endpoints | platform: reads/s, writes/s, waiting watches\n")
+})
+
+var _ = DescribeTable("control per host", Ordered,
+	func(hostsPerZone, enginesPerZone, models int) {
+		c := cluster.Start(programs, cluster.Options{
+			Zones: zones, HostsPerZone: hostsPerZone, EnginesPerZone: enginesPerZone, Objects: extraModels(models),
+			Settings: func(s *settings.Settings) { s.Log.Level = "info" },
+		})
+		time.Sleep(warmUp)
+		callsBefore := c.Platform.State().Calls
+		before := mean(c)
+		time.Sleep(interval)
+		after := mean(c)
+		state := c.Platform.State()
+		reads := float64(state.Calls.Reads()-callsBefore.Reads()) / interval.Seconds()
+		writes := float64(state.Calls.Writes()-callsBefore.Writes()) / interval.Seconds()
+		fmt.Fprintf(os.Stderr, "%5d %9d %6d | %6.2f %6.1f %6.1f | %7.2f %7.2f %7.2f | %6.1f %6.1f %4d\n",
+			hostsPerZone*zones, enginesPerZone*zones, models,
+			100*(after.cpuSeconds-before.cpuSeconds)/interval.Seconds(), after.residentBytes/1e6, after.heapBytes/1e6,
+			perSecond(after.platformBytes, before.platformBytes), perSecond(after.peerBytes, before.peerBytes),
+			perSecond(after.endpointBytes, before.endpointBytes), reads, writes, state.WaitingWatches)
+	},
+	Entry("hosts", 2, 4, 0), Entry("hosts", 5, 4, 0), Entry("hosts", 10, 4, 0), Entry("hosts", 16, 4, 0),
+	Entry("endpoints", 2, 12, 0), Entry("endpoints", 2, 20, 0), Entry("endpoints", 2, 40, 0),
+	Entry("models", 2, 4, 500), Entry("models", 2, 4, 1700),
+)
+
+func perSecond(after, before float64) float64 { return (after - before) / interval.Seconds() / 1e3 }
+
+// extraModels returns models that fit, in addition to the cluster's own.
+func extraModels(n int) []*apiv1.Object {
+	var objects []*apiv1.Object
+	for i := range n {
+		name := fmt.Sprintf("extra-%d", i)
+		version := &apiv1.Version{Name: name + "-v1", Model: name, MemoryBytes: 10, Weights: name}
+		objects = append(objects,
+			&apiv1.Object{Spec: &apiv1.Object_ModelVersion{ModelVersion: version}},
+			&apiv1.Object{Spec: &apiv1.Object_Model{Model: &apiv1.Model{Name: name, ServingVersion: version.Name}}})
+	}
+	return objects
+}
+
+func mean(c *cluster.Cluster) sample {
+	var sum sample
+	for _, host := range c.Hosts {
+		families := scrape(host)
+		sum.cpuSeconds += total(families, "process_cpu_seconds_total", "")
+		sum.residentBytes += total(families, "process_resident_memory_bytes", "")
+		sum.heapBytes += total(families, "go_memstats_heap_inuse_bytes", "")
+		sum.platformBytes += total(families, "bilberryslip_network_bytes_total", "platform")
+		sum.peerBytes += total(families, "bilberryslip_network_bytes_total", "peers")
+		sum.endpointBytes += total(families, "bilberryslip_network_bytes_total", "endpoints")
+	}
+	n := float64(len(c.Hosts))
+	return sample{
+		sum.cpuSeconds / n, sum.residentBytes / n, sum.heapBytes / n,
+		sum.platformBytes / n, sum.peerBytes / n, sum.endpointBytes / n,
+	}
+}
+
+func scrape(host *cluster.Host) map[string]*dto.MetricFamily {
+	response, err := http.Get("http://" + host.Addresses.Debug + "/metrics")
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return families
+}
+
+// total sums a family's counters or gauges, of one link where it is named.
+func total(families map[string]*dto.MetricFamily, name, link string) float64 {
+	sum := 0.0
+	for _, metric := range families[name].GetMetric() {
+		for _, label := range metric.Label {
+			if link != "" && label.GetName() == "link" && label.GetValue() != link {
+				metric = nil
+				break
+			}
+		}
+		sum += metric.GetCounter().GetValue() + metric.GetGauge().GetValue()
+	}
+	return sum
+}
