--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	settle, failure := g.charge(ctx, call)
 	if failure != nil {
-		return failure
+		return call.refuse(ctx, failure)
 	}
 	defer settle()
 	g.firstAttempt()
@@ -241,7 +241,6 @@
 			Organisation: r.caller.organisation.GetName(),
 			Weight:       c.weight,
 			Class:        r.class,
-			Pool:         "service/" + c.service,
 			Resource:     c.service,
 			Tokens:       c.tokens(),
 			Deadline:     r.queueDeadline(ctx),
