Hold only connections that were used before to the short header limit

An engine whose queue takes longer would have been cut, retried and ejected under load.

The test with a header after 150 ms and limits of 5 s and 50 ms, the short one held for every connection as before: Expected <[]bool>: [false, false, false] to equal [true, false, true] After: dialled connections get the long limit; a reused one that is late is closed and the next attempt dials.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -31,6 +31,9 @@
 type ProgressLimits struct {
 	// Header bounds the time from the send to the answer's header.
 	Header time.Duration
+	// ReusedHeader takes the place of Header on a connection that carried
+	// requests before and may have gone silent since. Zero means Header.
+	ReusedHeader time.Duration
 	// FirstByte bounds the time from the header to the body's first byte.
 	FirstByte time.Duration
 	// Between bounds the time between two reads of the answer's body.
@@ -82,7 +85,12 @@
 func (c *client) Send(ctx context.Context, call Call) (*Answer, error) {
 	watch := newWatchdog(ctx, c.name)
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		if info.Reused && call.Limits.ReusedHeader > 0 {
+			watch.expect(PhaseHeader, call.Limits.ReusedHeader)
+		}
+	}}
 	req, err := c.request(httptrace.WithClientTrace(watch.ctx, trace), call)
 	if err != nil {
 		watch.stop()
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -189,6 +189,22 @@
 		Expect(e.dials.Load()).To(BeEquivalentTo(2))
 	})
 
+	It("gives a connection that it dialled anew the longer limit", func() {
+		e := &engine{answer: func(http.ResponseWriter, *http.Request) { time.Sleep(150 * time.Millisecond) }}
+		c := newClient("worker-1", e.start(), time.Second)
+		limits := ProgressLimits{Header: 5 * time.Second, ReusedHeader: 50 * time.Millisecond}
+		var outcomes []bool
+		for range 3 {
+			answer, err := c.Send(ctx, Call{Attempt: "a", Method: http.MethodPost, Path: "/", Limits: limits})
+			if err == nil {
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+			}
+			outcomes = append(outcomes, err == nil)
+		}
+		Expect(outcomes).To(Equal([]bool{true, false, true}))
+	})
+
 	It("says that nothing was sent only where no connection was made", func() {
 		var notSent *NotSentError
 		_, err := newClient("w", "http://127.0.0.1:1", time.Second).Send(ctx, Call{Attempt: "a", Path: "/"})
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -190,9 +190,8 @@
 
 func (gen *generation) call(fresh bool) endpoint.Call {
 	cfg := gen.gateway().config
-	limits := endpoint.ProgressLimits{Header: cfg.ReusedFirstByte, FirstByte: cfg.FirstByte, Between: cfg.Between}
-	if fresh {
-		limits.Header = cfg.FirstByte
+	limits := endpoint.ProgressLimits{
+		Header: cfg.FirstByte, ReusedHeader: cfg.ReusedFirstByte, FirstByte: cfg.FirstByte, Between: cfg.Between,
 	}
 	return endpoint.Call{
 		Attempt:     uuid.NewString(),
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -261,9 +261,9 @@
 // attempt sends the call once and reads the whole answer.
 func (c *serviceCall) attempt(ctx context.Context, sl *slot, fresh bool) (*claims.Answer, error) {
 	cfg := c.gateway().config
-	limits := endpoint.ProgressLimits{Header: cfg.ServiceFirstByte, FirstByte: cfg.Between, Between: cfg.Between}
-	if c.route.GetRepeatable() && !fresh {
-		limits.Header = min(limits.Header, cfg.ReusedFirstByte)
+	limits := endpoint.ProgressLimits{
+		Header: cfg.ServiceFirstByte, ReusedHeader: min(cfg.ServiceFirstByte, cfg.ReusedFirstByte),
+		FirstByte: cfg.Between, Between: cfg.Between,
 	}
 	before := c.request.sent
 	c.request.sent = true
