--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -16,6 +16,7 @@
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/lease"
 	"bilberryslip.example/bilberryslip/internal/membership"
+	"bilberryslip.example/bilberryslip/internal/netmeter"
 	"bilberryslip.example/bilberryslip/internal/peer"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
 	"bilberryslip.example/bilberryslip/internal/platform"
@@ -48,6 +49,7 @@
 	book      *claims.Book
 	demand    *demand.Tracker
 	gateway   *gateway.Gateway
+	callers   *httpServer
 
 	ready *readiness
 	dump  *stateDump
@@ -172,6 +174,7 @@
 	if err != nil {
 		return err
 	}
+	h.callers = h.tlsServer("callers", h.sockets.callers, proveFirst(h.log, h.gateway.Handler()))
 	control := &selfControl{dump: h.dump, leave: h.leave}
 	h.tree = newTree([]branch{
 		{"platform", []suture.Service{h.log}},
@@ -179,7 +182,7 @@
 		{"endpoints", []suture.Service{h.endpoints}},
 		{"placement", []suture.Service{h.lease, h.owner, h.recorder}},
 		{"limits", []suture.Service{h.shares, h.book}},
-		{"gateway", []suture.Service{h.gateway, h.tlsServer("callers", h.sockets.callers, proveFirst(h.log, h.gateway.Handler()))}},
+		{"gateway", []suture.Service{h.gateway, h.callers}},
 		{"admin", []suture.Service{h.tlsServer("operators", h.sockets.operators, h.adminHandler(control))}},
 		{"debug", []suture.Service{h.server("debug", h.sockets.debug, newDebugHandler(h.ready, h.metrics(), h.dump))}},
 	}, h.ready.onEvent)
@@ -216,7 +219,7 @@
 // metrics returns the registry with the metrics of all parts.
 func (h *host) metrics() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(invariant.Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(invariant.Collector(), netmeter.Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, part := range []interface{ Collectors() []prometheus.Collector }{
 		h.platform, h.log, h.recorder, h.endpoints, h.owner, h.shares, h.book, h.gateway,
 	} {
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/standin/control"
 	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
 	"bilberryslip.example/bilberryslip/internal/standin/serviceserver"
@@ -93,6 +94,26 @@
 		Expect(f.resumes()).To(Equal(2))
 	})
 
+	It("resumes at another engine that can, where the first one is gone", func() {
+		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) {
+			o.TokenInterval, o.ResumesAny = 50*time.Millisecond, true
+		})
+		f.everyEngine(func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 3 })
+		done := make(chan reply, 1)
+		go func() { done <- f.chat(`,"stream":true`) }()
+		Eventually(func() int { return len(f.journal()) }).Should(Equal(1))
+		for _, engine := range f.engines {
+			if len(engine.State().Journal) == 1 {
+				engine.Switches().Update(func(x *engineserver.Faults) { x.CloseBeforeRun = 100 })
+			} else {
+				engine.Switches().Update(func(x *engineserver.Faults) { x.Cut = 0 })
+			}
+		}
+		text, last := streamText((<-done).body)
+		Expect(text).To(Equal(generated("")))
+		Expect(last).To(Equal("[DONE]"))
+	})
+
 	It("passes on nothing of an answer that is crossed at every attempt", func() {
 		f := newFixture()
 		f.everyEngine(func(x *engineserver.Faults) { x.Crossed = 10 })
@@ -220,6 +241,22 @@
 		Expect(f.serviceRuns()).To(BeEquivalentTo(1))
 	})
 
+	It("says what became of the first attempt where its repeat exceeds the rate", func() {
+		f := newFixture()
+		first := register(f)
+		Expect(first.status).To(Equal(http.StatusOK), first.body)
+		f.limiter.mu.Lock()
+		f.limiter.refuse = &ratelimit.RefusedError{Organisation: "aqej", Reason: ratelimit.ReasonRate, RetryAfter: time.Second}
+		f.limiter.mu.Unlock()
+		repeat := register(f)
+		Expect(repeat.status).To(Equal(http.StatusOK), repeat.body)
+		Expect(repeat.body).To(Equal(first.body))
+		fresh := f.do("POST", "/services/registry/certificates", `{"request":"ring 2"}`, "Idempotency-Key", "c-2")
+		Expect(fresh.status).To(Equal(http.StatusTooManyRequests))
+		Expect(fresh.failure().Error.Run).To(Equal("not run"))
+		Expect(f.serviceRuns()).To(BeEquivalentTo(1))
+	})
+
 	It("sends nothing when the claim can't be recorded", func() {
 		f := newFixture()
 		f.platform.down.Store(true)
--- a/internal/placement/owner/fleet_test.go
+++ b/internal/placement/owner/fleet_test.go
@@ -81,6 +81,8 @@
 	fate     func(name string, order engineapi.Order) fate
 	failures []string
 	orders   []engineapi.Order
+	// adapterPeak is the most adapters that loaded at the same time.
+	adapterPeak int
 	// queued makes calls wait for network, which serves them in an order of
 	// its own, so that a run does not depend on the scheduler.
 	queued bool
@@ -204,9 +206,16 @@
 			return true
 		}
 		e.items[item] = &heldItem{bytes: order.Bytes, readyAt: f.now.Add(loadTime), orderID: order.ID}
+		f.adapterPeak = max(f.adapterPeak, f.adaptersLoading())
 		if e.used() > e.config.MemoryBytes {
 			f.failures = append(f.failures, fmt.Sprintf("%s overcommitted by %s: %d of %d bytes", e.config.Name, item, e.used(), e.config.MemoryBytes))
 		}
+	case engineapi.ActionUnloadModel:
+		if e.carriesAdapters(item) {
+			e.settle(order.ID, false)
+			return false
+		}
+		fallthrough
 	default:
 		if held != nil && !held.ready {
 			e.settle(held.orderID, false)
@@ -217,6 +226,33 @@
 	return true
 }
 
+func (f *fleet) adaptersLoading() int {
+	count := 0
+	for _, e := range f.engines {
+		for item, held := range e.items {
+			if item.IsAdapter() && !held.ready {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// carriesAdapters reports whether adapters would be left without their model.
+func (e *engine) carriesAdapters(model placement.Item) bool {
+	carries := false
+	for item := range e.items {
+		if item.Model != model.Model || item == model {
+			continue
+		}
+		if !item.IsAdapter() {
+			return false
+		}
+		carries = true
+	}
+	return carries
+}
+
 // advance moves time on, delivers late orders and finishes loads.
 func (f *fleet) advance(d time.Duration) {
 	f.mu.Lock()
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -28,6 +28,7 @@
 	DefaultOrderLifetime = 2 * time.Minute
 	DefaultStaleReport   = 15 * time.Second
 	DefaultSettleDelay   = 5 * time.Second
+	DefaultDemandWindow  = time.Minute
 )
 
 // wantLifetime is how long a request's wish for a model is remembered.
@@ -72,7 +73,8 @@
 	// AdapterLoadsAtOnce is the number of adapter loads in flight at full
 	// speed. Zero means 32.
 	AdapterLoadsAtOnce int
-	// Zones is the number of availability zones in the region. Zero means 1.
+	// Zones is the number of availability zones that share it. Zero means
+	// those with engines in the configuration.
 	Zones int
 }
 
@@ -88,9 +90,12 @@
 	Lease       Holder
 	Recorder    Recorder
 	// Demand gives the demand by model or adapter name. Nil means none.
-	Demand      func() map[string]Demand
-	WeightStore WeightStore
-	Tuning      placement.Tuning
+	Demand func() map[string]Demand
+	// DemandWindow is the time constant of the demand's exponential average.
+	// Zero means DefaultDemandWindow.
+	DemandWindow time.Duration
+	WeightStore  WeightStore
+	Tuning       placement.Tuning
 	// Now is the clock. Nil means time.Now.
 	Now func() time.Time
 	// Interval is the time between two plans. Zero means DefaultInterval.
@@ -120,6 +125,7 @@
 	c.OrderLifetime = orDefault(c.OrderLifetime, DefaultOrderLifetime)
 	c.StaleReport = orDefault(c.StaleReport, DefaultStaleReport)
 	c.SettleDelay = orDefault(c.SettleDelay, DefaultSettleDelay)
+	c.DemandWindow = orDefault(c.DemandWindow, DefaultDemandWindow)
 	c.WeightStore = c.WeightStore.withDefaults()
 	return c
 }
@@ -141,9 +147,6 @@
 	if w.AdapterLoadsAtOnce <= 0 {
 		w.AdapterLoadsAtOnce = 32
 	}
-	if w.Zones <= 0 {
-		w.Zones = 1
-	}
 	return w
 }
 
@@ -181,7 +184,7 @@
 		calls:   make(map[string]*call),
 		wanted:  make(map[string]time.Time),
 		records: make(map[string]*record),
-		budget:  newLoadBudget(cfg.WeightStore),
+		budget:  loadBudget{store: cfg.WeightStore, tokens: 1},
 		since:   make(map[placement.Replica]time.Time),
 	}
 }
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -86,19 +86,34 @@
 	}
 	grant := &Grant{bucket: b, remaining: tokens, refundable: tokens}
 	b.level -= tokens
-	b.refundable += tokens
+	b.add(grant)
+	return grant, true
+}
+
+func (b *Bucket) add(grant *Grant) {
+	b.refundable += grant.refundable
 	if b.grants == nil {
 		b.grants = make(map[*Grant]struct{})
 	}
 	b.grants[grant] = struct{}{}
-	return grant, true
 }
 
-// Remove takes tokens out of the bucket for good.
-func (b *Bucket) Remove(tokens float64) { b.level -= tokens }
+// TakeUpTo grants as many of the tokens as are available.
+func (b *Bucket) TakeUpTo(now time.Time, tokens float64) *Grant {
+	grant := &Grant{bucket: b}
+	b.add(grant)
+	grant.Extend(now, tokens)
+	return grant
+}
 
-// Add puts tokens into the bucket as far as there is room.
-func (b *Bucket) Add(tokens float64) { b.level += min(b.Room(), max(0, tokens)) }
+// reserveRoom grants tokens that are yet to come in: they count under the
+// burst, but are not taken from the level.
+func (b *Bucket) reserveRoom(now time.Time, tokens float64) *Grant {
+	b.Advance(now)
+	grant := &Grant{bucket: b, remaining: tokens, refundable: tokens}
+	b.add(grant)
+	return grant
+}
 
 // Consume uses tokens of the grant. What exceeds the grant is charged to the
 // bucket, whose level may become negative; it is returned.
@@ -114,18 +129,37 @@
 	return excess
 }
 
-// Settle ends the grant and returns the unused tokens to the bucket. It
-// returns how many were unused. Repeated calls have no effect.
-func (g *Grant) Settle(now time.Time) (unused float64) {
+// Extend adds as many of the tokens as are available, and returns how many.
+func (g *Grant) Extend(now time.Time, tokens float64) (added float64) {
 	b := g.bucket
-	if _, open := b.grants[g]; !open {
+	b.Advance(now)
+	added = max(0, min(tokens, b.level))
+	if _, open := b.grants[g]; !open || added == 0 {
 		return 0
 	}
-	b.Advance(now)
-	delete(b.grants, g)
-	b.refundable -= g.refundable
-	b.level += g.refundable
+	b.level -= added
+	b.refundable += added
+	g.remaining += added
+	g.refundable += added
+	return added
+}
+
+// Release returns tokens that will not be used to the bucket.
+func (g *Grant) Release(now time.Time, tokens float64) {
+	g.bucket.Advance(now)
+	released := min(max(0, tokens), g.remaining)
+	g.remaining -= released
+	credit := min(released, g.refundable)
+	g.refundable -= credit
+	g.bucket.refundable -= credit
+	g.bucket.level += credit
+}
+
+// Settle ends the grant and returns the unused tokens to the bucket. It
+// returns how many were unused. Repeated calls have no effect.
+func (g *Grant) Settle(now time.Time) (unused float64) {
 	unused = g.remaining
-	g.remaining, g.refundable = 0, 0
+	g.Release(now, unused)
+	delete(g.bucket.grants, g)
 	return unused
 }
