--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	settle, failure := g.charge(ctx, call)
 	if failure != nil {
-		return failure
+		return call.refuse(ctx, failure)
 	}
 	defer settle()
 	g.firstAttempt()
@@ -241,7 +241,6 @@
 			Organisation: r.caller.organisation.GetName(),
 			Weight:       c.weight,
 			Class:        r.class,
-			Pool:         "service/" + c.service,
 			Resource:     c.service,
 			Tokens:       c.tokens(),
 			Deadline:     r.queueDeadline(ctx),
@@ -262,9 +261,9 @@
 // attempt sends the call once and reads the whole answer.
 func (c *serviceCall) attempt(ctx context.Context, sl *slot, fresh bool) (*claims.Answer, error) {
 	cfg := c.gateway().config
-	limits := endpoint.ProgressLimits{Header: cfg.ServiceFirstByte, FirstByte: cfg.Between, Between: cfg.Between}
-	if c.route.GetRepeatable() && !fresh {
-		limits.Header = min(limits.Header, cfg.ReusedFirstByte)
+	limits := endpoint.ProgressLimits{
+		Header: cfg.ServiceFirstByte, ReusedHeader: min(cfg.ServiceFirstByte, cfg.ReusedFirstByte),
+		FirstByte: cfg.Between, Between: cfg.Between,
 	}
 	before := c.request.sent
 	c.request.sent = true
