Free memory only for loads that are near, and outlive a deleted lease

A plan removed replicas for up to 64 loads at once, though one a second can start, so that places stood empty for minutes. Now none is removed for a load while four others wait.

A lease that was deleted began at term 1, below the term of the endpoints' objects, and the zone had no owner for good; shown first by its test ('Expected 0 to equal 1'). The owner now has the lease's term raised. The term grows only by a conditional write of the lease, so a stale holder gains nothing by it.

--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -56,6 +56,7 @@
 
 	mu      sync.Mutex
 	view    view
+	minTerm int64
 	changed chan struct{}
 }
 
@@ -88,6 +89,15 @@
 	}
 }
 
+// RaiseTerm makes the candidate's next write of the lease use at least the term
+// given. It serves holders whose guarded objects were written under a higher
+// term than the lease has, as after the lease was deleted.
+func (l *Lease) RaiseTerm(term int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.minTerm = max(l.minTerm, term)
+}
+
 // Changed returns a channel that is closed when another holder is read.
 func (l *Lease) Changed() <-chan struct{} {
 	l.mu.Lock()
@@ -121,13 +131,13 @@
 	}
 	begun := l.cfg.Now()
 	l.mu.Lock()
-	current := l.view
+	current, minTerm := l.view, l.minTerm
 	l.mu.Unlock()
 	switch current.next(l.self, begun, l.cfg.Duration) {
 	case actionRenew:
-		return l.write(ctx, current, current.value.Term, begun)
+		return l.write(ctx, current, max(current.value.Term, minTerm), begun)
 	case actionTake:
-		return l.write(ctx, current, current.value.Term+1, begun)
+		return l.write(ctx, current, max(current.value.Term+1, minTerm), begun)
 	default:
 		return nil
 	}
--- a/internal/placement/needs.go
+++ b/internal/placement/needs.go
@@ -160,6 +160,10 @@
 // for. It is far above what the weight store can load between two plans.
 const maxNeedsPerPlan = 64
 
+// maxWaiting limits the loads that wait while memory is made free for more, so
+// that replicas are not removed long before others can be loaded.
+const maxWaiting = 4
+
 func (p *planner) placeAll(needs []*placed, reason Reason, evict bool) {
 	for i, m := range needs {
 		if i >= maxNeedsPerPlan {
@@ -169,7 +173,7 @@
 			p.load(m, n, reason)
 			continue
 		}
-		if evict {
+		if evict && p.waiting < maxWaiting {
 			p.evictFor(m, reason)
 		}
 	}
--- a/internal/placement/owner/fleet_test.go
+++ b/internal/placement/owner/fleet_test.go
@@ -372,6 +372,8 @@
 	return l.holding
 }
 
+func (l *fixedLease) RaiseTerm(int64) {}
+
 func (l *fixedLease) set(held bool, term int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -54,6 +54,8 @@
 // Holder tells whether this host owns the zone's endpoints.
 type Holder interface {
 	Holding() lease.Holding
+	// RaiseTerm makes the lease's next write use at least the term given.
+	RaiseTerm(term int64)
 }
 
 // Demand is the recent demand for one model or adapter, over all hosts.
@@ -268,6 +270,7 @@
 		return err
 	}
 	o.deposed = o.term
+	o.cfg.Lease.RaiseTerm(deposed.term + 1)
 	o.records = make(map[string]*record)
 	logrus.WithFields(logrus.Fields{"zone": o.cfg.Zone, "term": o.term, "owner": deposed.owner}).
 		Info("placement owner deposed")
--- a/internal/placement/owner/record.go
+++ b/internal/placement/owner/record.go
@@ -39,6 +39,7 @@
 // deposedError reports that an owner with a higher term wrote the object.
 type deposedError struct {
 	owner string
+	term  int64
 }
 
 // Error implements error.
@@ -120,7 +121,7 @@
 		return errors.Wrapf(err, "decode intents of %s", r.name)
 	}
 	if intents.Term > o.term {
-		return &deposedError{owner: intents.Owner}
+		return &deposedError{owner: intents.Owner, term: intents.Term}
 	}
 	r.checkedAt = o.cfg.Now()
 	if !r.known {
--- a/internal/placement/owner/takeover_test.go
+++ b/internal/placement/owner/takeover_test.go
@@ -6,6 +6,7 @@
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/lease"
 	"bilberryslip.example/bilberryslip/internal/placement"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
 
@@ -118,4 +119,23 @@
 		b.run(2*time.Minute, nil)
 		Expect(f.ready("x")).To(Equal(1))
 	})
+
+	It("goes on after the lease was deleted", func() {
+		f := newFleet()
+		f.add("e0", "z1", 10*gib, 0, false)
+		b := newBench(f)
+		b.source.set(append(f.objects(), modelObjects("m", "m-v1", 6*gib)...))
+		b.lease.set(true, 7)
+		b.run(10*time.Second, nil)
+		Expect(f.ready("m")).To(Equal(1))
+
+		fresh := lease.New(lease.Config{Store: b.store, Name: "deleted", Host: "b", Incarnation: "1", Now: f.clock})
+		b.source.set(append(f.objects(), modelObjects("x", "x-v1", 4*gib)...))
+		b.owner = owner.New(owner.Config{
+			Host: "b", Incarnation: "1", Zone: "z1", Store: b.store, Source: b.source, Endpoints: f,
+			Lease: fresh, Recorder: recorder{}, Now: f.clock,
+		})
+		b.run(10*time.Second, func() { Expect(fresh.Step(context.Background())).To(Succeed()) })
+		Expect(f.ready("x")).To(Equal(1))
+	})
 })
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -88,7 +88,9 @@
 	byName map[string]*placed
 	zones  []zoneRoom
 	budget Budget
-	steps  []Step
+	// waiting counts the loads that wait for memory or for the budget.
+	waiting int
+	steps   []Step
 }
 
 func newPlanner(in *Input) *planner {
@@ -253,6 +255,7 @@
 	m.here = append(m.here, n)
 	m.addLoad(m.share())
 	if !fitsNow || p.budget.ModelLoads <= 0 {
+		p.waiting++
 		return
 	}
 	p.budget.ModelLoads--
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -16,7 +16,7 @@
 	hot = slices.DeleteFunc(hot, func(n *node) bool { return n.load <= high })
 	slices.SortStableFunc(hot, func(a, b *node) int { return cmp.Compare(b.load, a.load) })
 	for _, n := range hot[:min(len(hot), p.tuning.MaxMoves)] {
-		if n.load > high {
+		if n.load > high && p.waiting < maxWaiting {
 			p.relieve(n)
 		}
 	}
