Assert the bucket's account in the program, and end the service's loops

Serve returned while its loops still ran. They are waited for now, and a round of reports to lenders ends after 0.5 s. With the limit's cancel before the wait, no report got through, and the test of three hosts showed it:

[FAILED] lets one of three hosts use most of a burst by borrowing organisation "aqej" is above its rate; retry after 333ms

A bucket that exceeds its burst by more than rounding is a violation of rate_within_share.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -211,6 +211,16 @@
 	}
 }
 
+// Overdrawn returns by how many tokens an organisation's bucket exceeds its
+// burst; more than rounding is a fault of the program.
+func (l *Limiter) Overdrawn(organisation string) float64 {
+	a := l.accounts[organisation]
+	if a == nil {
+		return 0
+	}
+	return a.bucket.level + a.bucket.refundable - a.bucket.burst*(1+rounding)
+}
+
 // Spare is how many tokens this host could lend to an organisation.
 type Spare struct {
 	Organisation string
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -99,6 +99,7 @@
 		s.metrics.refused(refusal)
 		return nil, refusal
 	}
+	s.assertWithinShare(organisation)
 	if !s.grant(funding) && !s.borrow(ctx, organisation, funding) {
 		return nil, s.refuse(organisation, tokens, funding)
 	}
@@ -106,6 +107,16 @@
 	return &reservation{service: s, organisation: organisation, funding: funding}, nil
 }
 
+// maxOverdrawn is the rounding error that is allowed, in tokens.
+const maxOverdrawn = 1e-3
+
+func (s *Service) assertWithinShare(organisation string) {
+	s.mu.Lock()
+	over := s.limiter.Overdrawn(organisation)
+	s.mu.Unlock()
+	invariant.Assert(over <= maxOverdrawn, invariant.RateWithinShare, logrus.Fields{"organisation": organisation, "overdrawn_tokens": over})
+}
+
 // grant makes the tokens usable if they are all there. A process that was
 // paused between the clock reading and the return may have lost its share, so
 // it asks again.
--- a/internal/shares/settle.go
+++ b/internal/shares/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,6 +12,10 @@
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 )
 
+// settleTimeout limits a round of reports, so that a silent lender delays the
+// next round by no more.
+const settleTimeout = 500 * time.Millisecond
+
 // settlements are reports that wait to be sent, by the lender's incarnation.
 type settlements map[string][]*peerv1.TokenSettlement
 
@@ -51,6 +56,10 @@
 	if len(waiting) == 0 {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	urls := s.peerURLs()
 	self := s.config.Members.Self().Incarnation
 	for peer, reports := range waiting {
@@ -59,10 +68,10 @@
 			continue
 		}
 		request := &peerv1.SettleTokensRequest{Incarnation: self, Settlements: reports}
-		go func() {
+		calls.Go(func() {
 			if _, err := s.config.Peers.SettleTokens(ctx, url, request); err != nil {
 				logrus.WithFields(logrus.Fields{"peer": url, "error": err.Error()}).Debug("settlement failed")
 			}
-		}()
+		})
 	}
 }
--- a/internal/shares/sync.go
+++ b/internal/shares/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,8 +23,10 @@
 
 // Serve keeps policies and ledger current until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
-	go s.settleLoop(ctx)
-	go s.pullLoop(ctx)
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { s.settleLoop(ctx) })
+	loops.Go(func() { s.pullLoop(ctx) })
 	for {
 		changed := s.config.Source.Changed()
 		s.ApplyPolicies()
