--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -69,7 +69,6 @@
 	unreachable               []time.Duration
 	unreachableNow            []time.Duration
 	maxAdapterLoads           int
-	adapterTicks, adapterMiss int
 }
 
 func newPolicyRun(d deployment, seed uint64) *policyRun {
