--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -64,11 +64,11 @@
 	target   map[string][]placement.Item
 	nextPlan time.Time
 
-	demanded, attained        float64
-	loads                     int
-	unreachable               []time.Duration
-	unreachableNow            []time.Duration
-	maxAdapterLoads           int
+	demanded, attained float64
+	loads              int
+	unreachable        []time.Duration
+	unreachableNow     []time.Duration
+	maxAdapterLoads    int
 }
 
 func newPolicyRun(d deployment, seed uint64) *policyRun {
