--- a/internal/shares/sync.go
+++ b/internal/shares/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,11 +23,13 @@
 
 // Serve keeps policies and ledger current until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
-	go s.settleLoop(ctx)
-	go s.pullLoop(ctx)
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { s.settleLoop(ctx) })
+	loops.Go(func() { s.pullLoop(ctx) })
 	for {
 		changed := s.config.Source.Changed()
-		s.applyPolicies()
+		s.ApplyPolicies()
 		if err := s.Sync(ctx); err != nil {
 			logrus.WithError(err).Debug("share ledger not synchronised")
 		}
@@ -43,7 +46,8 @@
 	}
 }
 
-func (s *Service) applyPolicies() {
+// ApplyPolicies takes the rate policies of the configuration in force.
+func (s *Service) ApplyPolicies() {
 	snapshot := s.config.Source.Current()
 	policies := make(map[string]ratelimit.Policy)
 	for _, organisation := range snapshot.Organisations() {
