--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -208,7 +208,7 @@
 		Host: h.settings.Host.Name, Log: h.log, Peers: h.directory, Decisions: &decisionQuery{h.recorder},
 		Membership:   &adminMembership{members: h.members, log: h.log, now: time.Now},
 		Self:         control,
-		Forgetter:    forgetter{h.shares},
+		Forgetter:    forgetter{h.shares, h.owner},
 		Availability: h.platform.Availability,
 	})
 	mux := http.NewServeMux()
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -8,6 +8,7 @@
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/placement/owner"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/shares"
 
@@ -121,10 +122,15 @@
 // forgetter frees what a dead host held, for operators.
 type forgetter struct {
 	shares *shares.Service
+	owner  *owner.Owner
 }
 
 // ForgetHost implements admin.Forgetter.
 func (f forgetter) ForgetHost(ctx context.Context, host, operator string) error {
 	logrus.WithFields(logrus.Fields{"forgotten": host, "operator": operator}).Warn("host declared dead by an operator")
-	return f.shares.ForgetHost(ctx, host)
+	// The shares refuse a host that is alive; its orders must not be ended.
+	if err := f.shares.ForgetHost(ctx, host); err != nil {
+		return err
+	}
+	return f.owner.ForgetHost(ctx, host)
 }
