--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -20,10 +20,8 @@
 // The invariants that the program asserts.
 const (
 	MemoryWithinLimit    Name = "memory_within_limit"
-	ModelReachable       Name = "model_reachable"
 	OrganisationIsolated Name = "organisation_isolated"
 	KeyHidden            Name = "key_hidden"
-	WithdrawnKeyRefused  Name = "withdrawn_key_refused"
 	RateWithinShare      Name = "rate_within_share"
 	AnswerMatchesAttempt Name = "answer_matches_attempt"
 	NotRunIsTrue         Name = "not_run_is_true"
