--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,7 @@
 		return errors.Wrap(err, "set log.level in the settings to error, warning, info or debug")
 	}
 	logrus.SetLevel(level)
+	logrus.AddHook(redactHook{})
 	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	return nil
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/gateway"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
@@ -57,6 +58,8 @@
 		Freshness:        h.log.Freshness,
 		Zone:             h.settings.Host.Zone,
 		Seed:             h.seed(),
+		Admission:        admission.Config{Total: h.settings.Callers.MaxQueued},
+		RequestTimeout:   h.settings.Callers.RequestTimeout.Std(),
 		MaxBodyBytes:     h.settings.Callers.MaxBodyBytes,
 		FirstByte:        h.settings.Endpoints.FirstByteTimeout.Std(),
 		Between:          h.settings.Endpoints.ProgressTimeout.Std(),
--- /dev/null
+++ b/internal/daemon/redact.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"regexp"
+
+	"github.com/sirupsen/logrus"
+)
+
+// redacted replaces callers' keys in logs.
+const redacted = "bsk_REDACTED"
+
+// keyPattern matches what looks like a caller's key.
+var keyPattern = regexp.MustCompile(`bsk_[A-Za-z0-9_-]{8,}`)
+
+// redactHook takes callers' keys out of log entries, in case one came in
+// through a field that a caller fills, such as a model's name.
+type redactHook struct{}
+
+// Levels implements logrus.Hook.
+func (redactHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (redactHook) Fire(entry *logrus.Entry) error {
+	entry.Message = keyPattern.ReplaceAllString(entry.Message, redacted)
+	for name, value := range entry.Data {
+		switch v := value.(type) {
+		case string:
+			entry.Data[name] = keyPattern.ReplaceAllString(v, redacted)
+		case error:
+			entry.Data[name] = keyPattern.ReplaceAllString(v.Error(), redacted)
+		}
+	}
+	return nil
+}
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -158,6 +158,17 @@
 		Expect(r.failure().Error.Run).To(Equal("unknown"))
 	})
 
+	It("answers at the host's limit on the life of a request", func() {
+		f := newFixture(func(o *engineserver.Options, c *gateway.Config) {
+			o.FirstToken = 350 * time.Millisecond
+			c.RequestTimeout = 100 * time.Millisecond
+		})
+		r := f.chat("", "X-Request-Timeout-Ms", "5000")
+		Expect(r.status).To(Equal(http.StatusGatewayTimeout), r.body)
+		r = f.chat("")
+		Expect(r.status).To(Equal(http.StatusGatewayTimeout), r.body)
+	})
+
 	It("ends a stream soon after its key is withdrawn", func() {
 		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { o.TokenInterval = 100 * time.Millisecond })
 		done := make(chan reply, 1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	// Seed of the routing policy's random numbers.
 	Seed uint64
 
+	// RequestTimeout is the longest life of a request. It defaults to 24 h.
+	RequestTimeout time.Duration
 	// MaxBodyBytes defaults to 1 MiB.
 	MaxBodyBytes int64
 	// DefaultAnswerTokens is max_tokens where the caller names none. It
@@ -68,6 +70,7 @@
 }
 
 func (c Config) withDefaults() Config {
+	setDefault(&c.RequestTimeout, maxTimeout)
 	setDefault(&c.MaxBodyBytes, 1<<20)
 	setDefault(&c.DefaultAnswerTokens, 512)
 	setDefault(&c.InteractiveWait, 5*time.Second)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -248,17 +248,20 @@
 // maxTimeout bounds the time limit that a caller may ask for.
 const maxTimeout = 24 * time.Hour
 
-// withTimeout returns a context under the caller's own time limit, if any.
+// withTimeout returns a context under the caller's own time limit, if any,
+// and that of the settings.
 func (r *request) withTimeout(ctx context.Context) (context.Context, context.CancelFunc, *Error) {
+	longest := r.gateway.config.RequestTimeout
 	value := r.http.Header.Get(HeaderTimeout)
 	if value == "" {
-		return ctx, func() {}, nil
+		ctx, cancel := context.WithTimeout(ctx, longest)
+		return ctx, cancel, nil
 	}
 	millis, err := strconv.ParseInt(value, 10, 64)
 	if err != nil || millis < 1 || millis > maxTimeout.Milliseconds() {
 		return nil, nil, errHeader(HeaderTimeout, "send whole milliseconds from 1 to 86400000")
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(millis)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, min(longest, time.Duration(millis)*time.Millisecond))
 	return ctx, cancel, nil
 }
 
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -95,9 +95,12 @@
 	if organisation == "" {
 		return unlimited{}, nil
 	}
-	s.mu.Lock()
-	funding, refusal := s.limiter.Fund(s.config.Now(), organisation, tokens)
-	s.mu.Unlock()
+	funding, refusal := s.fund(organisation, tokens)
+	if refusal != nil && refusal.Reason == ratelimit.ReasonNoPolicy {
+		// The policy may be newer than what the limiter was last told.
+		s.ApplyPolicies()
+		funding, refusal = s.fund(organisation, tokens)
+	}
 	if refusal != nil {
 		s.metrics.refused(refusal)
 		return nil, refusal
@@ -110,6 +113,12 @@
 	return &reservation{service: s, organisation: organisation, funding: funding}, nil
 }
 
+func (s *Service) fund(organisation string, tokens float64) (*ratelimit.Funding, *ratelimit.RefusedError) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limiter.Fund(s.config.Now(), organisation, tokens)
+}
+
 // maxOverdrawn is the rounding error that is allowed, in tokens.
 const maxOverdrawn = 1e-3
 
