--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,110 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/cli"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/twitchtv/twirp"
+)
+
+func TestCLI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cli")
+}
+
+// fakeAdmin answers the calls that the tests make.
+type fakeAdmin struct {
+	apiv1.Admin
+	objects []*apiv1.Object
+	applied []*apiv1.ApplyRequest
+	failure error
+}
+
+func (f *fakeAdmin) List(context.Context, *apiv1.ListRequest) (*apiv1.ListResponse, error) {
+	return &apiv1.ListResponse{Objects: f.objects}, nil
+}
+
+func (f *fakeAdmin) Apply(_ context.Context, request *apiv1.ApplyRequest) (*apiv1.ApplyResponse, error) {
+	f.applied = append(f.applied, request)
+	return &apiv1.ApplyResponse{Revision: 7, Unconfirmed: []*apiv1.HostRevision{{Host: "h2", Zone: "z"}}}, f.failure
+}
+
+func (f *fakeAdmin) GrantKey(context.Context, *apiv1.GrantKeyRequest) (*apiv1.GrantKeyResponse, error) {
+	return &apiv1.GrantKeyResponse{Secret: "bsk_secret"}, nil
+}
+
+const manifest = `{"objects": [{"organisation": {"name": "a", "weight": 2}}, {"organisation": {"name": "b"}}]}`
+
+var _ = Describe("The command-line tool", func() {
+	var (
+		fake        *fakeAdmin
+		server      *httptest.Server
+		out, errOut bytes.Buffer
+	)
+	run := func(stdin string, args ...string) int {
+		out.Reset()
+		errOut.Reset()
+		return cli.Run(append([]string{"--server", server.URL}, args...), strings.NewReader(stdin), &out, &errOut)
+	}
+	BeforeEach(func() {
+		fake = &fakeAdmin{}
+		server = httptest.NewServer(apiv1.NewAdminServer(fake))
+		DeferCleanup(server.Close)
+	})
+
+	It("applies only what differs, with the version that it replaces", func() {
+		fake.objects = []*apiv1.Object{
+			{Version: 3, Spec: &apiv1.Object_Organisation{Organisation: &apiv1.Organisation{Name: "a", Weight: 1}}},
+			{Version: 4, Spec: &apiv1.Object_Organisation{Organisation: &apiv1.Organisation{Name: "b"}}},
+		}
+		Expect(run(manifest, "apply", "-f", "-")).To(Equal(0), errOut.String())
+		Expect(fake.applied).To(HaveLen(1))
+		Expect(fake.applied[0].ChangeId).NotTo(BeEmpty())
+		Expect(fake.applied[0].Mutations).To(HaveExactElements(And(HaveField("Name", "a"), HaveField("ExpectedVersion", int64(3)))))
+		Expect(out.String()).To(And(ContainSubstring("accepted as revision 7"), ContainSubstring("h2")))
+	})
+
+	DescribeTable("tells failures apart by its exit code", func(failure error, code int, text string) {
+		fake.failure = failure
+		Expect(run(manifest, "apply", "-f", "-")).To(Equal(code))
+		Expect(errOut.String()).To(ContainSubstring(text))
+	},
+		Entry("conflict", twirp.Aborted.Error("changed meanwhile").WithMeta("current_version", "9"), 4, "current version 9"),
+		Entry("unavailable", twirp.Unavailable.Error("no platform"), 5, "no platform"),
+		Entry("unknown outcome", twirp.Unknown.Error("ask again"), 5, "ask again"),
+		Entry("denied", twirp.Unauthenticated.Error("no token"), 6, "no token"),
+		Entry("invalid", twirp.InvalidArgument.Error("rate_policy.burst"), 7, "rate_policy.burst"),
+	)
+
+	DescribeTable("refuses wrong usage and unreadable manifests", func(stdin string, args ...string) {
+		Expect(run(stdin, args...)).To(Equal(2))
+		Expect(errOut.String()).NotTo(BeEmpty())
+	},
+		Entry("no subcommand", ""),
+		Entry("unknown kind", "", "list", "modles"),
+		Entry("unknown output", "", "-o", "yaml", "status"),
+		Entry("broken JSON", "{", "apply", "-f", "-"),
+		Entry("unknown field", `{"objects": [{"organisation": {"nom": "a"}}]}`, "apply", "-f", "-"),
+		Entry("no name", `{"objects": [{"organisation": {}}]}`, "apply", "-f", "-"),
+		Entry("missing file", "", "apply", "-f", "/nonexistent/manifest.json"),
+	)
+
+	It("prints a granted key alone on standard output", func() {
+		Expect(run("", "key", "grant", "k", "--organisation", "a")).To(Equal(0))
+		Expect(out.String()).To(Equal("bsk_secret\n"))
+	})
+
+	It("tries the next host where one does not answer", func() {
+		gone := httptest.NewServer(nil)
+		gone.Close()
+		Expect(cli.Run([]string{"--server", gone.URL, "--server", server.URL, "list"}, strings.NewReader(""), &out, &errOut)).To(Equal(0))
+	})
+})
