--- a/internal/daemon/redact_test.go
+++ b/internal/daemon/redact_test.go
@@ -15,7 +15,7 @@
 	logger := logrus.New()
 	logger.SetOutput(&out)
 	logger.AddHook(redactHook{})
-	logger.WithField("model", key).WithError(errors.New("no model "+key)).Warn("refused " + key)
+	logger.WithField("model", key).WithError(errors.New("no model " + key)).Warn("refused " + key)
 	if strings.Contains(out.String(), key) || strings.Count(out.String(), redacted) != 3 {
 		t.Fatalf("key not redacted in all three places: %s", out.String())
 	}
