--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -44,13 +45,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.PollInterval, 500*time.Millisecond)
-	setDefault(&c.RemotePollInterval, time.Second)
-	setDefault(&c.EventInterval, 2*time.Second)
-	setDefault(&c.PollTimeout, time.Second)
-	setDefault(&c.HealthTimeout, 2500*time.Millisecond)
-	setDefault(&c.DialTimeout, 500*time.Millisecond)
-	setDefault(&c.OrderTimeout, 2*time.Second)
+	c.PollInterval = cmp.Or(c.PollInterval, 500*time.Millisecond)
+	c.RemotePollInterval = cmp.Or(c.RemotePollInterval, time.Second)
+	c.EventInterval = cmp.Or(c.EventInterval, 2*time.Second)
+	c.PollTimeout = cmp.Or(c.PollTimeout, time.Second)
+	c.HealthTimeout = cmp.Or(c.HealthTimeout, 2500*time.Millisecond)
+	c.DialTimeout = cmp.Or(c.DialTimeout, 500*time.Millisecond)
+	c.OrderTimeout = cmp.Or(c.OrderTimeout, 2*time.Second)
 	if c.Ejector == (EjectorConfig{}) {
 		c.Ejector = DefaultEjectorConfig()
 	}
@@ -60,12 +61,6 @@
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 // Registry knows all configured endpoints and what runs on them for this
 // host. It is safe for concurrent use.
 type Registry struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -70,18 +71,18 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.RequestTimeout, maxTimeout)
-	setDefault(&c.MaxBodyBytes, 1<<20)
-	setDefault(&c.DefaultAnswerTokens, 512)
-	setDefault(&c.InteractiveWait, 5*time.Second)
-	setDefault(&c.BatchWait, 10*time.Minute)
-	setDefault(&c.ReadTimeout, 30*time.Second)
-	setDefault(&c.WriteTimeout, 30*time.Second)
-	setDefault(&c.FirstByte, 10*time.Second)
-	setDefault(&c.Between, 3*time.Second)
-	setDefault(&c.ReusedFirstByte, 2*time.Second)
-	setDefault(&c.ServiceFirstByte, 10*time.Second)
-	setDefault(&c.MaxAttempts, 3)
+	c.RequestTimeout = cmp.Or(c.RequestTimeout, maxTimeout)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, 1<<20)
+	c.DefaultAnswerTokens = cmp.Or(c.DefaultAnswerTokens, 512)
+	c.InteractiveWait = cmp.Or(c.InteractiveWait, 5*time.Second)
+	c.BatchWait = cmp.Or(c.BatchWait, 10*time.Minute)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, 30*time.Second)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, 30*time.Second)
+	c.FirstByte = cmp.Or(c.FirstByte, 10*time.Second)
+	c.Between = cmp.Or(c.Between, 3*time.Second)
+	c.ReusedFirstByte = cmp.Or(c.ReusedFirstByte, 2*time.Second)
+	c.ServiceFirstByte = cmp.Or(c.ServiceFirstByte, 10*time.Second)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, 3)
 	if c.Policy == nil {
 		c.Policy = routing.Affinity{}
 	}
@@ -91,12 +92,6 @@
 	return c
 }
 
-func setDefault[T ~int | ~int64](value *T, fallback T) {
-	if *value <= 0 {
-		*value = fallback
-	}
-}
-
 // Gateway serves callers. It implements suture.Service.
 type Gateway struct {
 	config    Config
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -5,6 +5,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -122,23 +123,16 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	c.Interval = orDefault(c.Interval, DefaultInterval)
-	c.OrderTimeout = orDefault(c.OrderTimeout, DefaultOrderTimeout)
-	c.OrderLifetime = orDefault(c.OrderLifetime, DefaultOrderLifetime)
-	c.StaleReport = orDefault(c.StaleReport, DefaultStaleReport)
-	c.SettleDelay = orDefault(c.SettleDelay, DefaultSettleDelay)
-	c.DemandWindow = orDefault(c.DemandWindow, DefaultDemandWindow)
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
+	c.OrderTimeout = cmp.Or(c.OrderTimeout, DefaultOrderTimeout)
+	c.OrderLifetime = cmp.Or(c.OrderLifetime, DefaultOrderLifetime)
+	c.StaleReport = cmp.Or(c.StaleReport, DefaultStaleReport)
+	c.SettleDelay = cmp.Or(c.SettleDelay, DefaultSettleDelay)
+	c.DemandWindow = cmp.Or(c.DemandWindow, DefaultDemandWindow)
 	c.WeightStore = c.WeightStore.withDefaults()
 	return c
 }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
-
 func (w WeightStore) withDefaults() WeightStore {
 	if w.LoadsPerSecond <= 0 {
 		w.LoadsPerSecond = 1
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -93,8 +94,8 @@
 // NewLimiter returns the limiter of a process that holds no units yet.
 func NewLimiter(config Config, self membership.Host) *Limiter {
 	config.Lease = config.Lease.withDefaults()
-	setDefault(&config.Admit, time.Second)
-	setDefault(&config.Hold, time.Minute)
+	config.Admit = cmp.Or(config.Admit, time.Second)
+	config.Hold = cmp.Or(config.Hold, time.Minute)
 	return &Limiter{
 		config: config, tenure: NewTenure(config.Lease, self),
 		accounts: make(map[string]*account), held: make(map[string]*transfer), pulled: make(map[string]*pull),
--- a/internal/ratelimit/tenure.go
+++ b/internal/ratelimit/tenure.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"cmp"
 	"time"
 
 	"bilberryslip.example/bilberryslip/internal/membership"
@@ -28,23 +29,16 @@
 }
 
 func (c LeaseConfig) withDefaults() LeaseConfig {
-	setDefault(&c.Short, 20*time.Second)
-	setDefault(&c.Floor, 15*time.Minute)
-	setDefault(&c.Long, 12*time.Hour)
-	setDefault(&c.Promise, 10*time.Second)
-	setDefault(&c.FloorFraction, 0.5)
-	setDefault(&c.Drift, 0.01)
-	setDefault(&c.DeadAfter, 3*time.Second)
+	c.Short = cmp.Or(c.Short, 20*time.Second)
+	c.Floor = cmp.Or(c.Floor, 15*time.Minute)
+	c.Long = cmp.Or(c.Long, 12*time.Hour)
+	c.Promise = cmp.Or(c.Promise, 10*time.Second)
+	c.FloorFraction = cmp.Or(c.FloorFraction, 0.5)
+	c.Drift = cmp.Or(c.Drift, 0.01)
+	c.DeadAfter = cmp.Or(c.DeadAfter, 3*time.Second)
 	return c
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // wait is how long a reclaimer counts for a lease.
 func (c LeaseConfig) wait(lease time.Duration) time.Duration {
 	return lease + time.Duration(float64(lease)*c.Drift)
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -112,7 +112,7 @@
 	c.duration("shares.lease", s.Shares.Lease, time.Second, time.Hour)
 	c.duration("shares.floor_lease", s.Shares.FloorLease, s.Shares.Lease.Std(), 7*day)
 	c.duration("shares.long_lease", s.Shares.LongLease, s.Shares.FloorLease.Std(), 30*day)
-	c.number("shares.floor_fraction", s.Shares.FloorFraction, 0, 1)
+	c.number("shares.floor_fraction", s.Shares.FloorFraction, 0.01, 1)
 	c.duration("placement.interval", s.Placement.Interval, 50*time.Millisecond, time.Minute)
 	c.duration("placement.lease", s.Placement.Lease, time.Second, time.Hour)
 	c.number("placement.loads_per_second", s.Placement.LoadsPerSecond, 0.001, 1000)
