Refuse a call whose body holds the caller's key in JSON escapes

Cause: the check looked at the raw bytes, so a key with one character written as \u0062 passed to a plain service, which reads it decoded. Before: the new entry got 200. After: 401 key_misplaced.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,6 +75,8 @@
 		Entry("the key in a service's query", "GET", "/services/registry/certificates?x="+secret, "", nil, 401, "key_misplaced"),
 		Entry("the key in the prompt", "POST", "/v1/completions", `{"model":"draft","prompt":"`+secret+`"}`, nil, 401, "key_misplaced"),
 		Entry("the key in a service's body", "POST", "/services/registry/certificates", secret, []string{"Idempotency-Key", "k"}, 401, "key_misplaced"),
+		Entry("the key escaped in a service's body", "POST", "/services/registry/certificates",
+			fmt.Sprintf(`{"x":["\u%04x%s"]}`, secret[0], secret[1:]), []string{"Idempotency-Key", "k"}, 401, "key_misplaced"),
 		Entry("broken JSON", "POST", "/v1/completions", `{"model":`, nil, 400, "body_invalid"),
 		Entry("two JSON values", "POST", "/v1/completions", `{"model":"draft","prompt":"x"}{}`, nil, 400, "body_invalid"),
 		Entry("20 MB", "POST", "/v1/completions", strings.Repeat("x", 20<<20), nil, 413, "body_too_large"),
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -103,7 +104,7 @@
 	if who.secret == "" {
 		return nil
 	}
-	if bytes.Contains(c.body, []byte(who.secret)) {
+	if bytes.Contains(c.body, []byte(who.secret)) || jsonContains(c.body, who.secret) {
 		return errKeyMisplaced("body")
 	}
 	decoded, err := url.PathUnescape(c.path + "?" + c.query)
@@ -118,6 +119,24 @@
 	return nil
 }
 
+// jsonContains reports whether a JSON document holds the text once its escapes
+// are decoded.
+func jsonContains(document []byte, text string) bool {
+	if !bytes.Contains(document, []byte(`\`)) {
+		return false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(document))
+	for {
+		token, err := decoder.Token()
+		if err != nil {
+			return false
+		}
+		if value, ok := token.(string); ok && strings.Contains(value, text) {
+			return true
+		}
+	}
+}
+
 // cleanPath returns the path below the service, still escaped. It reports
 // false where ends may read the path or query in different ways.
 func cleanPath(u *url.URL) (string, bool) {
