Count a failed test function beside Ginkgo specs

Cause: the test report left out every failure without a space in its name once a package had specs, to skip the suite's own function; a failed test function beside it would have been taken for a listed one and passed over. Change: only a function that runs specs is left out, and only where one of them failed.

--- a/tools/testreport/main.go
+++ b/tools/testreport/main.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"regexp"
 	"sort"
@@ -32,7 +33,8 @@
 	passed   int
 	failures []string
 	failed   bool
-	specs    bool
+	// suites are the test functions that run Ginkgo specs.
+	suites map[string]bool
 }
 
 var (
@@ -62,7 +64,7 @@
 	return names
 }
 
-func readEvents(f *os.File) map[string]*packageResult {
+func readEvents(f io.Reader) map[string]*packageResult {
 	results := make(map[string]*packageResult)
 	scanner := bufio.NewScanner(f)
 	scanner.Buffer(make([]byte, 0, 1<<16), maxLineBytes)
@@ -74,7 +76,7 @@
 		}
 		result, ok := results[ev.Package]
 		if !ok {
-			result = &packageResult{}
+			result = &packageResult{suites: make(map[string]bool)}
 			results[ev.Package] = result
 		}
 		result.add(ev)
@@ -86,7 +88,7 @@
 	switch ev.Action {
 	case "output", "build-output":
 		r.output.WriteString(ev.Output)
-		r.addSpecs(ev.Output)
+		r.addSpecs(ev.Test, ev.Output)
 	case "pass":
 		if ev.Test != "" {
 			r.passed++
@@ -99,11 +101,11 @@
 	}
 }
 
-func (r *packageResult) addSpecs(line string) {
+func (r *packageResult) addSpecs(test, line string) {
 	if m := specCounts.FindStringSubmatch(line); m != nil {
 		n, _ := strconv.Atoi(m[1])
 		r.passed += n
-		r.specs = true
+		r.suites[test] = true
 	}
 	if m := specFailure.FindStringSubmatch(line); m != nil {
 		r.failures = append(r.failures, m[1])
@@ -141,13 +143,13 @@
 	return 0
 }
 
-// unlisted returns the failures that no entry names. The Go test function of
-// a Ginkgo suite fails with its specs and is left out.
+// unlisted returns the failures that no entry names. The test function of a
+// Ginkgo suite fails with its specs and is left out where one of those failed.
 func unlisted(result *packageResult, known []string) []string {
 	seen := make(map[string]bool)
 	var unknown []string
 	for _, failure := range result.failures {
-		if seen[failure] || (result.specs && !strings.Contains(failure, " ")) {
+		if seen[failure] || (result.suites[failure] && result.specFailed()) {
 			continue
 		}
 		seen[failure] = true
@@ -158,6 +160,17 @@
 	return unknown
 }
 
+// specFailed reports whether a Ginkgo spec failed; its name holds spaces,
+// which that of a test function cannot.
+func (r *packageResult) specFailed() bool {
+	for _, failure := range r.failures {
+		if strings.Contains(failure, " ") {
+			return true
+		}
+	}
+	return false
+}
+
 func matches(failure string, known []string) bool {
 	for _, name := range known {
 		if strings.Contains(failure, name) {
