--- a/cmd/bilberryslipd/main.go
+++ b/cmd/bilberryslipd/main.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"os"
 
+	"github.com/alexflint/go-arg"
+
 	"bilberryslip.example/bilberryslip/internal/daemon"
 	"bilberryslip.example/bilberryslip/internal/settings"
 	"bilberryslip.example/bilberryslip/internal/version"
-
-	"github.com/alexflint/go-arg"
 )
 
 // The exit codes of the daemon.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -10,17 +10,17 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/twitchtv/twirp"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admin"
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-	"github.com/cockroachdb/errors"
-	"github.com/twitchtv/twirp"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func TestAdmin(t *testing.T) {
--- a/internal/admin/difference.go
+++ b/internal/admin/difference.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/config"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/config"
 )
 
 // difference describes what a change would do, one line for each object.
--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -6,10 +6,11 @@
 	"strconv"
 	"time"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/config"
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/config"
 )
 
 // The metadata that errors of the operators' service carry.
--- a/internal/admin/keys.go
+++ b/internal/admin/keys.go
@@ -8,12 +8,13 @@
 	"encoding/hex"
 	"time"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/config"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/config"
 )
 
 const (
--- a/internal/admin/queries.go
+++ b/internal/admin/queries.go
@@ -4,8 +4,9 @@
 	"context"
 	"sort"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"github.com/twitchtv/twirp"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 )
 
 // defaultDecisions is the number of decisions returned where the request
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -7,11 +7,12 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/twitchtv/twirp"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/platform"
-	"github.com/google/uuid"
-	"github.com/twitchtv/twirp"
 )
 
 const (
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -7,10 +7,9 @@
 	"testing"
 	"time"
 
-	"pgregory.net/rapid"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/claims/book.go
+++ b/internal/claims/book.go
@@ -8,10 +8,11 @@
 	"sync"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 const (
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -5,8 +5,9 @@
 	"sync"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
 	"github.com/cockroachdb/errors"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 // Claim is this process's right to send a request once. It must be ended by
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -9,15 +9,15 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-	"github.com/cockroachdb/errors"
-	"pgregory.net/rapid"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/claims/pending.go
+++ b/internal/claims/pending.go
@@ -5,12 +5,13 @@
 	"encoding/json"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/invariant"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/invariant"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
 const (
--- a/internal/claims/standin_test.go
+++ b/internal/claims/standin_test.go
@@ -9,12 +9,13 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
 	"bilberryslip.example/bilberryslip/internal/standin/relay"
-	"github.com/sirupsen/logrus"
 )
 
 // fleet is hosts before one platform stand-in, over a relay each.
--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -6,12 +6,13 @@
 	"fmt"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
 const (
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"strconv"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-
 	"github.com/google/uuid"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 )
 
 // applyCommand creates or updates the objects of manifests in one change.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -7,12 +7,12 @@
 	"strings"
 	"testing"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/cli"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/twitchtv/twirp"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/cli"
 )
 
 func TestCLI(t *testing.T) {
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -8,10 +8,10 @@
 	"strings"
 	"time"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 )
 
 // attemptTimeout is the longest wait for one host's answer.
--- a/internal/cli/decisions.go
+++ b/internal/cli/decisions.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-
 	"github.com/cockroachdb/errors"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 )
 
 // decisionsCommand queries the record of decisions.
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-
 	"github.com/cockroachdb/errors"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 )
 
 // drainCommand stops new work to an endpoint or a host.
--- a/internal/cli/kinds.go
+++ b/internal/cli/kinds.go
@@ -3,9 +3,9 @@
 import (
 	"strings"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-
 	"github.com/cockroachdb/errors"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 )
 
 // kindNames are the words that operators write for the kinds.
--- a/internal/cli/manifest.go
+++ b/internal/cli/manifest.go
@@ -6,12 +6,12 @@
 	"io"
 	"os"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/config"
-
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/config"
 )
 
 // manifest is the form of a file of objects.
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -4,11 +4,12 @@
 	"context"
 	"time"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 const (
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -7,11 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-	"github.com/google/uuid"
-	"github.com/sirupsen/logrus"
 )
 
 // deployment is the size of a configuration.
--- a/internal/config/codec.go
+++ b/internal/config/codec.go
@@ -5,11 +5,12 @@
 	"fmt"
 	"math"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 // changeName names the platform object of a revision; names sort like
--- a/internal/config/compact.go
+++ b/internal/config/compact.go
@@ -5,9 +5,10 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/retry"
-	"github.com/cockroachdb/errors"
 )
 
 const (
--- a/internal/config/compaction_property_test.go
+++ b/internal/config/compaction_property_test.go
@@ -7,11 +7,12 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-	"pgregory.net/rapid"
 )
 
 // compactingFleet is hosts that compact often, on one clock.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,14 +8,14 @@
 	"testing/synctest"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -6,13 +6,14 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/platform"
-	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/singleflight"
 )
 
 const (
--- a/internal/config/property_test.go
+++ b/internal/config/property_test.go
@@ -7,13 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
-	"pgregory.net/rapid"
 )
 
 // fingerprint writes a snapshot as text, to compare states.
--- a/internal/config/replica.go
+++ b/internal/config/replica.go
@@ -3,8 +3,9 @@
 import (
 	"time"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"google.golang.org/protobuf/proto"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 )
 
 const (
--- a/internal/config/snapshots.go
+++ b/internal/config/snapshots.go
@@ -7,13 +7,14 @@
 	"math/rand/v2"
 	"time"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/encoding/protojson"
+
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
 const (
--- a/internal/config/standin_test.go
+++ b/internal/config/standin_test.go
@@ -7,13 +7,13 @@
 	"sync/atomic"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
 	"bilberryslip.example/bilberryslip/internal/standin/relay"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 // inForceBound is the users' bound for a change to be in force everywhere.
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -4,12 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/retry"
-	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 )
 
 const (
--- a/internal/config/validate_test.go
+++ b/internal/config/validate_test.go
@@ -5,14 +5,14 @@
 	"strings"
 	"testing"
 
-	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
 	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 // put returns a mutation that creates an object, or updates it if it is in
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admin"
@@ -13,9 +16,6 @@
 	"bilberryslip.example/bilberryslip/internal/membership"
 	"bilberryslip.example/bilberryslip/internal/peer"
 	"bilberryslip.example/bilberryslip/internal/platform"
-
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 )
 
 // peerCallTimeout bounds a call to another host for an operator.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,11 +10,11 @@
 	"sync"
 	"syscall"
 
-	"bilberryslip.example/bilberryslip/internal/invariant"
-	"bilberryslip.example/bilberryslip/internal/settings"
-
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/invariant"
+	"bilberryslip.example/bilberryslip/internal/settings"
 )
 
 // Run runs a host until it is told to leave, and then shuts it down
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -6,6 +6,11 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/thejerf/suture/v4"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admin"
 	"bilberryslip.example/bilberryslip/internal/claims"
@@ -23,11 +28,6 @@
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/settings"
 	"bilberryslip.example/bilberryslip/internal/shares"
-
-	"github.com/cespare/xxhash/v2"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/thejerf/suture/v4"
 )
 
 // host is one running entry host with all its parts.
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -5,10 +5,10 @@
 	"net"
 	"os"
 
+	"github.com/cockroachdb/errors"
+
 	"bilberryslip.example/bilberryslip/internal/netmeter"
 	"bilberryslip.example/bilberryslip/internal/settings"
-
-	"github.com/cockroachdb/errors"
 )
 
 // listeners are the open sockets of a host.
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 
+	"github.com/sirupsen/logrus"
+
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/claims"
@@ -12,8 +14,6 @@
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/shares"
-
-	"github.com/sirupsen/logrus"
 )
 
 // localDemand returns the demand that this host's gateway sees. The gateway
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/invariant"
-
 	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/invariant"
 )
 
 // handBackTimeout bounds each step that hands something back to the platform.
--- a/internal/decisions/recorder_test.go
+++ b/internal/decisions/recorder_test.go
@@ -6,13 +6,13 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/decisions"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func TestDecisions(t *testing.T) {
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -4,11 +4,11 @@
 	"testing"
 	"time"
 
-	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
-	"bilberryslip.example/bilberryslip/internal/demand"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	"bilberryslip.example/bilberryslip/internal/demand"
 )
 
 func TestDemand(t *testing.T) {
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -16,14 +16,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -8,12 +8,12 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/invariant"
-
-	"github.com/sirupsen/logrus"
 )
 
 // Config sets a Registry. Zero durations mean the defaults named.
--- a/internal/gateway/auth.go
+++ b/internal/gateway/auth.go
@@ -9,12 +9,12 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/invariant"
-
-	"github.com/sirupsen/logrus"
 )
 
 // caller is who sent a request. The zero value is an anonymous caller, on
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -5,14 +5,14 @@
 	"strings"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	"bilberryslip.example/bilberryslip/internal/gateway"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/standin/control"
 	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
 	"bilberryslip.example/bilberryslip/internal/standin/serviceserver"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 // everyEngine sets the same faults on all engines.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/ratelimit"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/ratelimit"
 )
 
 var _ = Describe("Gateway", func() {
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 	dto "github.com/prometheus/client_model/go"
 	"github.com/sirupsen/logrus"
@@ -17,9 +19,6 @@
 	"bilberryslip.example/bilberryslip/internal/gateway"
 	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
 	"bilberryslip.example/bilberryslip/internal/standin/serviceserver"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 // raw sends bytes over one connection and returns the statuses answered.
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
@@ -27,9 +29,6 @@
 	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
 	"bilberryslip.example/bilberryslip/internal/standin/serviceserver"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func TestGateway(t *testing.T) {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -7,12 +7,12 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	"bilberryslip.example/bilberryslip/internal/lease"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func TestLease(t *testing.T) {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 )
 
 func TestMembership(t *testing.T) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
-	"bilberryslip.example/bilberryslip/internal/peer"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	"bilberryslip.example/bilberryslip/internal/peer"
 )
 
 func TestPeer(t *testing.T) {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -13,7 +13,6 @@
 
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-
 	"bilberryslip.example/bilberryslip/internal/netmeter"
 )
 
--- a/internal/placement/intent_test.go
+++ b/internal/placement/intent_test.go
@@ -1,11 +1,11 @@
 package placement_test
 
 import (
-	"bilberryslip.example/bilberryslip/internal/engineapi"
-	"bilberryslip.example/bilberryslip/internal/placement"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/placement"
 )
 
 var _ = Describe("Intents", func() {
--- a/internal/placement/owner/engines_test.go
+++ b/internal/placement/owner/engines_test.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
@@ -17,9 +20,6 @@
 	"bilberryslip.example/bilberryslip/internal/standin/control"
 	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 // engineOrderLifetime is longer than any delay that the test gives an order.
--- a/internal/placement/owner/owner_test.go
+++ b/internal/placement/owner/owner_test.go
@@ -7,14 +7,14 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/placement"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
 	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func TestOwner(t *testing.T) {
--- a/internal/placement/owner/takeover_test.go
+++ b/internal/placement/owner/takeover_test.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/lease"
 	"bilberryslip.example/bilberryslip/internal/placement"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func policyObject(name, model string, minimum int32, pools ...string) *apiv1.Object {
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/engineapi"
-	"bilberryslip.example/bilberryslip/internal/placement"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/placement"
 )
 
 const gib = int64(1) << 30
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -8,13 +8,13 @@
 	"testing"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
-	"bilberryslip.example/bilberryslip/internal/standin/relay"
 	"github.com/cockroachdb/errors"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
+	"bilberryslip.example/bilberryslip/internal/standin/relay"
 )
 
 func TestPlatform(t *testing.T) {
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -6,8 +6,9 @@
 	"encoding/json"
 	"sync"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
 	"github.com/cockroachdb/errors"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 // Fault is how a call fails.
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -6,8 +6,9 @@
 	"fmt"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/retry"
 	"github.com/cockroachdb/errors"
+
+	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
 const (
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,10 +6,10 @@
 	"strings"
 	"testing"
 
-	"bilberryslip.example/bilberryslip/internal/settings"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/settings"
 )
 
 func TestSettings(t *testing.T) {
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
@@ -19,9 +21,6 @@
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/shares"
 	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 func TestShares(t *testing.T) {
--- a/internal/standin/objectstore/store_test.go
+++ b/internal/standin/objectstore/store_test.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"testing"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
 )
 
 func TestObjectStore(t *testing.T) {
