Serve what arrives while the callers' server stops

Cause: http.Server.Shutdown drops a request whose headers it reads after the shutdown began (conn.serve returns once shuttingDown), so a request that arrived in that instant got EOF. The test of the graceful shutdown found it once in a run of all tests: 'Post .../v1/completions: EOF'. Ruled out: reuse of connections (each caller has its own) and the drain's end (the gateway waited). Change: the listener is closed first, connections that may carry a request are followed by their state and waited for, answers of a draining server close their connection, and Shutdown comes last.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
 // Limits of the HTTP servers. A streaming answer has no write limit of its
@@ -19,6 +22,10 @@
 	// stopTimeout bounds the wait for requests when a server stops; the
 	// gateway has been drained by then.
 	stopTimeout = 2 * time.Second
+	// newConnGrace is how long a stopping server waits for the first request
+	// of a connection.
+	newConnGrace     = time.Second
+	idlePollInterval = 10 * time.Millisecond
 )
 
 // httpServer serves one address.
@@ -30,9 +37,16 @@
 	handler  http.Handler
 	tls      *certificate
 
+	// draining is set once the server is to stop.
+	draining atomic.Bool
+
 	mu sync.Mutex
 	// server runs; it is nil before the first start.
 	server *http.Server
+	// open is the listener that the server accepts from.
+	open net.Listener
+	// busy holds the connections that may carry a request.
+	busy map[net.Conn]http.ConnState
 }
 
 // certificate names a certificate and its key.
@@ -46,7 +60,8 @@
 // Serve implements suture.Service.
 func (s *httpServer) Serve(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           s.handler,
+		Handler:           s.closing(s.handler),
+		ConnState:         s.track,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -64,23 +79,67 @@
 		_ = server.Shutdown(stopCtx)
 	}()
 	err := s.serve(server)
-	if errors.Is(err, http.ErrServerClosed) {
+	if s.draining.Load() || errors.Is(err, http.ErrServerClosed) {
 		<-stopped
 		return ctx.Err()
 	}
 	return errors.Wrapf(err, "serve %s", s.name)
 }
 
-// stopAccepting closes the listener for good and waits until no request runs
-// or ctx ends. Serve goes on until its own context ends, so that the
-// supervisor does not open the address again.
+// drain makes each connection close after its next answer, so that callers do
+// not send on one that is about to be closed.
+func (s *httpServer) drain() { s.draining.Store(true) }
+
+// closing adds to the answers of a draining server that the connection closes.
+func (s *httpServer) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// track follows which connections may carry a request.
+func (s *httpServer) track(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew || state == http.StateActive {
+		s.busy[conn] = state
+		return
+	}
+	delete(s.busy, conn)
+}
+
+// stopAccepting closes the listener for good and waits until no connection
+// carries a request or ctx ends. http.Server.Shutdown comes last: it drops
+// requests whose headers arrive while it runs.
 func (s *httpServer) stopAccepting(ctx context.Context) {
+	s.drain()
 	s.mu.Lock()
-	server := s.server
+	server, listener := s.server, s.open
 	s.mu.Unlock()
-	if server != nil {
-		_ = server.Shutdown(ctx)
+	if server == nil || listener == nil {
+		return
+	}
+	_ = listener.Close()
+	quiet := time.Now().Add(newConnGrace)
+	for s.mayCarryRequest(time.Now().Before(quiet)) && retry.Sleep(ctx, idlePollInterval) {
+	}
+	_ = server.Shutdown(ctx)
+}
+
+// mayCarryRequest reports whether a connection is active, or, where it counts
+// new ones too, has not sent anything yet.
+func (s *httpServer) mayCarryRequest(countNew bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.busy {
+		if state == http.StateActive || countNew {
+			return true
+		}
 	}
+	return false
 }
 
 func (s *httpServer) serve(server *http.Server) error {
@@ -88,6 +147,10 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.open = listener
+	s.busy = make(map[net.Conn]http.ConnState)
+	s.mu.Unlock()
 	if s.tls == nil {
 		return server.Serve(listener)
 	}
