--- a/internal/shares/borrow.go
+++ b/internal/shares/borrow.go
@@ -8,6 +8,7 @@
 
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
+	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
 const (
@@ -49,7 +50,7 @@
 			s.noteBorrowed(organisation, funding)
 			return true
 		}
-		if !s.worthWaiting(funding, until) || !pause(ctx, waitStep) {
+		if !s.worthWaiting(funding, until) || !retry.Sleep(ctx, waitStep) {
 			break
 		}
 		if s.topUp(funding); s.grant(funding) {
@@ -96,18 +97,6 @@
 	s.limiter.TopUp(s.config.Now(), funding)
 }
 
-// pause reports whether the context is still alive after a time.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (s *Service) mayBorrow(organisation string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
