--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -18,9 +18,9 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admin"
 	"bilberryslip.example/bilberryslip/internal/config"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore/storetest"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 func TestAdmin(t *testing.T) {
@@ -104,20 +104,20 @@
 
 var _ = Describe("Server", func() {
 	ctx := context.Background()
-	var store *platformtest.Store
+	var store *storetest.Store
 	var host *fakeHost
 	var client apiv1.Admin
 	var url string
 
 	BeforeEach(func() {
-		store = platformtest.New(objectstore.New())
+		store = storetest.New(memstore.New())
 		log := config.NewLog(config.LogConfig{Store: store})
 		Expect(log.Prove(ctx)).To(Succeed())
 		host = &fakeHost{log: log, revision: 100}
 		server := admin.NewServer(admin.Config{
 			Host: "a", Log: log, Membership: host, Peers: fakePeers{host}, Decisions: fakeDecisions{},
 			Self: fakeSelf{host}, Forgetter: host,
-			Availability: func() platform.Availability { return platform.Availability{Available: true} },
+			Availability: func() objectstore.Availability { return objectstore.Availability{Available: true} },
 		})
 		operators := []admin.Operator{{Name: "eve", TokenSHA256: hashOf("secret")}}
 		web := httptest.NewServer(admin.RequireOperator(operators, apiv1.NewAdminServer(server)))
@@ -168,10 +168,10 @@
 		Expect(faults).To(ConsistOf(HaveField("Field", "mutations[0].name")))
 		_, err = client.Get(ctx, &apiv1.GetRequest{Kind: apiv1.Kind_KIND_KEY, Name: "x"})
 		Expect(meta(err, twirp.NotFound, admin.MetaKind)).To(Equal("key"))
-		store.SetFault(func(platformtest.Op, platform.Kind, string) platformtest.Fault { return platformtest.NotSent })
+		store.SetFault(func(storetest.Op, objectstore.Kind, string) storetest.Fault { return storetest.NotSent })
 		_, err = apply(organisation("z", 0, 1))
 		Expect(meta(err, twirp.Unavailable, admin.MetaRetryAfter)).To(Equal("2"))
-		store.SetFault(func(platformtest.Op, platform.Kind, string) platformtest.Fault { return platformtest.RequestLost })
+		store.SetFault(func(storetest.Op, objectstore.Kind, string) storetest.Fault { return storetest.RequestLost })
 		_, err = client.Apply(ctx, &apiv1.ApplyRequest{Mutations: []*apiv1.Mutation{organisation("z", 0, 1)}, ChangeId: "id"})
 		Expect(meta(err, twirp.Unknown, admin.MetaChangeID)).To(Equal("id"))
 	})
@@ -198,7 +198,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(granted.Secret).To(MatchRegexp(`^bsk_[A-Za-z0-9_-]{43}$`))
 		Expect(host.log.Current().KeyByHash(hashOf(granted.Secret)).GetName()).To(Equal("k"))
-		listing, err := store.List(ctx, platform.KindConfigChange, "")
+		listing, err := store.List(ctx, objectstore.KindConfigChange, "")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(json.Marshal(listing)).NotTo(ContainSubstring(granted.Secret[4:]))
 		for range 2 {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -12,7 +12,7 @@
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/config"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 const (
@@ -91,7 +91,7 @@
 	Self       Self
 	Forgetter  Forgetter
 	// Availability tells of the platform.
-	Availability func() platform.Availability
+	Availability func() objectstore.Availability
 	// Clock tells the time. Nil means time.Now.
 	Clock func() time.Time
 }
--- a/internal/claims/bench_test.go
+++ b/internal/claims/bench_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
+	"bilberryslip.example/bilberryslip/internal/objectstore/storetest"
 )
 
 // BenchmarkRequest counts the platform's calls for one request that must not
@@ -30,5 +30,5 @@
 		}
 	}
 	b.ReportMetric(float64(h.store.Writes())/float64(b.N), "writes/op")
-	b.ReportMetric(float64(h.store.Count(platformtest.OpGet))/float64(b.N), "reads/op")
+	b.ReportMetric(float64(h.store.Count(storetest.OpGet))/float64(b.N), "reads/op")
 }
--- a/internal/claims/book.go
+++ b/internal/claims/book.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 const (
@@ -45,7 +45,7 @@
 
 // BookConfig configures a Book. Zero numbers mean the defaults.
 type BookConfig struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Self is this process.
 	Self Owner
 	// Alive reports whether a process is known to be alive.
@@ -144,8 +144,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, b.config.ClaimTimeout)
 	defer cancel()
-	existing, err := b.config.Store.Get(ctx, platform.KindClaim, req.name())
-	var missing *platform.NotFoundError
+	existing, err := b.config.Store.Get(ctx, objectstore.KindClaim, req.name())
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return Outcome{State: NotClaimed}, nil
 	}
@@ -211,7 +211,7 @@
 			claim.base = obj.Version
 			return Outcome{State: Claimed, Claim: claim}, nil
 		}
-		var conflict *platform.ConflictError
+		var conflict *objectstore.ConflictError
 		if !errors.As(err, &conflict) {
 			b.abandon(claim, err)
 			return Outcome{}, unavailable(err)
@@ -225,14 +225,14 @@
 }
 
 // put makes the conditional write that the claim's base calls for.
-func (b *Book) put(ctx context.Context, claim *Claim, value json.RawMessage) (platform.Object, error) {
+func (b *Book) put(ctx context.Context, claim *Claim, value json.RawMessage) (objectstore.Object, error) {
 	if claim.base == 0 {
-		return platform.CreateSettled(ctx, b.config.Store, platform.KindClaim, claim.name, claim.writeID, value)
+		return objectstore.CreateSettled(ctx, b.config.Store, objectstore.KindClaim, claim.name, claim.writeID, value)
 	}
-	return platform.UpdateSettled(ctx, b.config.Store, platform.KindClaim, claim.name, claim.base, claim.writeID, value)
+	return objectstore.UpdateSettled(ctx, b.config.Store, objectstore.KindClaim, claim.name, claim.base, claim.writeID, value)
 }
 
-func (b *Book) decide(existing platform.Object, req Request) Outcome {
+func (b *Book) decide(existing objectstore.Object, req Request) Outcome {
 	record, err := decode(existing)
 	if err != nil {
 		logrus.WithError(err).Error("claim unreadable; its request counts as unknown")
@@ -248,8 +248,8 @@
 // abandon sees to it that a claim whose write may yet take effect ends as not
 // run.
 func (b *Book) abandon(claim *Claim, err error) {
-	var unavailable *platform.UnavailableError
-	if !errors.As(err, &unavailable) || unavailable.Outcome != platform.OutcomeUnknown {
+	var unavailable *objectstore.UnavailableError
+	if !errors.As(err, &unavailable) || unavailable.Outcome != objectstore.OutcomeUnknown {
 		return
 	}
 	if claim.set(StateNotRun, nil) {
@@ -263,7 +263,7 @@
 	return value, errors.Wrap(err, "encoding a claim")
 }
 
-func decode(obj platform.Object) (Record, error) {
+func decode(obj objectstore.Object) (Record, error) {
 	var record Record
 	err := json.Unmarshal(obj.Value, &record)
 	return record, errors.Wrapf(err, "decoding claim %q; delete the object if it is known what became of its request", obj.Name)
@@ -271,7 +271,7 @@
 
 func unavailable(cause error) error {
 	retryAfter := defaultRetryAfter
-	var down *platform.UnavailableError
+	var down *objectstore.UnavailableError
 	if errors.As(cause, &down) && down.RetryAfter > 0 {
 		retryAfter = down.RetryAfter
 	}
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 // Claim is this process's right to send a request once. It must be ended by
@@ -20,7 +20,7 @@
 	startedAt time.Time
 	// base is the version that the claim's next write replaces. Zero means
 	// that there must be no object.
-	base platform.Version
+	base objectstore.Version
 
 	mu     sync.Mutex
 	record Record
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -15,9 +15,9 @@
 	"pgregory.net/rapid"
 
 	"bilberryslip.example/bilberryslip/internal/invariant"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore/storetest"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 func TestMain(m *testing.M) {
@@ -54,12 +54,12 @@
 
 // hosts are books before one faulty store.
 type hosts struct {
-	store *platformtest.Store
+	store *storetest.Store
 	alive map[Owner]bool
 }
 
 func newHosts() *hosts {
-	return &hosts{store: platformtest.New(objectstore.New()), alive: make(map[Owner]bool)}
+	return &hosts{store: storetest.New(memstore.New()), alive: make(map[Owner]bool)}
 }
 
 func (h *hosts) start(name string, incarnation int) *Book {
@@ -72,8 +72,8 @@
 
 func (h *hosts) kill(b *Book) { h.alive[b.config.Self] = false }
 
-func always(fault platformtest.Fault) func(platformtest.Op, platform.Kind, string) platformtest.Fault {
-	return func(platformtest.Op, platform.Kind, string) platformtest.Fault { return fault }
+func always(fault storetest.Fault) func(storetest.Op, objectstore.Kind, string) storetest.Fault {
+	return func(storetest.Op, objectstore.Kind, string) storetest.Fault { return fault }
 }
 
 var registration = Request{Organisation: "org", Route: "register", IdempotencyKey: "k", Fingerprint: "f"}
@@ -135,7 +135,7 @@
 	})
 
 	It("refuses as not run without the platform, with its advice", func() {
-		h.store.SetFault(always(platformtest.NotSent))
+		h.store.SetFault(always(storetest.NotSent))
 		_, err := a.Begin(ctx, registration)
 		Expect(err).To(BeAssignableToTypeOf(&UnavailableError{}))
 		Expect(err).To(HaveField("RetryAfter", defaultRetryAfter))
@@ -145,7 +145,7 @@
 
 	It("gives the answer on its own host while the platform is down, and records it later", func() {
 		c := claim(a)
-		h.store.SetFault(always(platformtest.AnswerLost))
+		h.store.SetFault(always(storetest.AnswerLost))
 		Expect(c.Finish(ctx, Answer{Status: 200})).NotTo(Succeed())
 		Expect(begin(a)).To(Equal(Recorded))
 		h.store.SetFault(nil)
@@ -171,7 +171,7 @@
 // A claim whose write was never answered, and of which nothing was sent, ends
 // as not run, also where the write takes effect later.
 func TestUnansweredClaimEndsAsNotRun(t *testing.T) {
-	for _, fault := range []platformtest.Fault{platformtest.RequestLost, platformtest.AnswerLost, platformtest.Delayed} {
+	for _, fault := range []storetest.Fault{storetest.RequestLost, storetest.AnswerLost, storetest.Delayed} {
 		synctest.Test(t, func(t *testing.T) {
 			h := newHosts()
 			a, b := h.start("a", 1), h.start("b", 1)
@@ -224,11 +224,11 @@
 	// One attempt at each write: nothing is waited for.
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	m.store.SetFault(func(platformtest.Op, platform.Kind, string) platformtest.Fault {
+	m.store.SetFault(func(storetest.Op, objectstore.Kind, string) storetest.Fault {
 		if rapid.IntRange(0, 2).Draw(t, "faulty") > 0 {
-			return platformtest.None
+			return storetest.None
 		}
-		return platformtest.Fault(rapid.IntRange(0, int(platformtest.Delayed)).Draw(t, "fault"))
+		return storetest.Fault(rapid.IntRange(0, int(storetest.Delayed)).Draw(t, "fault"))
 	})
 	i := rapid.IntRange(0, len(m.books)-1).Draw(t, "host")
 	book := m.books[i]
@@ -319,7 +319,7 @@
 			go func() { _ = book.Serve(ctx) }()
 		}
 		present := func() bool {
-			_, err := h.store.Get(ctx, platform.KindClaim, registration.name())
+			_, err := h.store.Get(ctx, objectstore.KindClaim, registration.name())
 			return err == nil
 		}
 		time.Sleep(defaultRetention - time.Minute) // Virtual time.
--- a/internal/claims/pending.go
+++ b/internal/claims/pending.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/invariant"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
@@ -87,7 +87,7 @@
 	}
 	for {
 		err := b.putFinal(ctx, p, value)
-		var conflict *platform.ConflictError
+		var conflict *objectstore.ConflictError
 		switch {
 		case err == nil:
 			return nil
@@ -106,16 +106,16 @@
 func (b *Book) putFinal(ctx context.Context, p *pendingWrite, value json.RawMessage) error {
 	var err error
 	if p.claim.base == 0 {
-		_, err = b.config.Store.Create(ctx, platform.KindClaim, p.claim.name, p.writeID, value)
+		_, err = b.config.Store.Create(ctx, objectstore.KindClaim, p.claim.name, p.writeID, value)
 	} else {
-		_, err = b.config.Store.Update(ctx, platform.KindClaim, p.claim.name, p.claim.base, p.writeID, value)
+		_, err = b.config.Store.Update(ctx, objectstore.KindClaim, p.claim.name, p.claim.base, p.writeID, value)
 	}
 	return err
 }
 
 // ignoreMissing passes over a claim that was deleted after its retention.
 func ignoreMissing(err error) error {
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return nil
 	}
@@ -124,7 +124,7 @@
 
 // assertNotTaken reports a claim that another process replaced although its
 // request was sent. One whose request was not sent may be lost to another.
-func (b *Book) assertNotTaken(p *pendingWrite, current platform.Object) {
+func (b *Book) assertNotTaken(p *pendingWrite, current objectstore.Object) {
 	state := p.claim.current().State
 	invariant.Assert(state == StateNotRun, invariant.AtMostOnce, logrus.Fields{
 		"claim": p.claim.name, "state": string(state), "version": int64(current.Version),
--- a/internal/claims/standin_test.go
+++ b/internal/claims/standin_test.go
@@ -13,7 +13,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/config"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
 	"bilberryslip.example/bilberryslip/internal/standin/relay"
 )
@@ -22,7 +22,7 @@
 type fleet struct {
 	srv    *platformserver.Server
 	relays []*relay.Relay
-	stores []*platform.Client
+	stores []*objectstore.Client
 	books  []*claims.Book
 }
 
@@ -37,7 +37,7 @@
 			tb.Fatal(err)
 		}
 		tb.Cleanup(link.Close)
-		store := platform.NewClient(platform.ClientConfig{Addresses: []string{link.URL()}, CallTimeout: 300 * time.Millisecond})
+		store := objectstore.NewClient(objectstore.ClientConfig{Addresses: []string{link.URL()}, CallTimeout: 300 * time.Millisecond})
 		book := claims.NewBook(claims.BookConfig{
 			Store: store, Self: claims.Owner{Host: fmt.Sprint(i)}, Alive: func(claims.Owner) bool { return true },
 		})
--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
@@ -39,14 +39,14 @@
 // back is at least n intervals old.
 type sweepState struct {
 	// Marks are versions of the platform, oldest first.
-	Marks []platform.Version `json:"marks"`
+	Marks []objectstore.Version `json:"marks"`
 	// Next is the next prefix to sweep.
 	Next int `json:"next"`
 }
 
 // expired returns the version up to which claims are past their retention.
 // Zero means that none is.
-func (s sweepState) expired() platform.Version {
+func (s sweepState) expired() objectstore.Version {
 	if len(s.Marks) <= sweepMarks {
 		return 0
 	}
@@ -54,8 +54,8 @@
 }
 
 // advanced returns the state with one more mark.
-func (s sweepState) advanced(mark platform.Version) sweepState {
-	marks := append(append([]platform.Version(nil), s.Marks...), mark)
+func (s sweepState) advanced(mark objectstore.Version) sweepState {
+	marks := append(append([]objectstore.Version(nil), s.Marks...), mark)
 	marks = marks[max(0, len(marks)-sweepMarks-1):]
 	return sweepState{Marks: marks, Next: (s.Next + sweepPrefixesPerMark) % sweepPrefixes}
 }
@@ -90,18 +90,18 @@
 
 // readSweep returns the object that measures the retention, creating it where
 // it is missing.
-func (b *Book) readSweep(ctx context.Context) (platform.Object, error) {
-	obj, err := b.config.Store.Get(ctx, platform.KindLease, sweepName)
-	var missing *platform.NotFoundError
+func (b *Book) readSweep(ctx context.Context) (objectstore.Object, error) {
+	obj, err := b.config.Store.Get(ctx, objectstore.KindLease, sweepName)
+	var missing *objectstore.NotFoundError
 	if !errors.As(err, &missing) {
 		return obj, err
 	}
-	return b.config.Store.Create(ctx, platform.KindLease, sweepName, uuid.NewString(), json.RawMessage(`{}`))
+	return b.config.Store.Create(ctx, objectstore.KindLease, sweepName, uuid.NewString(), json.RawMessage(`{}`))
 }
 
 // sweep adds a mark to the state seen one interval ago, and if no other host
 // did so, deletes the old claims of the next prefixes.
-func (b *Book) sweep(ctx context.Context, seen platform.Object) error {
+func (b *Book) sweep(ctx context.Context, seen objectstore.Object) error {
 	var state sweepState
 	if err := json.Unmarshal(seen.Value, &state); err != nil {
 		return errors.Wrapf(err, "decoding %s %q; delete the object", seen.Kind, seen.Name)
@@ -111,8 +111,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding the sweep state")
 	}
-	_, err = b.config.Store.Update(ctx, platform.KindLease, sweepName, seen.Version, uuid.NewString(), value)
-	var conflict *platform.ConflictError
+	_, err = b.config.Store.Update(ctx, objectstore.KindLease, sweepName, seen.Version, uuid.NewString(), value)
+	var conflict *objectstore.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
@@ -127,8 +127,8 @@
 	return nil
 }
 
-func (b *Book) sweepPrefix(ctx context.Context, prefix int, expired platform.Version) error {
-	listing, err := b.config.Store.List(ctx, platform.KindClaim, fmt.Sprintf("%0*x", sweepPrefixDigits, prefix))
+func (b *Book) sweepPrefix(ctx context.Context, prefix int, expired objectstore.Version) error {
+	listing, err := b.config.Store.List(ctx, objectstore.KindClaim, fmt.Sprintf("%0*x", sweepPrefixDigits, prefix))
 	if err != nil {
 		return err
 	}
@@ -136,7 +136,7 @@
 		if obj.Version > expired {
 			continue
 		}
-		err := b.config.Store.Delete(ctx, platform.KindClaim, obj.Name, obj.Version)
+		err := b.config.Store.Delete(ctx, objectstore.KindClaim, obj.Name, obj.Version)
 		if err := ignoreMissing(err); err != nil {
 			return err
 		}
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 const (
@@ -87,19 +87,19 @@
 	}
 	settleCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	obj, err := platform.CreateSettled(settleCtx, l.config.Store, platform.KindConfigChange, changeName(change.Revision), change.ChangeId, value)
+	obj, err := objectstore.CreateSettled(settleCtx, l.config.Store, objectstore.KindConfigChange, changeName(change.Revision), change.ChangeId, value)
 	if l.config.Clock().Sub(proof) > l.config.MinChangeAge {
 		return false, l.discardLate(ctx, obj, change, err)
 	}
 	if err == nil {
 		return l.adopt(obj, change.ChangeId)
 	}
-	var conflict *platform.ConflictError
+	var conflict *objectstore.ConflictError
 	if errors.As(err, &conflict) {
 		return l.adopt(conflict.Current, change.ChangeId)
 	}
-	var unavailable *platform.UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Outcome == platform.OutcomeUnknown {
+	var unavailable *objectstore.UnavailableError
+	if errors.As(err, &unavailable) && unavailable.Outcome == objectstore.OutcomeUnknown {
 		return false, &UnknownOutcomeError{ChangeID: change.ChangeId, Cause: err}
 	}
 	return false, notApplied(err)
@@ -107,9 +107,9 @@
 
 // discardLate deletes an entry that was created too late to be part of the
 // log, and leaves one that is part of it.
-func (l *Log) discardLate(ctx context.Context, obj platform.Object, change *apiv1.Change, err error) error {
+func (l *Log) discardLate(ctx context.Context, obj objectstore.Object, change *apiv1.Change, err error) error {
 	if err != nil {
-		var conflict *platform.ConflictError
+		var conflict *objectstore.ConflictError
 		if errors.As(err, &conflict) {
 			return nil
 		}
@@ -128,7 +128,7 @@
 
 // adopt learns the entry that holds a revision and reports whether it is the
 // caller's change.
-func (l *Log) adopt(obj platform.Object, changeID string) (bool, error) {
+func (l *Log) adopt(obj objectstore.Object, changeID string) (bool, error) {
 	change, err := decodeChange(obj)
 	if err != nil {
 		return false, err
@@ -175,7 +175,7 @@
 
 func notApplied(cause error) error {
 	retryAfter := defaultRetryAfter
-	var unavailable *platform.UnavailableError
+	var unavailable *objectstore.UnavailableError
 	if errors.As(cause, &unavailable) && unavailable.RetryAfter > 0 {
 		retryAfter = unavailable.RetryAfter
 	}
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -11,8 +11,8 @@
 	"github.com/sirupsen/logrus"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore/storetest"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 // deployment is the size of a configuration.
@@ -127,7 +127,7 @@
 func BenchmarkApply(b *testing.B) {
 	logrus.SetLevel(logrus.ErrorLevel)
 	defer logrus.SetLevel(logrus.InfoLevel)
-	store := platformtest.New(objectstore.New())
+	store := storetest.New(memstore.New())
 	log := NewLog(LogConfig{Store: store})
 	version := int64(0)
 	for b.Loop() {
@@ -138,5 +138,5 @@
 		version = revision
 	}
 	b.ReportMetric(float64(store.Writes())/float64(b.N), "writes/op")
-	b.ReportMetric(float64(store.Count(platformtest.OpGet)+store.Count(platformtest.OpList))/float64(b.N), "reads/op")
+	b.ReportMetric(float64(store.Count(storetest.OpGet)+store.Count(storetest.OpList))/float64(b.N), "reads/op")
 }
--- a/internal/config/codec.go
+++ b/internal/config/codec.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 // changeName names the platform object of a revision; names sort like
@@ -34,7 +34,7 @@
 
 // decodeChange reads a log entry. Fields that a later version of the program
 // added are passed over.
-func decodeChange(obj platform.Object) (*apiv1.Change, error) {
+func decodeChange(obj objectstore.Object) (*apiv1.Change, error) {
 	change := &apiv1.Change{}
 	options := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err := options.Unmarshal(obj.Value, change); err != nil {
--- a/internal/config/compact.go
+++ b/internal/config/compact.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
@@ -36,17 +36,17 @@
 // deleteSnapshot deletes the manifest first, so that no reader starts on a
 // snapshot that is not whole.
 func (l *Log) deleteSnapshot(ctx context.Context, m manifest) error {
-	if err := l.deleteAll(ctx, platform.KindConfigSnapshot, m.name(), nil); err != nil {
+	if err := l.deleteAll(ctx, objectstore.KindConfigSnapshot, m.name(), nil); err != nil {
 		return err
 	}
-	return l.deleteAll(ctx, platform.KindConfigSnapshot, fmt.Sprintf("chunk-%s-", changeName(m.Revision)), nil)
+	return l.deleteAll(ctx, objectstore.KindConfigSnapshot, fmt.Sprintf("chunk-%s-", changeName(m.Revision)), nil)
 }
 
 func (l *Log) compactChanges(ctx context.Context, through int64) error {
 	if through <= 0 {
 		return nil
 	}
-	return l.deleteAll(ctx, platform.KindConfigChange, "", func(obj platform.Object) bool {
+	return l.deleteAll(ctx, objectstore.KindConfigChange, "", func(obj objectstore.Object) bool {
 		return obj.Name <= changeName(through)
 	})
 }
@@ -68,7 +68,7 @@
 
 // deleteAll deletes the objects with a prefix that also match, oldest first.
 // Nil matches all.
-func (l *Log) deleteAll(ctx context.Context, kind platform.Kind, prefix string, match func(platform.Object) bool) error {
+func (l *Log) deleteAll(ctx context.Context, kind objectstore.Kind, prefix string, match func(objectstore.Object) bool) error {
 	listing, err := l.config.Store.List(ctx, kind, prefix)
 	if err != nil {
 		return err
@@ -78,7 +78,7 @@
 			continue
 		}
 		err := l.config.Store.Delete(ctx, kind, obj.Name, obj.Version)
-		var missing *platform.NotFoundError
+		var missing *objectstore.NotFoundError
 		if err != nil && !errors.As(err, &missing) {
 			return err
 		}
--- a/internal/config/compaction_property_test.go
+++ b/internal/config/compaction_property_test.go
@@ -10,14 +10,14 @@
 	"pgregory.net/rapid"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore/storetest"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 // compactingFleet is hosts that compact often, on one clock.
 type compactingFleet struct {
-	store *platformtest.Store
+	store *storetest.Store
 	logs  []*Log
 	now   time.Time
 	next  int
@@ -40,7 +40,7 @@
 	_ = flag.Set("rapid.checks", "400")
 	defer func() { _ = flag.Set("rapid.checks", "100") }()
 	rapid.Check(t, func(t *rapid.T) {
-		f := &compactingFleet{store: platformtest.New(objectstore.New()), now: time.Now(), entries: make(map[int64]string)}
+		f := &compactingFleet{store: storetest.New(memstore.New()), now: time.Now(), entries: make(map[int64]string)}
 		for range 3 {
 			f.logs = append(f.logs, f.start())
 		}
@@ -68,11 +68,11 @@
 	// One attempt at each write: nothing is waited for.
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	f.store.SetFault(func(op platformtest.Op, _ platform.Kind, _ string) platformtest.Fault {
+	f.store.SetFault(func(op storetest.Op, _ objectstore.Kind, _ string) storetest.Fault {
 		if !op.IsWrite() || rapid.IntRange(0, 4).Draw(t, "faulty") > 0 {
-			return platformtest.None
+			return storetest.None
 		}
-		return platformtest.Fault(rapid.IntRange(0, int(platformtest.Delayed)).Draw(t, "fault"))
+		return storetest.Fault(rapid.IntRange(0, int(storetest.Delayed)).Draw(t, "fault"))
 	})
 	i := rapid.IntRange(0, len(f.logs)-1).Draw(t, "host")
 	switch rapid.IntRange(0, 9).Draw(t, "action") {
--- a/internal/config/compaction_test.go
+++ b/internal/config/compaction_test.go
@@ -8,15 +8,15 @@
 	"time"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore/storetest"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 // compacted returns a store whose log of 50 changes begins late, and a host
 // that made it. Before the second change, prepare runs.
-func compacted(t *testing.T, prepare func(store *platformtest.Store, settings LogConfig)) (*Log, LogConfig) {
-	store := platformtest.New(objectstore.New())
+func compacted(t *testing.T, prepare func(store *storetest.Store, settings LogConfig)) (*Log, LogConfig) {
+	store := storetest.New(memstore.New())
 	settings := LogConfig{Store: store, SnapshotInterval: 10, KeepChanges: 5, MinChangeAge: time.Minute}
 	a := NewLog(settings)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -29,7 +29,7 @@
 		mustApply(t, a, 10*i+1, 10*i+10)
 		time.Sleep(2 * time.Minute) // Virtual time.
 	}
-	if _, err := store.Get(t.Context(), platform.KindConfigChange, changeName(2)); err == nil {
+	if _, err := store.Get(t.Context(), objectstore.KindConfigChange, changeName(2)); err == nil {
 		t.Fatal("the log was not compacted")
 	}
 	cancel()
@@ -42,14 +42,14 @@
 // it, and a repeat of the change takes effect once.
 func TestWriteAfterCompactionIsNoEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var late *platformtest.Store
-		a, settings := compacted(t, func(store *platformtest.Store, settings LogConfig) {
+		var late *storetest.Store
+		a, settings := compacted(t, func(store *storetest.Store, settings LogConfig) {
 			late = store
 			sender := NewLog(settings)
 			if err := sender.Prove(t.Context()); err != nil {
 				t.Fatal(err)
 			}
-			store.SetFault(onKind(platform.KindConfigChange, platformtest.Delayed, platformtest.OpCreate))
+			store.SetFault(onKind(objectstore.KindConfigChange, storetest.Delayed, storetest.OpCreate))
 			_, err := sender.Apply(t.Context(), []*apiv1.Mutation{putOrganisation("late", 0, 1)}, "late", "operator")
 			if _, unknown := err.(*UnknownOutcomeError); !unknown {
 				t.Fatalf("error %v, want an unknown outcome", err)
@@ -57,7 +57,7 @@
 			store.SetFault(nil)
 		})
 		late.Release()
-		if _, err := late.Get(t.Context(), platform.KindConfigChange, changeName(2)); err != nil {
+		if _, err := late.Get(t.Context(), objectstore.KindConfigChange, changeName(2)); err != nil {
 			t.Fatalf("the late write had no effect: %v", err)
 		}
 		b := NewLog(settings)
@@ -79,7 +79,7 @@
 func TestApplyAfterLongPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var paused *Log
-		a, _ := compacted(t, func(_ *platformtest.Store, settings LogConfig) {
+		a, _ := compacted(t, func(_ *storetest.Store, settings LogConfig) {
 			paused = NewLog(settings)
 			if err := paused.Prove(t.Context()); err != nil {
 				t.Fatal(err)
@@ -100,7 +100,7 @@
 func TestPauseWithinApply(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sleeper := &pausingStore{resume: make(chan struct{}), done: make(chan struct{})}
-		a, settings := compacted(t, func(_ *platformtest.Store, settings LogConfig) {
+		a, settings := compacted(t, func(_ *storetest.Store, settings LogConfig) {
 			sleeper.Store = settings.Store
 			settings.Store = sleeper
 			paused := NewLog(settings)
@@ -126,13 +126,13 @@
 
 // pausingStore holds up the creation of a change, as a stopped process would.
 type pausingStore struct {
-	platform.Store
+	objectstore.Store
 	resume, done chan struct{}
 	revision     int64
 	err          error
 }
 
-func (s *pausingStore) Create(_ context.Context, kind platform.Kind, name, writeID string, value json.RawMessage) (platform.Object, error) {
+func (s *pausingStore) Create(_ context.Context, kind objectstore.Kind, name, writeID string, value json.RawMessage) (objectstore.Object, error) {
 	<-s.resume
 	return s.Store.Create(context.Background(), kind, name, writeID, value)
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -13,9 +13,9 @@
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/invariant"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore/storetest"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 func TestMain(m *testing.M) {
@@ -40,26 +40,26 @@
 	}
 }
 
-func onKind(kind platform.Kind, fault platformtest.Fault, ops ...platformtest.Op) func(platformtest.Op, platform.Kind, string) platformtest.Fault {
-	return func(op platformtest.Op, k platform.Kind, _ string) platformtest.Fault {
+func onKind(kind objectstore.Kind, fault storetest.Fault, ops ...storetest.Op) func(storetest.Op, objectstore.Kind, string) storetest.Fault {
+	return func(op storetest.Op, k objectstore.Kind, _ string) storetest.Fault {
 		for _, candidate := range ops {
 			if candidate == op && k == kind {
 				return fault
 			}
 		}
-		return platformtest.None
+		return storetest.None
 	}
 }
 
-func down(platformtest.Op, platform.Kind, string) platformtest.Fault { return platformtest.NotSent }
+func down(storetest.Op, objectstore.Kind, string) storetest.Fault { return storetest.NotSent }
 
 var _ = Describe("Apply", func() {
 	ctx := context.Background()
-	var store *platformtest.Store
+	var store *storetest.Store
 	var a, b *Log
 
 	BeforeEach(func() {
-		store = platformtest.New(objectstore.New())
+		store = storetest.New(memstore.New())
 		a = NewLog(LogConfig{Store: store})
 		b = NewLog(LogConfig{Store: store})
 	})
@@ -86,11 +86,11 @@
 
 	It("settles a lost answer by the change's identifier", func() {
 		lost := 0
-		store.SetFault(func(op platformtest.Op, _ platform.Kind, _ string) platformtest.Fault {
-			if lost++; op == platformtest.OpCreate && lost < 4 {
-				return platformtest.AnswerLost
+		store.SetFault(func(op storetest.Op, _ objectstore.Kind, _ string) storetest.Fault {
+			if lost++; op == storetest.OpCreate && lost < 4 {
+				return storetest.AnswerLost
 			}
-			return platformtest.None
+			return storetest.None
 		})
 		Expect(apply(a, "1", putOrganisation("x", 0, 1))).To(Equal(int64(1)))
 		Expect(apply(b, "1", putOrganisation("x", 0, 1))).To(Equal(int64(1)))
@@ -101,7 +101,7 @@
 
 	It("accepts a change once though its first write arrives after the repeat", func() {
 		Expect(a.Prove(ctx)).To(Succeed())
-		store.SetFault(onKind(platform.KindConfigChange, platformtest.Delayed, platformtest.OpCreate))
+		store.SetFault(onKind(objectstore.KindConfigChange, storetest.Delayed, storetest.OpCreate))
 		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 		defer cancel()
 		_, err := a.Apply(short, []*apiv1.Mutation{putOrganisation("x", 0, 1)}, "1", "operator")
@@ -161,7 +161,7 @@
 // A watch that delivers nothing for good must not keep a change from a host.
 func TestSilentWatchDoesNotHoldBackChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		inner := objectstore.New()
+		inner := memstore.New()
 		a, b := NewLog(LogConfig{Store: inner}), NewLog(LogConfig{Store: silentWatches{inner}})
 		defer serve(a, b)()
 		awaitProof(t, b)
@@ -171,9 +171,9 @@
 }
 
 // silentWatches is a store whose watches never report anything.
-type silentWatches struct{ platform.Store }
+type silentWatches struct{ objectstore.Store }
 
-func (s silentWatches) Watch(ctx context.Context, _ platform.Kind, _ platform.Version) (platform.Watch, error) {
+func (s silentWatches) Watch(ctx context.Context, _ objectstore.Kind, _ objectstore.Version) (objectstore.Watch, error) {
 	return s.Store.Watch(ctx, "nothing", 0)
 }
 
@@ -188,7 +188,7 @@
 // with the peer's proof, and does not claim a later one.
 func TestStartInOutageFromPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New(objectstore.New())
+		store := storetest.New(memstore.New())
 		a := NewLog(LogConfig{Store: store})
 		mustApply(t, a, 1, 3)
 		if err := a.Prove(t.Context()); err != nil {
@@ -216,7 +216,7 @@
 // repeated change is still recognised.
 func TestStartAfterCompaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New(objectstore.New())
+		store := storetest.New(memstore.New())
 		settings := LogConfig{Store: store, SnapshotInterval: 10, KeepChanges: 5, MinChangeAge: time.Minute}
 		a := NewLog(settings)
 		defer serve(a)()
@@ -224,11 +224,11 @@
 			mustApply(t, a, 10*i+1, 10*i+10)
 			time.Sleep(2 * time.Minute) // Virtual time.
 		}
-		changes, err := store.List(t.Context(), platform.KindConfigChange, "")
+		changes, err := store.List(t.Context(), objectstore.KindConfigChange, "")
 		if err != nil || len(changes.Items) > 20 {
 			t.Fatalf("%d changes left, error %v; want at most 20", len(changes.Items), err)
 		}
-		snapshots, err := store.List(t.Context(), platform.KindConfigSnapshot, "")
+		snapshots, err := store.List(t.Context(), objectstore.KindConfigSnapshot, "")
 		if err != nil || len(snapshots.Items) != 2*keepSnapshots {
 			t.Fatalf("%d snapshot objects, error %v; want %d", len(snapshots.Items), err, 2*keepSnapshots)
 		}
@@ -250,7 +250,7 @@
 // on before the next request, and an outage holds up few of them.
 func TestEnsureFreshAfterPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New(objectstore.New())
+		store := storetest.New(memstore.New())
 		a, b := NewLog(LogConfig{Store: store}), NewLog(LogConfig{Store: store})
 		mustApply(t, a, 1, 1)
 		if !b.EnsureFresh(t.Context(), withdrawalBound) || b.Current().Revision() != 1 {
@@ -263,13 +263,13 @@
 		}
 		store.SetFault(down)
 		time.Sleep(time.Minute)
-		calls := store.Count(platformtest.OpGet)
+		calls := store.Count(storetest.OpGet)
 		for range 100 {
 			if b.EnsureFresh(t.Context(), withdrawalBound) {
 				t.Fatal("fresh while the platform is down")
 			}
 		}
-		if made := store.Count(platformtest.OpGet) - calls; made != 1 {
+		if made := store.Count(storetest.OpGet) - calls; made != 1 {
 			t.Errorf("%d attempts for 100 requests, want 1", made)
 		}
 	})
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -13,7 +13,7 @@
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/invariant"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // LogConfig configures a Log. Zero durations and counts mean the defaults.
 type LogConfig struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Peers may be nil: then only the platform is asked.
 	Peers Peers
 	// Clock tells the time. Nil means time.Now.
--- a/internal/config/property_test.go
+++ b/internal/config/property_test.go
@@ -12,9 +12,9 @@
 	"pgregory.net/rapid"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/platform/platformtest"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore/storetest"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 // fingerprint writes a snapshot as text, to compare states.
@@ -92,8 +92,8 @@
 
 // fleet is several hosts before one faulty store.
 type fleet struct {
-	store *platformtest.Store
-	inner *objectstore.Store
+	store *storetest.Store
+	inner *memstore.Store
 	logs  []*Log
 	last  []int64
 	// accepted and refused are the identifiers of changes whose last attempt
@@ -126,9 +126,9 @@
 }
 
 func newFleet() *fleet {
-	inner := objectstore.New()
+	inner := memstore.New()
 	f := &fleet{
-		inner: inner, store: platformtest.New(inner), last: make([]int64, 3),
+		inner: inner, store: storetest.New(inner), last: make([]int64, 3),
 		accepted: make(map[string]int64), refused: make(map[string]bool),
 	}
 	for range 3 {
@@ -143,11 +143,11 @@
 	cancel()
 	host := rapid.IntRange(0, len(f.logs)-1).Draw(t, "host")
 	log := f.logs[host]
-	f.store.SetFault(func(platformtest.Op, platform.Kind, string) platformtest.Fault {
+	f.store.SetFault(func(storetest.Op, objectstore.Kind, string) storetest.Fault {
 		if rapid.IntRange(0, 2).Draw(t, "faulty") > 0 {
-			return platformtest.None
+			return storetest.None
 		}
-		return platformtest.Fault(rapid.IntRange(0, int(platformtest.Delayed)).Draw(t, "fault"))
+		return storetest.Fault(rapid.IntRange(0, int(storetest.Delayed)).Draw(t, "fault"))
 	})
 	switch rapid.IntRange(0, 5).Draw(t, "action") {
 	case 0, 1, 2:
@@ -197,7 +197,7 @@
 }
 
 func (f *fleet) checkOutcomes(t *rapid.T) {
-	listing, _ := f.inner.List(context.Background(), platform.KindConfigChange, "")
+	listing, _ := f.inner.List(context.Background(), objectstore.KindConfigChange, "")
 	revisions := make(map[string]int64)
 	for _, item := range listing.Items {
 		change, err := decodeChange(item)
--- a/internal/config/snapshots.go
+++ b/internal/config/snapshots.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
@@ -90,7 +90,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding a snapshot manifest")
 	}
-	if _, err := platform.CreateSettled(ctx, l.config.Store, platform.KindConfigSnapshot, m.name(), uuid.NewString(), value); err != nil {
+	if _, err := objectstore.CreateSettled(ctx, l.config.Store, objectstore.KindConfigSnapshot, m.name(), uuid.NewString(), value); err != nil {
 		return err
 	}
 	logrus.WithFields(logrus.Fields{"revision": m.Revision, "chunks": m.Chunks}).Info("configuration snapshot written")
@@ -108,7 +108,7 @@
 			return m, errors.Wrap(err, "encoding a snapshot chunk")
 		}
 		name := fmt.Sprintf("%s%04d", m.ChunkPrefix, m.Chunks)
-		if _, err := platform.CreateSettled(ctx, l.config.Store, platform.KindConfigSnapshot, name, uuid.NewString(), value); err != nil {
+		if _, err := objectstore.CreateSettled(ctx, l.config.Store, objectstore.KindConfigSnapshot, name, uuid.NewString(), value); err != nil {
 			return m, err
 		}
 		m.Chunks++
@@ -136,7 +136,7 @@
 
 // listManifests returns the manifests by revision.
 func (l *Log) listManifests(ctx context.Context) ([]manifest, error) {
-	listing, err := l.config.Store.List(ctx, platform.KindConfigSnapshot, manifestPrefix)
+	listing, err := l.config.Store.List(ctx, objectstore.KindConfigSnapshot, manifestPrefix)
 	if err != nil {
 		return nil, err
 	}
@@ -159,7 +159,7 @@
 		return errors.New("the configuration log begins late and there is no snapshot; restore the snapshot objects")
 	}
 	m := manifests[len(manifests)-1]
-	listing, err := l.config.Store.List(ctx, platform.KindConfigSnapshot, m.ChunkPrefix)
+	listing, err := l.config.Store.List(ctx, objectstore.KindConfigSnapshot, m.ChunkPrefix)
 	if err != nil {
 		return err
 	}
@@ -174,7 +174,7 @@
 	return nil
 }
 
-func decodeChunks(listing platform.Listing) ([]*apiv1.Object, error) {
+func decodeChunks(listing objectstore.Listing) ([]*apiv1.Object, error) {
 	var objects []*apiv1.Object
 	options := protojson.UnmarshalOptions{DiscardUnknown: true}
 	for _, item := range listing.Items {
--- a/internal/config/standin_test.go
+++ b/internal/config/standin_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
 	"bilberryslip.example/bilberryslip/internal/standin/relay"
 )
@@ -45,7 +45,7 @@
 	link, err := relay.New(s.addr)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(link.Close)
-	client := platform.NewClient(platform.ClientConfig{Addresses: []string{link.URL()}, CallTimeout: time.Second})
+	client := objectstore.NewClient(objectstore.ClientConfig{Addresses: []string{link.URL()}, CallTimeout: time.Second})
 	log := NewLog(LogConfig{Store: client, Peers: peers})
 	s.relays, s.hosts = append(s.relays, link), append(s.hosts, log)
 	go func() { _ = log.Serve(s.ctx) }()
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -9,7 +9,7 @@
 
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
@@ -50,13 +50,13 @@
 	if err != nil {
 		return err
 	}
-	watch, err := l.config.Store.Watch(ctx, platform.KindConfigChange, version)
+	watch, err := l.config.Store.Watch(ctx, objectstore.KindConfigChange, version)
 	if err != nil {
 		return err
 	}
 	defer watch.Stop()
 	for ev := range watch.Events() {
-		if ev.Type != platform.EventPut {
+		if ev.Type != objectstore.EventPut {
 			continue
 		}
 		change, err := decodeChange(ev.Object)
@@ -70,9 +70,9 @@
 
 // load reads the newest snapshot, if this host needs it, and the log, and
 // returns the version from which to watch.
-func (l *Log) load(ctx context.Context) (platform.Version, error) {
+func (l *Log) load(ctx context.Context) (objectstore.Version, error) {
 	sentAt := l.config.Clock()
-	listing, err := l.config.Store.List(ctx, platform.KindConfigChange, "")
+	listing, err := l.config.Store.List(ctx, objectstore.KindConfigChange, "")
 	if err != nil {
 		return 0, err
 	}
@@ -98,7 +98,7 @@
 	return listing.Version, nil
 }
 
-func decodeChanges(listing platform.Listing) ([]*apiv1.Change, error) {
+func decodeChanges(listing objectstore.Listing) ([]*apiv1.Change, error) {
 	changes := make([]*apiv1.Change, 0, len(listing.Items))
 	for _, item := range listing.Items {
 		change, err := decodeChange(item)
@@ -221,11 +221,11 @@
 			_, err := l.load(ctx)
 			return err
 		}
-		obj, err := l.config.Store.Get(ctx, platform.KindConfigChange, changeName(revision+1))
+		obj, err := l.config.Store.Get(ctx, objectstore.KindConfigChange, changeName(revision+1))
 		if l.config.Clock().Sub(proof) > l.config.MinChangeAge {
 			continue
 		}
-		var missing *platform.NotFoundError
+		var missing *objectstore.NotFoundError
 		if errors.As(err, &missing) {
 			l.prove(sentAt, revision)
 			return nil
--- a/internal/config/validate_test.go
+++ b/internal/config/validate_test.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 // put returns a mutation that creates an object, or updates it if it is in
@@ -171,7 +171,7 @@
 	}
 	f.Add([]byte(`{"mutations":[{"kind":2,"name":"key","delete":true,"expectedVersion":"1"},{"object":{}}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		_, _ = decodeChange(platform.Object{Name: changeName(2), Value: data})
+		_, _ = decodeChange(objectstore.Object{Name: changeName(2), Value: data})
 		change := &apiv1.Change{}
 		if protojson.Unmarshal(data, change) != nil {
 			return
@@ -186,7 +186,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		stored, err := decodeChange(platform.Object{Name: changeName(2), Value: value})
+		stored, err := decodeChange(objectstore.Object{Name: changeName(2), Value: value})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -14,8 +14,8 @@
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/decisions"
 	"bilberryslip.example/bilberryslip/internal/membership"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/peer"
-	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 // peerCallTimeout bounds a call to another host for an operator.
@@ -143,7 +143,7 @@
 	own := q.recorder.Query(request)
 	stored, err := q.recorder.QueryStored(ctx, request)
 	if err != nil {
-		var unavailable *platform.UnavailableError
+		var unavailable *objectstore.UnavailableError
 		if errors.As(err, &unavailable) {
 			return own, nil
 		}
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -23,9 +23,9 @@
 	"bilberryslip.example/bilberryslip/internal/lease"
 	"bilberryslip.example/bilberryslip/internal/membership"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/peer"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
-	"bilberryslip.example/bilberryslip/internal/platform"
 	"bilberryslip.example/bilberryslip/internal/settings"
 	"bilberryslip.example/bilberryslip/internal/shares"
 )
@@ -37,7 +37,7 @@
 	incarnation string
 	*leaver
 
-	platform  *platform.Client
+	platform  *objectstore.Client
 	pool      *peer.Pool
 	members   *membership.Service
 	directory *directory
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	h.platform = platform.NewClient(platform.ClientConfig{
+	h.platform = objectstore.NewClient(objectstore.ClientConfig{
 		Addresses:    h.settings.Platform.Addresses,
 		Token:        token,
 		CallTimeout:  h.settings.Platform.CallTimeout.Std(),
--- a/internal/decisions/recorder.go
+++ b/internal/decisions/recorder.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 // Defaults of Config.
@@ -31,7 +31,7 @@
 	Host string
 	Zone string
 	// Store receives the segments. Nil keeps records in memory only.
-	Store platform.Store
+	Store objectstore.Store
 	// Now is the clock. Nil means time.Now.
 	Now func() time.Time
 	// Capacity is the number of records kept in memory, and of those that
--- a/internal/decisions/recorder_test.go
+++ b/internal/decisions/recorder_test.go
@@ -11,8 +11,8 @@
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/decisions"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 func TestDecisions(t *testing.T) {
@@ -24,7 +24,7 @@
 	var (
 		ctx   context.Context
 		now   time.Time
-		store platform.Store
+		store objectstore.Store
 	)
 	recorder := func(host string, capacity int) *decisions.Recorder {
 		return decisions.New(decisions.Config{
@@ -35,8 +35,8 @@
 	place := func(model string) *apiv1.Decision {
 		return &apiv1.Decision{Kind: apiv1.DecisionKind_DECISION_KIND_PLACE, Model: model}
 	}
-	segments := func() []platform.Object {
-		listing, err := store.List(ctx, platform.KindDecisionSegment, "")
+	segments := func() []objectstore.Object {
+		listing, err := store.List(ctx, objectstore.KindDecisionSegment, "")
 		Expect(err).NotTo(HaveOccurred())
 		return listing.Items
 	}
@@ -44,7 +44,7 @@
 	BeforeEach(func() {
 		ctx = context.Background()
 		now = time.Unix(1_700_000_000, 0)
-		store = objectstore.New()
+		store = memstore.New()
 	})
 
 	It("answers newest first, by every field, within its capacity", func() {
--- a/internal/decisions/segments.go
+++ b/internal/decisions/segments.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 const (
@@ -105,7 +105,7 @@
 		return err
 	}
 	name := bucketPrefix(r.cfg.Now()) + r.cfg.Host + "-" + waiting[0].Id + "-" + uuid.NewString()[:8]
-	_, err = r.cfg.Store.Create(ctx, platform.KindDecisionSegment, name, uuid.NewString(), value)
+	_, err = r.cfg.Store.Create(ctx, objectstore.KindDecisionSegment, name, uuid.NewString(), value)
 	if err != nil {
 		return errors.Wrapf(err, "write decision segment %s", name)
 	}
@@ -166,7 +166,7 @@
 }
 
 func (r *Recorder) queryBucket(ctx context.Context, bucket time.Time, req *apiv1.DecisionsRequest, found map[string]*apiv1.Decision) error {
-	listing, err := r.cfg.Store.List(ctx, platform.KindDecisionSegment, bucketPrefix(bucket))
+	listing, err := r.cfg.Store.List(ctx, objectstore.KindDecisionSegment, bucketPrefix(bucket))
 	if err != nil {
 		return errors.Wrap(err, "list decision segments")
 	}
@@ -210,7 +210,7 @@
 	if r.sweep.next.After(limit) {
 		return nil
 	}
-	listing, err := r.cfg.Store.List(ctx, platform.KindDecisionSegment, bucketPrefix(r.sweep.next))
+	listing, err := r.cfg.Store.List(ctx, objectstore.KindDecisionSegment, bucketPrefix(r.sweep.next))
 	if err != nil {
 		return errors.Wrap(err, "list old decision segments")
 	}
@@ -224,9 +224,9 @@
 }
 
 // deleteSegment takes it as done where another host was first.
-func (r *Recorder) deleteSegment(ctx context.Context, obj platform.Object) error {
+func (r *Recorder) deleteSegment(ctx context.Context, obj objectstore.Object) error {
 	err := r.cfg.Store.Delete(ctx, obj.Kind, obj.Name, obj.Version)
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return nil
 	}
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -24,10 +24,10 @@
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/gateway"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 	"bilberryslip.example/bilberryslip/internal/standin/serviceserver"
 )
 
@@ -114,13 +114,13 @@
 
 // outage is a platform that can be made to fail.
 type outage struct {
-	platform.Store
+	objectstore.Store
 	down atomic.Bool
 }
 
-func (o *outage) Create(ctx context.Context, kind platform.Kind, name, writeID string, value json.RawMessage) (platform.Object, error) {
+func (o *outage) Create(ctx context.Context, kind objectstore.Kind, name, writeID string, value json.RawMessage) (objectstore.Object, error) {
 	if o.down.Load() {
-		return platform.Object{}, &platform.UnavailableError{RetryAfter: 2 * time.Second}
+		return objectstore.Object{}, &objectstore.UnavailableError{RetryAfter: 2 * time.Second}
 	}
 	return o.Store.Create(ctx, kind, name, writeID, value)
 }
@@ -230,7 +230,7 @@
 	f := &fixture{
 		source:   &source{},
 		limiter:  &fakeLimiter{},
-		platform: &outage{Store: objectstore.New()},
+		platform: &outage{Store: memstore.New()},
 		recorder: &fakeRecorder{},
 		objects:  baseObjects(),
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 // Value is the stored form of a lease.
@@ -26,7 +26,7 @@
 // view is what a candidate knows of the stored lease. The zero value knows
 // nothing.
 type view struct {
-	object platform.Object
+	object objectstore.Object
 	value  Value
 	exists bool
 	// since is when this candidate first read the object's version.
@@ -70,7 +70,7 @@
 }
 
 // observe takes in an object as read or written.
-func (v *view) observe(obj platform.Object, now time.Time) error {
+func (v *view) observe(obj objectstore.Object, now time.Time) error {
 	if v.exists && obj.Version < v.object.Version {
 		return nil
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/gomega"
 
 	"bilberryslip.example/bilberryslip/internal/lease"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 func TestLease(t *testing.T) {
@@ -22,24 +22,24 @@
 
 // lossyStore carries writes out and loses the next answers.
 type lossyStore struct {
-	platform.Store
+	objectstore.Store
 	lose int
 }
 
-func (s *lossyStore) Create(ctx context.Context, kind platform.Kind, name, id string, value json.RawMessage) (platform.Object, error) {
+func (s *lossyStore) Create(ctx context.Context, kind objectstore.Kind, name, id string, value json.RawMessage) (objectstore.Object, error) {
 	return s.after(s.Store.Create(ctx, kind, name, id, value))
 }
 
-func (s *lossyStore) Update(ctx context.Context, kind platform.Kind, name string, version platform.Version, id string, value json.RawMessage) (platform.Object, error) {
+func (s *lossyStore) Update(ctx context.Context, kind objectstore.Kind, name string, version objectstore.Version, id string, value json.RawMessage) (objectstore.Object, error) {
 	return s.after(s.Store.Update(ctx, kind, name, version, id, value))
 }
 
-func (s *lossyStore) after(obj platform.Object, err error) (platform.Object, error) {
+func (s *lossyStore) after(obj objectstore.Object, err error) (objectstore.Object, error) {
 	if s.lose == 0 {
 		return obj, err
 	}
 	s.lose--
-	return platform.Object{}, &platform.UnavailableError{Outcome: platform.OutcomeUnknown, Cause: errors.New("answer lost")}
+	return objectstore.Object{}, &objectstore.UnavailableError{Outcome: objectstore.OutcomeUnknown, Cause: errors.New("answer lost")}
 }
 
 var _ = Describe("Lease", func() {
@@ -60,7 +60,7 @@
 	BeforeEach(func() {
 		ctx = context.Background()
 		now = time.Unix(1_700_000_000, 0)
-		store = &lossyStore{Store: objectstore.New()}
+		store = &lossyStore{Store: memstore.New()}
 		a, b = candidate("a"), candidate("b")
 	})
 
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 // Defaults of Config.
@@ -24,7 +24,7 @@
 
 // Config sets up a Lease.
 type Config struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Name is the lease's name.
 	Name string
 	// Host and Incarnation identify the candidate.
@@ -150,8 +150,8 @@
 }
 
 func (l *Lease) read(ctx context.Context) error {
-	obj, err := l.cfg.Store.Get(ctx, platform.KindLease, l.cfg.Name)
-	var missing *platform.NotFoundError
+	obj, err := l.cfg.Store.Get(ctx, objectstore.KindLease, l.cfg.Name)
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return nil
 	}
@@ -163,7 +163,7 @@
 
 // observe takes in an object; begun is set where it is this candidate's own
 // write.
-func (l *Lease) observe(obj platform.Object, begun time.Time) error {
+func (l *Lease) observe(obj objectstore.Object, begun time.Time) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := l.view.value
@@ -192,9 +192,9 @@
 	}
 	writeID := uuid.NewString()
 	obj, err := l.put(ctx, current, writeID, raw)
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
-	var missing *platform.NotFoundError
+	var conflict *objectstore.ConflictError
+	var unavailable *objectstore.UnavailableError
+	var missing *objectstore.NotFoundError
 	switch {
 	case errors.As(err, &missing):
 		l.forget()
@@ -210,11 +210,11 @@
 	}
 }
 
-func (l *Lease) put(ctx context.Context, current view, writeID string, raw json.RawMessage) (platform.Object, error) {
+func (l *Lease) put(ctx context.Context, current view, writeID string, raw json.RawMessage) (objectstore.Object, error) {
 	if !current.exists {
-		return l.cfg.Store.Create(ctx, platform.KindLease, l.cfg.Name, writeID, raw)
+		return l.cfg.Store.Create(ctx, objectstore.KindLease, l.cfg.Name, writeID, raw)
 	}
-	return l.cfg.Store.Update(ctx, platform.KindLease, l.cfg.Name, current.object.Version, writeID, raw)
+	return l.cfg.Store.Update(ctx, objectstore.KindLease, l.cfg.Name, current.object.Version, writeID, raw)
 }
 
 // forget notes that the object is gone, and keeps its term.
@@ -226,7 +226,7 @@
 
 // observeForeign takes in an object that may yet be this candidate's own
 // write, repeated by the transport.
-func (l *Lease) observeForeign(obj platform.Object, writeID string, begun time.Time) error {
+func (l *Lease) observeForeign(obj objectstore.Object, writeID string, begun time.Time) error {
 	if obj.WriteID != writeID {
 		begun = time.Time{}
 	}
@@ -235,7 +235,7 @@
 
 // readBack settles a write whose answer was lost.
 func (l *Lease) readBack(ctx context.Context, writeID string, begun time.Time, cause error) error {
-	obj, err := l.cfg.Store.Get(ctx, platform.KindLease, l.cfg.Name)
+	obj, err := l.cfg.Store.Get(ctx, objectstore.KindLease, l.cfg.Name)
 	if err != nil {
 		return errors.Wrapf(cause, "write lease %s", l.cfg.Name)
 	}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 const (
@@ -41,7 +41,7 @@
 	Table *Table
 	Peers Gossiper
 	// Lister reads the platform's host list. Nil means none.
-	Lister platform.HostLister
+	Lister objectstore.HostLister
 	// Now reads the clock. Nil means time.Now.
 	Now func() time.Time
 	// Interval is the time between rounds of gossip. Zero means 1 s.
--- a/internal/platform/client_test.go
+++ b/internal/objectstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
 	"bilberryslip.example/bilberryslip/internal/standin/relay"
 )
@@ -26,7 +26,7 @@
 	ctx := context.Background()
 	var srv *platformserver.Server
 	var link *relay.Relay
-	var client *platform.Client
+	var client *objectstore.Client
 
 	BeforeEach(func() {
 		background, cancel := context.WithCancel(ctx)
@@ -38,7 +38,7 @@
 		link, err = relay.New(web.Listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(link.Close)
-		client = platform.NewClient(platform.ClientConfig{
+		client = objectstore.NewClient(objectstore.ClientConfig{
 			Addresses: []string{link.URL(), link.URL()}, Token: "token",
 			CallTimeout: 300 * time.Millisecond, WatchTimeout: 2 * time.Second,
 		})
@@ -48,38 +48,38 @@
 		srv.Switches().Update(func(f *platformserver.Faults) { f.LoseAnswers = answers })
 	}
 
-	create := func(name, id string) (platform.Object, error) {
-		return client.Create(ctx, platform.KindClaim, name, id, json.RawMessage(`{"a":1}`))
+	create := func(name, id string) (objectstore.Object, error) {
+		return client.Create(ctx, objectstore.KindClaim, name, id, json.RawMessage(`{"a":1}`))
 	}
 
 	It("reads and writes with conditions", func() {
 		first, err := create("a b", "w1")
 		Expect(err).NotTo(HaveOccurred())
 		_, err = create("a b", "w2")
-		Expect(err).To(Equal(&platform.ConflictError{Current: first}))
-		second, err := client.Update(ctx, platform.KindClaim, "a b", first.Version, "w3", json.RawMessage(`2`))
+		Expect(err).To(Equal(&objectstore.ConflictError{Current: first}))
+		second, err := client.Update(ctx, objectstore.KindClaim, "a b", first.Version, "w3", json.RawMessage(`2`))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(client.Get(ctx, platform.KindClaim, "a b")).To(Equal(second))
-		Expect(client.List(ctx, platform.KindClaim, "a b")).To(HaveField("Items", ConsistOf(second)))
-		Expect(client.Delete(ctx, platform.KindClaim, "a b", first.Version)).To(Equal(&platform.ConflictError{Current: second}))
-		Expect(client.Delete(ctx, platform.KindClaim, "a b", second.Version)).To(Succeed())
-		_, err = client.Get(ctx, platform.KindClaim, "a b")
-		Expect(err).To(Equal(&platform.NotFoundError{Kind: platform.KindClaim, Name: "a b"}))
+		Expect(client.Get(ctx, objectstore.KindClaim, "a b")).To(Equal(second))
+		Expect(client.List(ctx, objectstore.KindClaim, "a b")).To(HaveField("Items", ConsistOf(second)))
+		Expect(client.Delete(ctx, objectstore.KindClaim, "a b", first.Version)).To(Equal(&objectstore.ConflictError{Current: second}))
+		Expect(client.Delete(ctx, objectstore.KindClaim, "a b", second.Version)).To(Succeed())
+		_, err = client.Get(ctx, objectstore.KindClaim, "a b")
+		Expect(err).To(Equal(&objectstore.NotFoundError{Kind: objectstore.KindClaim, Name: "a b"}))
 		Expect(client.Availability().Available).To(BeTrue())
 	})
 
 	It("calls a write unknown whose answer was lost, sends it once, and settles it", func() {
-		_, _ = client.Get(ctx, platform.KindClaim, "x") // Leaves an idle connection.
+		_, _ = client.Get(ctx, objectstore.KindClaim, "x") // Leaves an idle connection.
 		lose(1)
 		_, err := create("a", "w1")
-		Expect(err).To(HaveField("Outcome", platform.OutcomeUnknown))
+		Expect(err).To(HaveField("Outcome", objectstore.OutcomeUnknown))
 		Expect(srv.State().Calls.Writes()).To(Equal(int64(1)))
 		Expect(client.Availability().Available).To(BeFalse())
 		lose(2)
-		obj, err := platform.CreateSettled(ctx, client, platform.KindClaim, "b", "w2", json.RawMessage(`1`))
+		obj, err := objectstore.CreateSettled(ctx, client, objectstore.KindClaim, "b", "w2", json.RawMessage(`1`))
 		Expect(err).NotTo(HaveOccurred())
 		lose(2)
-		obj, err = platform.UpdateSettled(ctx, client, platform.KindClaim, "b", obj.Version, "w3", json.RawMessage(`2`))
+		obj, err = objectstore.UpdateSettled(ctx, client, objectstore.KindClaim, "b", obj.Version, "w3", json.RawMessage(`2`))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(obj).To(HaveField("WriteID", "w3"))
 	})
@@ -87,16 +87,16 @@
 	It("calls a write not sent where nothing listens, and tries the next address", func() {
 		dead := httptest.NewServer(nil)
 		dead.Close()
-		lone := platform.NewClient(platform.ClientConfig{Addresses: []string{dead.URL}})
-		_, err := lone.Create(ctx, platform.KindClaim, "a", "w1", json.RawMessage(`1`))
-		Expect(err).To(HaveField("Outcome", platform.OutcomeNotSent))
-		both := platform.NewClient(platform.ClientConfig{Addresses: []string{dead.URL, link.URL()}, Token: "token"})
-		_, err = both.Create(ctx, platform.KindClaim, "a", "w1", json.RawMessage(`1`))
+		lone := objectstore.NewClient(objectstore.ClientConfig{Addresses: []string{dead.URL}})
+		_, err := lone.Create(ctx, objectstore.KindClaim, "a", "w1", json.RawMessage(`1`))
+		Expect(err).To(HaveField("Outcome", objectstore.OutcomeNotSent))
+		both := objectstore.NewClient(objectstore.ClientConfig{Addresses: []string{dead.URL, link.URL()}, Token: "token"})
+		_, err = both.Create(ctx, objectstore.KindClaim, "a", "w1", json.RawMessage(`1`))
 		Expect(err).NotTo(HaveOccurred())
 	})
 
 	DescribeTable("tells the outcome by status",
-		func(status int, header http.Header, outcome platform.WriteOutcome, retryAfter time.Duration) {
+		func(status int, header http.Header, outcome objectstore.WriteOutcome, retryAfter time.Duration) {
 			busy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				for name, values := range header {
 					w.Header()[name] = values
@@ -104,38 +104,38 @@
 				w.WriteHeader(status)
 			}))
 			defer busy.Close()
-			c := platform.NewClient(platform.ClientConfig{Addresses: []string{busy.URL}})
-			_, err := c.Create(ctx, platform.KindClaim, "a", "w1", json.RawMessage(`1`))
+			c := objectstore.NewClient(objectstore.ClientConfig{Addresses: []string{busy.URL}})
+			_, err := c.Create(ctx, objectstore.KindClaim, "a", "w1", json.RawMessage(`1`))
 			Expect(err).To(And(HaveField("Outcome", outcome), HaveField("RetryAfter", retryAfter)))
 		},
-		Entry("too many", 429, http.Header{"Retry-After": {"3"}}, platform.OutcomeNotSent, 3*time.Second),
-		Entry("down, not applied", 503, http.Header{"X-Not-Applied": {"true"}}, platform.OutcomeNotSent, time.Duration(0)),
-		Entry("down", 503, http.Header{"Retry-After": {"1"}}, platform.OutcomeUnknown, time.Second),
-		Entry("answer cut", 201, http.Header{}, platform.OutcomeUnknown, time.Duration(0)),
+		Entry("too many", 429, http.Header{"Retry-After": {"3"}}, objectstore.OutcomeNotSent, 3*time.Second),
+		Entry("down, not applied", 503, http.Header{"X-Not-Applied": {"true"}}, objectstore.OutcomeNotSent, time.Duration(0)),
+		Entry("down", 503, http.Header{"Retry-After": {"1"}}, objectstore.OutcomeUnknown, time.Second),
+		Entry("answer cut", 201, http.Header{}, objectstore.OutcomeUnknown, time.Duration(0)),
 	)
 
 	It("does not use a connection again that went silent", func() {
-		_, _ = client.Get(ctx, platform.KindClaim, "x")
+		_, _ = client.Get(ctx, objectstore.KindClaim, "x")
 		link.Silence()
-		_, err := client.Create(ctx, platform.KindClaim, "a", "w1", json.RawMessage(`1`))
-		Expect(err).To(HaveField("Outcome", platform.OutcomeUnknown))
-		Expect(client.Create(ctx, platform.KindClaim, "a", "w2", json.RawMessage(`1`))).To(HaveField("WriteID", "w2"))
+		_, err := client.Create(ctx, objectstore.KindClaim, "a", "w1", json.RawMessage(`1`))
+		Expect(err).To(HaveField("Outcome", objectstore.OutcomeUnknown))
+		Expect(client.Create(ctx, objectstore.KindClaim, "a", "w2", json.RawMessage(`1`))).To(HaveField("WriteID", "w2"))
 	})
 
 	It("watches, keeps a quiet watch open by its bookmarks, and ends a silent one", func() {
-		watch, err := client.Watch(ctx, platform.KindClaim, 0)
+		watch, err := client.Watch(ctx, objectstore.KindClaim, 0)
 		Expect(err).NotTo(HaveOccurred())
 		obj, err := create("a", "w1")
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(watch.Events()).Should(Receive(HaveField("Object", obj)))
 		for range 6 { // Three seconds, which is more than the watch timeout.
-			Eventually(watch.Events(), "2s").Should(Receive(HaveField("Type", platform.EventBookmark)))
+			Eventually(watch.Events(), "2s").Should(Receive(HaveField("Type", objectstore.EventBookmark)))
 		}
 		link.Silence()
 		Eventually(watch.Events(), "5s").Should(BeClosed())
-		var silent *platform.SilentWatchError
+		var silent *objectstore.SilentWatchError
 		Expect(errors.As(watch.Err(), &silent)).To(BeTrue())
-		again, err := client.Watch(ctx, platform.KindClaim, obj.Version)
+		again, err := client.Watch(ctx, objectstore.KindClaim, obj.Version)
 		Expect(err).NotTo(HaveOccurred())
 		again.Stop()
 		Eventually(again.Events()).Should(BeClosed())
@@ -145,10 +145,10 @@
 		_, err := create("a", "w1")
 		Expect(err).NotTo(HaveOccurred())
 		srv.Store().Compact()
-		_, err = client.Watch(ctx, platform.KindClaim, 0)
-		Expect(err).To(Equal(&platform.GoneError{Oldest: 1}))
-		stranger := platform.NewClient(platform.ClientConfig{Addresses: []string{link.URL()}})
-		_, err = stranger.Create(ctx, platform.KindClaim, "b", "w1", json.RawMessage(`1`))
+		_, err = client.Watch(ctx, objectstore.KindClaim, 0)
+		Expect(err).To(Equal(&objectstore.GoneError{Oldest: 1}))
+		stranger := objectstore.NewClient(objectstore.ClientConfig{Addresses: []string{link.URL()}})
+		_, err = stranger.Create(ctx, objectstore.KindClaim, "b", "w1", json.RawMessage(`1`))
 		Expect(err).To(HaveField("Status", http.StatusUnauthorized))
 	})
 })
--- a/internal/platform/platform.go
+++ b/internal/objectstore/objectstore.go
@@ -1,7 +1,7 @@
-// Package platform is the client side of the platform's object API, which
+// Package objectstore is the client side of the platform's object API, which
 // keeps configuration, status and the system's own objects. Store is the
 // interface that the rest of the program uses.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/internal/platform/platformtest/store.go
+++ b/internal/objectstore/storetest/store.go
@@ -1,5 +1,5 @@
-// Package platformtest has a platform.Store that fails on demand, for tests.
-package platformtest
+// Package storetest has a objectstore.Store that fails on demand, for tests.
+package storetest
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 // Fault is how a call fails.
@@ -29,10 +29,10 @@
 	Delayed
 )
 
-// Op names a method of platform.Store.
+// Op names a method of objectstore.Store.
 type Op string
 
-// The methods of platform.Store.
+// The methods of objectstore.Store.
 const (
 	OpGet    Op = "get"
 	OpList   Op = "list"
@@ -47,23 +47,23 @@
 
 // Store wraps another store and injects faults.
 type Store struct {
-	inner platform.Store
+	inner objectstore.Store
 
 	mu      sync.Mutex
-	fault   func(op Op, kind platform.Kind, name string) Fault
+	fault   func(op Op, kind objectstore.Kind, name string) Fault
 	delayed []func()
 	counts  map[Op]int
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectstore.Store = (*Store)(nil)
 
 // New returns a store without faults.
-func New(inner platform.Store) *Store {
+func New(inner objectstore.Store) *Store {
 	return &Store{inner: inner, counts: make(map[Op]int)}
 }
 
 // SetFault sets what decides the fault of each call. Nil means no faults.
-func (s *Store) SetFault(fault func(op Op, kind platform.Kind, name string) Fault) {
+func (s *Store) SetFault(fault func(op Op, kind objectstore.Kind, name string) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
@@ -91,7 +91,7 @@
 func (s *Store) Writes() int { return s.Count(OpCreate) + s.Count(OpUpdate) + s.Count(OpDelete) }
 
 // do makes a call or fails it.
-func (s *Store) do(op Op, kind platform.Kind, name string, call func() error) error {
+func (s *Store) do(op Op, kind objectstore.Kind, name string, call func() error) error {
 	s.mu.Lock()
 	s.counts[op]++
 	fault := None
@@ -106,27 +106,27 @@
 	case None:
 		return call()
 	case NotSent:
-		return &platform.UnavailableError{Outcome: platform.OutcomeNotSent, Cause: errors.New("fault: not sent")}
+		return &objectstore.UnavailableError{Outcome: objectstore.OutcomeNotSent, Cause: errors.New("fault: not sent")}
 	case AnswerLost:
 		_ = call()
 	}
-	return &platform.UnavailableError{Outcome: platform.OutcomeUnknown, Cause: errors.New("fault: no answer")}
+	return &objectstore.UnavailableError{Outcome: objectstore.OutcomeUnknown, Cause: errors.New("fault: no answer")}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, kind platform.Kind, name string) (obj platform.Object, err error) {
+// Get implements objectstore.Store.
+func (s *Store) Get(ctx context.Context, kind objectstore.Kind, name string) (obj objectstore.Object, err error) {
 	err = s.do(OpGet, kind, name, func() error { obj, err = s.inner.Get(ctx, kind, name); return err })
 	return obj, err
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, kind platform.Kind, prefix string) (listing platform.Listing, err error) {
+// List implements objectstore.Store.
+func (s *Store) List(ctx context.Context, kind objectstore.Kind, prefix string) (listing objectstore.Listing, err error) {
 	err = s.do(OpList, kind, prefix, func() error { listing, err = s.inner.List(ctx, kind, prefix); return err })
 	return listing, err
 }
 
-// Create implements platform.Store.
-func (s *Store) Create(ctx context.Context, kind platform.Kind, name, writeID string, value json.RawMessage) (obj platform.Object, err error) {
+// Create implements objectstore.Store.
+func (s *Store) Create(ctx context.Context, kind objectstore.Kind, name, writeID string, value json.RawMessage) (obj objectstore.Object, err error) {
 	err = s.do(OpCreate, kind, name, func() error {
 		var callErr error
 		obj, callErr = s.inner.Create(ctx, kind, name, writeID, value)
@@ -135,8 +135,8 @@
 	return obj, err
 }
 
-// Update implements platform.Store.
-func (s *Store) Update(ctx context.Context, kind platform.Kind, name string, version platform.Version, writeID string, value json.RawMessage) (obj platform.Object, err error) {
+// Update implements objectstore.Store.
+func (s *Store) Update(ctx context.Context, kind objectstore.Kind, name string, version objectstore.Version, writeID string, value json.RawMessage) (obj objectstore.Object, err error) {
 	err = s.do(OpUpdate, kind, name, func() error {
 		var callErr error
 		obj, callErr = s.inner.Update(ctx, kind, name, version, writeID, value)
@@ -145,13 +145,13 @@
 	return obj, err
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, kind platform.Kind, name string, version platform.Version) error {
+// Delete implements objectstore.Store.
+func (s *Store) Delete(ctx context.Context, kind objectstore.Kind, name string, version objectstore.Version) error {
 	return s.do(OpDelete, kind, name, func() error { return s.inner.Delete(ctx, kind, name, version) })
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, kind platform.Kind, after platform.Version) (watch platform.Watch, err error) {
+// Watch implements objectstore.Store.
+func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after objectstore.Version) (watch objectstore.Watch, err error) {
 	err = s.do(OpWatch, kind, "", func() error { watch, err = s.inner.Watch(ctx, kind, after); return err })
 	return watch, err
 }
--- a/internal/placement/owner/calls.go
+++ b/internal/placement/owner/calls.go
@@ -11,8 +11,8 @@
 	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/placement"
-	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 // call is what this process knows of one order.
@@ -178,7 +178,7 @@
 // word that the host is dead. They are no longer counted once the order
 // lifetime is over.
 func (o *Owner) ForgetHost(ctx context.Context, host string) error {
-	listing, err := o.cfg.Store.List(ctx, platform.KindEndpointIntent, "")
+	listing, err := o.cfg.Store.List(ctx, objectstore.KindEndpointIntent, "")
 	if err != nil {
 		return errors.Wrap(err, "list intents")
 	}
@@ -192,8 +192,8 @@
 }
 
 func (o *Owner) markEnded(ctx context.Context, name string, ids map[string]bool) error {
-	obj, err := o.cfg.Store.Get(ctx, platform.KindEndpointIntent, name)
-	var missing *platform.NotFoundError
+	obj, err := o.cfg.Store.Get(ctx, objectstore.KindEndpointIntent, name)
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return nil
 	}
@@ -204,7 +204,7 @@
 }
 
 // markEndedIn leaves the object's owner and term as they are.
-func (o *Owner) markEndedIn(ctx context.Context, obj platform.Object, ended func(*placement.Order) bool) error {
+func (o *Owner) markEndedIn(ctx context.Context, obj objectstore.Object, ended func(*placement.Order) bool) error {
 	var intents placement.Intents
 	if err := json.Unmarshal(obj.Value, &intents); err != nil {
 		return errors.Wrap(err, "decode intents")
@@ -224,6 +224,6 @@
 	if err != nil {
 		return errors.Wrap(err, "encode intents")
 	}
-	_, err = o.cfg.Store.Update(ctx, platform.KindEndpointIntent, obj.Name, obj.Version, uuid.NewString(), raw)
+	_, err = o.cfg.Store.Update(ctx, objectstore.KindEndpointIntent, obj.Name, obj.Version, uuid.NewString(), raw)
 	return errors.Wrap(err, "write intents")
 }
--- a/internal/placement/owner/engines_test.go
+++ b/internal/placement/owner/engines_test.go
@@ -19,7 +19,7 @@
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
 	"bilberryslip.example/bilberryslip/internal/standin/control"
 	"bilberryslip.example/bilberryslip/internal/standin/engineserver"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 // engineOrderLifetime is longer than any delay that the test gives an order.
@@ -31,13 +31,13 @@
 	engines []*engineserver.Server
 	configs []*apiv1.Endpoint
 	source  *source
-	store   *objectstore.Store
+	store   *memstore.Store
 	mu      sync.Mutex
 	demand  map[string]owner.Demand
 }
 
 func startEngines(count int) *realFleet {
-	f := &realFleet{source: &source{}, store: objectstore.New()}
+	f := &realFleet{source: &source{}, store: memstore.New()}
 	for i := range count {
 		fencing := i%2 == 1
 		server := engineserver.New(engineserver.Options{
--- a/internal/placement/owner/faults_test.go
+++ b/internal/placement/owner/faults_test.go
@@ -18,10 +18,10 @@
 
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/placement"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 func init() {
@@ -34,7 +34,7 @@
 
 // faultyStore is one process's way to the platform.
 type faultyStore struct {
-	platform.Store
+	objectstore.Store
 	mu         sync.Mutex
 	down       bool
 	loseAnswer bool
@@ -55,31 +55,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return false, &platform.UnavailableError{Outcome: platform.OutcomeUnknown, Cause: errors.New("down")}
+		return false, &objectstore.UnavailableError{Outcome: objectstore.OutcomeUnknown, Cause: errors.New("down")}
 	}
 	return s.loseAnswer, nil
 }
 
-func (s *faultyStore) after(obj platform.Object, err error, lose bool) (platform.Object, error) {
+func (s *faultyStore) after(obj objectstore.Object, err error, lose bool) (objectstore.Object, error) {
 	if err == nil && lose {
-		return platform.Object{}, &platform.UnavailableError{Outcome: platform.OutcomeUnknown, Cause: errors.New("answer lost")}
+		return objectstore.Object{}, &objectstore.UnavailableError{Outcome: objectstore.OutcomeUnknown, Cause: errors.New("answer lost")}
 	}
 	return obj, err
 }
 
-func (s *faultyStore) Create(ctx context.Context, kind platform.Kind, name, id string, value json.RawMessage) (platform.Object, error) {
+func (s *faultyStore) Create(ctx context.Context, kind objectstore.Kind, name, id string, value json.RawMessage) (objectstore.Object, error) {
 	lose, err := s.before()
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	obj, err := s.Store.Create(ctx, kind, name, id, value)
 	return s.after(obj, err, lose)
 }
 
-func (s *faultyStore) Update(ctx context.Context, kind platform.Kind, name string, version platform.Version, id string, value json.RawMessage) (platform.Object, error) {
+func (s *faultyStore) Update(ctx context.Context, kind objectstore.Kind, name string, version objectstore.Version, id string, value json.RawMessage) (objectstore.Object, error) {
 	lose, err := s.before()
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	obj, err := s.Store.Update(ctx, kind, name, version, id, value)
 	return s.after(obj, err, lose)
@@ -189,7 +189,7 @@
 type run struct {
 	scenario
 	fleet    *fleet
-	store    *objectstore.Store
+	store    *memstore.Store
 	source   *source
 	zones    []*zoneRun
 	started  int
@@ -206,7 +206,7 @@
 
 func newRun(s scenario) *run {
 	r := &run{
-		scenario: s, fleet: newFleet(), store: objectstore.New(), source: &source{},
+		scenario: s, fleet: newFleet(), store: memstore.New(), source: &source{},
 		versions: make([]int, testModels), demand: make(map[string]owner.Demand),
 		undo: make(map[int][]func()), seen: make(map[string]bool), faulty: true,
 	}
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -18,8 +18,8 @@
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/lease"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/placement"
-	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 // Defaults of Config.
@@ -87,7 +87,7 @@
 	// Incarnation identifies this process.
 	Incarnation string
 	Zone        string
-	Store       platform.Store
+	Store       objectstore.Store
 	Source      config.Source
 	Endpoints   Endpoints
 	Lease       Holder
--- a/internal/placement/owner/owner_test.go
+++ b/internal/placement/owner/owner_test.go
@@ -11,10 +11,10 @@
 	. "github.com/onsi/gomega"
 
 	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/placement"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
-	"bilberryslip.example/bilberryslip/internal/platform"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 func TestOwner(t *testing.T) {
@@ -26,7 +26,7 @@
 type bench struct {
 	fleet  *fleet
 	source *source
-	store  platform.Store
+	store  objectstore.Store
 	lease  *fixedLease
 	owner  *owner.Owner
 	demand map[string]owner.Demand
@@ -42,7 +42,7 @@
 }
 
 func newBench(f *fleet) *bench {
-	b := &bench{fleet: f, source: &source{}, store: objectstore.New(), lease: &fixedLease{}}
+	b := &bench{fleet: f, source: &source{}, store: memstore.New(), lease: &fixedLease{}}
 	b.source.set(f.objects())
 	b.lease.set(true, 1)
 	b.owner = b.newOwner("a", b.lease)
--- a/internal/placement/owner/record.go
+++ b/internal/placement/owner/record.go
@@ -11,8 +11,8 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/placement"
-	"bilberryslip.example/bilberryslip/internal/platform"
 )
 
 // claimsAtOnce limits the intent objects that are read or claimed at once.
@@ -21,7 +21,7 @@
 // record is this owner's copy of an endpoint's intent object.
 type record struct {
 	name    string
-	version platform.Version
+	version objectstore.Version
 	exists  bool
 	intents placement.Intents
 	// readAt is when the first read of the object was answered.
@@ -102,8 +102,8 @@
 }
 
 func (o *Owner) read(ctx context.Context, r *record) error {
-	obj, err := o.cfg.Store.Get(ctx, platform.KindEndpointIntent, r.name)
-	var missing *platform.NotFoundError
+	obj, err := o.cfg.Store.Get(ctx, objectstore.KindEndpointIntent, r.name)
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		*r = record{name: r.name, known: true, readAt: o.cfg.Now()}
 		return nil
@@ -115,7 +115,7 @@
 }
 
 // take copies an object as read or written into the record.
-func (o *Owner) take(r *record, obj platform.Object) error {
+func (o *Owner) take(r *record, obj objectstore.Object) error {
 	var intents placement.Intents
 	if err := json.Unmarshal(obj.Value, &intents); err != nil {
 		return errors.Wrapf(err, "decode intents of %s", r.name)
@@ -154,10 +154,10 @@
 	return nil
 }
 
-func (o *Owner) put(ctx context.Context, r *record, raw json.RawMessage) (platform.Object, error) {
+func (o *Owner) put(ctx context.Context, r *record, raw json.RawMessage) (objectstore.Object, error) {
 	writeID := uuid.NewString()
 	if !r.exists {
-		return o.cfg.Store.Create(ctx, platform.KindEndpointIntent, r.name, writeID, raw)
+		return o.cfg.Store.Create(ctx, objectstore.KindEndpointIntent, r.name, writeID, raw)
 	}
-	return o.cfg.Store.Update(ctx, platform.KindEndpointIntent, r.name, r.version, writeID, raw)
+	return o.cfg.Store.Update(ctx, objectstore.KindEndpointIntent, r.name, r.version, writeID, raw)
 }
--- a/internal/shares/fuzz_test.go
+++ b/internal/shares/fuzz_test.go
@@ -11,7 +11,7 @@
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	"bilberryslip.example/bilberryslip/internal/membership"
 	"bilberryslip.example/bilberryslip/internal/shares"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 // FuzzPeerMessages hands a host whatever a peer may send: it must neither
@@ -40,7 +40,7 @@
 		})
 		now := time.Unix(1000, 0)
 		service := shares.New(shares.Config{
-			Store: objectstore.New(), Members: members, Source: policy(100, 1000), Now: func() time.Time { return now },
+			Store: memstore.New(), Members: members, Source: policy(100, 1000), Now: func() time.Time { return now },
 		})
 		members.Extend(service)
 		service.ApplyPolicies()
--- a/internal/shares/lifecycle.go
+++ b/internal/shares/lifecycle.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 )
 
@@ -54,7 +54,7 @@
 	}
 	s.syncMu.Lock()
 	defer s.syncMu.Unlock()
-	object, err := s.config.Store.Get(ctx, platform.KindShareLedger, ledgerName)
+	object, err := s.config.Store.Get(ctx, objectstore.KindShareLedger, ledgerName)
 	if err != nil {
 		return errors.Wrap(err, "read the share ledger")
 	}
@@ -63,13 +63,13 @@
 		return errors.Wrap(err, "decode the share ledger")
 	}
 	if !ledger.RemoveHost(name) {
-		return &platform.NotFoundError{Kind: platform.KindShareLedger, Name: name}
+		return &objectstore.NotFoundError{Kind: objectstore.KindShareLedger, Name: name}
 	}
 	value, err := json.Marshal(ledger)
 	if err != nil {
 		return errors.Wrap(err, "encode the share ledger")
 	}
-	_, err = s.config.Store.Update(ctx, platform.KindShareLedger, ledgerName, object.Version, uuid.NewString(), value)
+	_, err = s.config.Store.Update(ctx, objectstore.KindShareLedger, ledgerName, object.Version, uuid.NewString(), value)
 	return errors.Wrap(err, "write the share ledger")
 }
 
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -16,7 +16,7 @@
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/membership"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 )
 
@@ -42,7 +42,7 @@
 // Config sets up a Service.
 type Config struct {
 	Limiter ratelimit.Config
-	Store   platform.Store
+	Store   objectstore.Store
 	Members Members
 	Peers   Peers
 	// Source gives the rate policies.
--- a/internal/shares/service_test.go
+++ b/internal/shares/service_test.go
@@ -20,7 +20,7 @@
 	"bilberryslip.example/bilberryslip/internal/peer"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/shares"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 func TestShares(t *testing.T) {
@@ -52,7 +52,7 @@
 	return f.shares.SettleTokens(ctx, r)
 }
 
-func startHost(store *objectstore.Store, source config.Source, name string, seeds ...string) *host {
+func startHost(store *memstore.Store, source config.Source, name string, seeds ...string) *host {
 	handler := &forward{}
 	server := httptest.NewServer(peer.NewServer("secret", peer.Handlers{Gossip: handler, Lender: handler}))
 	pool := peer.NewPool(peer.PoolConfig{Secret: "secret"})
@@ -103,7 +103,7 @@
 	ctx := context.Background()
 
 	It("grants one host's organisation its rate and refuses with a time to retry", func() {
-		only := startHost(objectstore.New(), policy(1000, 1000), "a")
+		only := startHost(memstore.New(), policy(1000, 1000), "a")
 		Eventually(func() error { _, err := only.shares.Reserve(ctx, "aqej", 100); return err }).Should(Succeed())
 		_, err := only.shares.Reserve(ctx, "aqej", 5000)
 		Expect(err).To(MatchError(ContainSubstring("exceeds the burst")))
@@ -118,7 +118,7 @@
 	})
 
 	It("takes a remainder of rounding for no use beyond the reservation", func() {
-		only := startHost(objectstore.New(), policy(1000, 1000), "a")
+		only := startHost(memstore.New(), policy(1000, 1000), "a")
 		var reservation ratelimit.Reservation
 		Eventually(func() (err error) { reservation, err = only.shares.Reserve(ctx, "aqej", 0.3); return err }).Should(Succeed())
 		for _, part := range []float64{0.1, 0.2} {
@@ -130,7 +130,7 @@
 	})
 
 	It("lets one of three hosts use most of a burst by borrowing, and returns units on leaving", func() {
-		store := objectstore.New()
+		store := memstore.New()
 		source := policy(30000, 30000)
 		a := startHost(store, source, "a")
 		url := a.members.Self().PeerURL
--- a/internal/shares/sync.go
+++ b/internal/shares/sync.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 )
 
@@ -96,8 +96,8 @@
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	sentAt := s.config.Now()
-	object, err := s.config.Store.Get(ctx, platform.KindShareLedger, ledgerName)
-	var missing *platform.NotFoundError
+	object, err := s.config.Store.Get(ctx, objectstore.KindShareLedger, ledgerName)
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		s.tenure(func(t *ratelimit.Tenure) { s.learnMissing(t, sentAt) })
 		return nil
@@ -116,7 +116,7 @@
 	t.Learn(&ratelimit.Ledger{}, 0, sentAt, s.config.Now())
 }
 
-func (s *Service) learn(object platform.Object, sentAt time.Time) error {
+func (s *Service) learn(object objectstore.Object, sentAt time.Time) error {
 	ledger := &ratelimit.Ledger{}
 	if err := json.Unmarshal(object.Value, ledger); err != nil || !ledger.Valid() {
 		return errors.Newf("share ledger at version %d is damaged; restore or delete the object: %v", object.Version, err)
@@ -149,19 +149,19 @@
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	sentAt := s.config.Now()
-	var object platform.Object
+	var object objectstore.Object
 	if edit.Base == 0 {
-		object, err = s.config.Store.Create(ctx, platform.KindShareLedger, ledgerName, edit.ID, value)
+		object, err = s.config.Store.Create(ctx, objectstore.KindShareLedger, ledgerName, edit.ID, value)
 	} else {
-		object, err = s.config.Store.Update(ctx, platform.KindShareLedger, ledgerName, platform.Version(edit.Base), edit.ID, value)
+		object, err = s.config.Store.Update(ctx, objectstore.KindShareLedger, ledgerName, objectstore.Version(edit.Base), edit.ID, value)
 	}
 	s.metrics.ledgerWrites.Inc()
 	return s.settle(edit, object, sentAt, err)
 }
 
-func (s *Service) settle(edit *ratelimit.Edit, object platform.Object, sentAt time.Time, err error) error {
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
+func (s *Service) settle(edit *ratelimit.Edit, object objectstore.Object, sentAt time.Time, err error) error {
+	var conflict *objectstore.ConflictError
+	var unavailable *objectstore.UnavailableError
 	switch {
 	case err == nil:
 		s.written(edit, object, sentAt)
@@ -172,7 +172,7 @@
 			return nil
 		}
 		return s.learn(conflict.Current, sentAt)
-	case errors.As(err, &unavailable) && unavailable.Outcome == platform.OutcomeNotSent && !edit.Unknown:
+	case errors.As(err, &unavailable) && unavailable.Outcome == objectstore.OutcomeNotSent && !edit.Unknown:
 		s.tenure(func(t *ratelimit.Tenure) { t.NotWritten() })
 	default:
 		edit.Unknown = true
@@ -180,7 +180,7 @@
 	return errors.Wrap(err, "write the share ledger")
 }
 
-func (s *Service) written(edit *ratelimit.Edit, object platform.Object, sentAt time.Time) {
+func (s *Service) written(edit *ratelimit.Edit, object objectstore.Object, sentAt time.Time) {
 	s.tenure(func(t *ratelimit.Tenure) {
 		t.Written(edit, int64(object.Version), sentAt, s.config.Now())
 		logrus.WithFields(logrus.Fields{"version": object.Version, "units": t.Units()}).Info("share ledger written")
--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/memstore/store.go
@@ -1,7 +1,7 @@
-// Package objectstore is an in-memory object store with the semantics of the
+// Package memstore is an in-memory object store with the semantics of the
 // platform's object API. The platform stand-in serves it over HTTP, and tests
-// use it directly as a platform.Store.
-package objectstore
+// use it directly as a objectstore.Store.
+package memstore
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"strings"
 	"sync"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 // maxHistory is the number of events kept for watches.
@@ -20,47 +20,47 @@
 const watchBuffer = 4096
 
 type key struct {
-	kind platform.Kind
+	kind objectstore.Kind
 	name string
 }
 
-// Store is an in-memory platform.Store. The zero value is not usable; call
+// Store is an in-memory objectstore.Store. The zero value is not usable; call
 // New.
 type Store struct {
 	mu      sync.Mutex
-	version platform.Version
-	objects map[key]platform.Object
-	history []platform.Event
-	oldest  platform.Version
+	version objectstore.Version
+	objects map[key]objectstore.Object
+	history []objectstore.Event
+	oldest  objectstore.Version
 	watches map[*watch]struct{}
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectstore.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		objects: make(map[key]platform.Object),
+		objects: make(map[key]objectstore.Object),
 		watches: make(map[*watch]struct{}),
 	}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, kind platform.Kind, name string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (s *Store) Get(_ context.Context, kind objectstore.Kind, name string) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	obj, ok := s.objects[key{kind, name}]
 	if !ok {
-		return platform.Object{}, &platform.NotFoundError{Kind: kind, Name: name}
+		return objectstore.Object{}, &objectstore.NotFoundError{Kind: kind, Name: name}
 	}
 	return obj, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, kind platform.Kind, prefix string) (platform.Listing, error) {
+// List implements objectstore.Store.
+func (s *Store) List(_ context.Context, kind objectstore.Kind, prefix string) (objectstore.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listing := platform.Listing{Version: s.version}
+	listing := objectstore.Listing{Version: s.version}
 	for k, obj := range s.objects {
 		if k.kind == kind && strings.HasPrefix(k.name, prefix) {
 			listing.Items = append(listing.Items, obj)
@@ -70,28 +70,28 @@
 	return listing, nil
 }
 
-// Create implements platform.Store.
-func (s *Store) Create(_ context.Context, kind platform.Kind, name, writeID string, value json.RawMessage) (platform.Object, error) {
+// Create implements objectstore.Store.
+func (s *Store) Create(_ context.Context, kind objectstore.Kind, name, writeID string, value json.RawMessage) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if obj, ok := s.objects[key{kind, name}]; ok {
-		return platform.Object{}, &platform.ConflictError{Current: obj}
+		return objectstore.Object{}, &objectstore.ConflictError{Current: obj}
 	}
 	return s.put(kind, name, writeID, value), nil
 }
 
-// Update implements platform.Store.
-func (s *Store) Update(_ context.Context, kind platform.Kind, name string, version platform.Version, writeID string, value json.RawMessage) (platform.Object, error) {
+// Update implements objectstore.Store.
+func (s *Store) Update(_ context.Context, kind objectstore.Kind, name string, version objectstore.Version, writeID string, value json.RawMessage) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.check(kind, name, version); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return s.put(kind, name, writeID, value), nil
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(_ context.Context, kind platform.Kind, name string, version platform.Version) error {
+// Delete implements objectstore.Store.
+func (s *Store) Delete(_ context.Context, kind objectstore.Kind, name string, version objectstore.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.check(kind, name, version); err != nil {
@@ -101,18 +101,18 @@
 	delete(s.objects, key{kind, name})
 	s.version++
 	obj.Version = s.version
-	s.publish(platform.Event{Type: platform.EventDelete, Version: s.version, Object: obj})
+	s.publish(objectstore.Event{Type: objectstore.EventDelete, Version: s.version, Object: obj})
 	return nil
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, kind platform.Kind, after platform.Version) (platform.Watch, error) {
+// Watch implements objectstore.Store.
+func (s *Store) Watch(ctx context.Context, kind objectstore.Kind, after objectstore.Version) (objectstore.Watch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if after < s.oldest {
-		return nil, &platform.GoneError{Oldest: s.oldest}
+		return nil, &objectstore.GoneError{Oldest: s.oldest}
 	}
-	w := &watch{store: s, kind: kind, events: make(chan platform.Event, watchBuffer)}
+	w := &watch{store: s, kind: kind, events: make(chan objectstore.Event, watchBuffer)}
 	for _, ev := range s.history {
 		if ev.Object.Kind == kind && ev.Version > after {
 			s.deliver(w, ev)
@@ -128,7 +128,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for w := range s.watches {
-		s.deliver(w, platform.Event{Type: platform.EventBookmark, Version: s.version})
+		s.deliver(w, objectstore.Event{Type: objectstore.EventBookmark, Version: s.version})
 	}
 }
 
@@ -141,32 +141,32 @@
 }
 
 // Version returns the version of the last write.
-func (s *Store) Version() platform.Version {
+func (s *Store) Version() objectstore.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.version
 }
 
-func (s *Store) check(kind platform.Kind, name string, version platform.Version) error {
+func (s *Store) check(kind objectstore.Kind, name string, version objectstore.Version) error {
 	obj, ok := s.objects[key{kind, name}]
 	if !ok {
-		return &platform.NotFoundError{Kind: kind, Name: name}
+		return &objectstore.NotFoundError{Kind: kind, Name: name}
 	}
 	if obj.Version != version {
-		return &platform.ConflictError{Current: obj}
+		return &objectstore.ConflictError{Current: obj}
 	}
 	return nil
 }
 
-func (s *Store) put(kind platform.Kind, name, writeID string, value json.RawMessage) platform.Object {
+func (s *Store) put(kind objectstore.Kind, name, writeID string, value json.RawMessage) objectstore.Object {
 	s.version++
-	obj := platform.Object{Kind: kind, Name: name, Version: s.version, WriteID: writeID, Value: value}
+	obj := objectstore.Object{Kind: kind, Name: name, Version: s.version, WriteID: writeID, Value: value}
 	s.objects[key{kind, name}] = obj
-	s.publish(platform.Event{Type: platform.EventPut, Version: s.version, Object: obj})
+	s.publish(objectstore.Event{Type: objectstore.EventPut, Version: s.version, Object: obj})
 	return obj
 }
 
-func (s *Store) publish(ev platform.Event) {
+func (s *Store) publish(ev objectstore.Event) {
 	s.history = append(s.history, ev)
 	if len(s.history) > maxHistory {
 		s.oldest = s.history[0].Version
@@ -180,11 +180,11 @@
 }
 
 // deliver sends without blocking; a watch that lags too far is ended.
-func (s *Store) deliver(w *watch, ev platform.Event) {
+func (s *Store) deliver(w *watch, ev objectstore.Event) {
 	select {
 	case w.events <- ev:
 	default:
-		s.remove(w, &platform.GoneError{Oldest: s.oldest})
+		s.remove(w, &objectstore.GoneError{Oldest: s.oldest})
 	}
 }
 
@@ -200,25 +200,25 @@
 
 type watch struct {
 	store  *Store
-	kind   platform.Kind
-	events chan platform.Event
+	kind   objectstore.Kind
+	events chan objectstore.Event
 	cancel func() bool
 	// ended and err are guarded by the store's mutex.
 	ended bool
 	err   error
 }
 
-// Events implements platform.Watch.
-func (w *watch) Events() <-chan platform.Event { return w.events }
+// Events implements objectstore.Watch.
+func (w *watch) Events() <-chan objectstore.Event { return w.events }
 
-// Err implements platform.Watch.
+// Err implements objectstore.Watch.
 func (w *watch) Err() error {
 	w.store.mu.Lock()
 	defer w.store.mu.Unlock()
 	return w.err
 }
 
-// Stop implements platform.Watch.
+// Stop implements objectstore.Watch.
 func (w *watch) Stop() {
 	w.cancel()
 	w.end(nil)
--- a/internal/standin/platformserver/calls.go
+++ b/internal/standin/platformserver/calls.go
@@ -5,7 +5,7 @@
 	"maps"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 // Calls counts calls by kind. Its zero value counts none.
@@ -37,7 +37,7 @@
 	c.Weights += other.Weights
 }
 
-func (s *Server) count(kind platform.Kind, add func(*Calls)) {
+func (s *Server) count(kind objectstore.Kind, add func(*Calls)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	calls, ok := s.counts[kind]
@@ -61,7 +61,7 @@
 	defer s.mu.Unlock()
 	state := State{
 		Faults:         s.switches.Get(),
-		CallsByKind:    make(map[platform.Kind]Calls, len(s.counts)),
+		CallsByKind:    make(map[objectstore.Kind]Calls, len(s.counts)),
 		WaitingWatches: s.watching,
 		Version:        listing.Version,
 		UptimeMillis:   time.Since(s.started).Milliseconds(),
--- a/internal/standin/platformserver/hosts.go
+++ b/internal/standin/platformserver/hosts.go
@@ -4,16 +4,16 @@
 	"sync"
 	"time"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 type hostsAnswer struct {
-	Hosts []platform.ListedHost `json:"hosts"`
+	Hosts []objectstore.ListedHost `json:"hosts"`
 }
 
 type hostListVersion struct {
 	at    time.Time
-	hosts []platform.ListedHost
+	hosts []objectstore.ListedHost
 }
 
 // hostList shows each change only after its lag.
@@ -24,16 +24,16 @@
 	versions []hostListVersion
 }
 
-func (l *hostList) set(now time.Time, hosts []platform.ListedHost) {
+func (l *hostList) set(now time.Time, hosts []objectstore.ListedHost) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions = append(l.versions, hostListVersion{at: now, hosts: hosts})
 }
 
-func (l *hostList) visible(now time.Time) []platform.ListedHost {
+func (l *hostList) visible(now time.Time) []objectstore.ListedHost {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	hosts := []platform.ListedHost{}
+	hosts := []objectstore.ListedHost{}
 	for _, version := range l.versions {
 		if now.Sub(version.at) >= l.lag {
 			hosts = version.hosts
--- a/internal/standin/platformserver/objects.go
+++ b/internal/standin/platformserver/objects.go
@@ -10,15 +10,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/standin/control"
 )
 
 // target returns the kind and name that the path names.
-func target(c echo.Context) (platform.Kind, string) {
+func target(c echo.Context) (objectstore.Kind, string) {
 	kind := c.Param("kind")
 	name := strings.TrimPrefix(c.Request().URL.Path, "/v1/objects/"+kind+"/")
-	return platform.Kind(kind), name
+	return objectstore.Kind(kind), name
 }
 
 func (s *Server) get(c echo.Context) error {
@@ -32,7 +32,7 @@
 }
 
 func (s *Server) list(c echo.Context) error {
-	kind := platform.Kind(c.Param("kind"))
+	kind := objectstore.Kind(c.Param("kind"))
 	s.count(kind, func(calls *Calls) { calls.List++ })
 	listing, err := s.store.List(c.Request().Context(), kind, c.QueryParam("prefix"))
 	if err != nil {
@@ -61,7 +61,7 @@
 	return c.JSON(status, obj)
 }
 
-func (s *Server) write(c echo.Context, kind platform.Kind, name string, value json.RawMessage) (int, platform.Object, error) {
+func (s *Server) write(c echo.Context, kind objectstore.Kind, name string, value json.RawMessage) (int, objectstore.Object, error) {
 	ctx, writeID := c.Request().Context(), c.Request().Header.Get("X-Write-Id")
 	if c.Request().Header.Get("If-None-Match") == "*" {
 		s.count(kind, func(calls *Calls) { calls.Create++ })
@@ -70,7 +70,7 @@
 	}
 	version, err := ifMatch(c)
 	if err != nil {
-		return 0, platform.Object{}, err
+		return 0, objectstore.Object{}, err
 	}
 	s.count(kind, func(calls *Calls) { calls.Update++ })
 	obj, err := s.store.Update(ctx, kind, name, version, writeID, value)
@@ -92,7 +92,7 @@
 }
 
 // loseAnswer ends the connection where the switch asks for it.
-func (s *Server) loseAnswer(kind platform.Kind) {
+func (s *Server) loseAnswer(kind objectstore.Kind) {
 	only := s.switches.Get().LoseAnswersKind
 	if only != "" && only != kind {
 		return
@@ -102,19 +102,19 @@
 	}
 }
 
-func ifMatch(c echo.Context) (platform.Version, error) {
+func ifMatch(c echo.Context) (objectstore.Version, error) {
 	text := strings.Trim(c.Request().Header.Get("If-Match"), `"`)
 	version, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
 		return 0, echo.NewHTTPError(http.StatusBadRequest, "send If-Match with a version, or If-None-Match: *")
 	}
-	return platform.Version(version), nil
+	return objectstore.Version(version), nil
 }
 
 func answerError(c echo.Context, err error) error {
-	var notFound *platform.NotFoundError
-	var conflict *platform.ConflictError
-	var gone *platform.GoneError
+	var notFound *objectstore.NotFoundError
+	var conflict *objectstore.ConflictError
+	var gone *objectstore.GoneError
 	switch {
 	case errors.As(err, &notFound):
 		return c.NoContent(http.StatusNotFound)
@@ -128,5 +128,5 @@
 }
 
 type goneAnswer struct {
-	Oldest platform.Version `json:"oldest"`
+	Oldest objectstore.Version `json:"oldest"`
 }
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -10,9 +10,9 @@
 
 	"github.com/labstack/echo/v4"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/standin/control"
-	"bilberryslip.example/bilberryslip/internal/standin/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
 const (
@@ -46,7 +46,7 @@
 	LoseAnswers int `json:"loseAnswers"`
 	// LoseAnswersKind restricts LoseAnswers to a kind of object. Empty means
 	// any.
-	LoseAnswersKind platform.Kind `json:"loseAnswersKind"`
+	LoseAnswersKind objectstore.Kind `json:"loseAnswersKind"`
 	// StaleWatches withholds events, while bookmarks of the last version that
 	// was delivered go on.
 	StaleWatches bool `json:"staleWatches"`
@@ -56,31 +56,31 @@
 	// CutWatches ends the running watches each time it changes.
 	CutWatches int `json:"cutWatches"`
 	// Hosts, where not null, replaces the host list.
-	Hosts []platform.ListedHost `json:"hosts"`
+	Hosts []objectstore.ListedHost `json:"hosts"`
 }
 
 // State is the answer to GET /control.
 type State struct {
-	Faults         Faults                  `json:"faults"`
-	Calls          Calls                   `json:"calls"`
-	CallsByKind    map[platform.Kind]Calls `json:"callsByKind"`
-	WaitingWatches int                     `json:"waitingWatches"`
-	Version        platform.Version        `json:"version"`
-	UptimeMillis   int64                   `json:"uptimeMillis"`
+	Faults         Faults                     `json:"faults"`
+	Calls          Calls                      `json:"calls"`
+	CallsByKind    map[objectstore.Kind]Calls `json:"callsByKind"`
+	WaitingWatches int                        `json:"waitingWatches"`
+	Version        objectstore.Version        `json:"version"`
+	UptimeMillis   int64                      `json:"uptimeMillis"`
 }
 
 // Server is the stand-in. It is an http.Handler.
 type Server struct {
 	echo     *echo.Echo
 	options  Options
-	store    *objectstore.Store
+	store    *memstore.Store
 	switches *control.Switches[Faults]
 	weights  *weightStore
 	hosts    *hostList
 	started  time.Time
 
 	mu       sync.Mutex
-	counts   map[platform.Kind]*Calls
+	counts   map[objectstore.Kind]*Calls
 	watching int
 }
 
@@ -89,12 +89,12 @@
 	s := &Server{
 		echo:     echo.New(),
 		options:  options,
-		store:    objectstore.New(),
+		store:    memstore.New(),
 		switches: control.NewSwitches(Faults{}),
 		weights:  newWeightStore(options.Weights),
 		hosts:    &hostList{lag: options.HostListLag},
 		started:  time.Now(),
-		counts:   make(map[platform.Kind]*Calls),
+		counts:   make(map[objectstore.Kind]*Calls),
 	}
 	s.routes()
 	go s.bookmarks(ctx)
@@ -105,7 +105,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
 
 // Store returns the objects, for tests in the same process.
-func (s *Server) Store() *objectstore.Store { return s.store }
+func (s *Server) Store() *memstore.Store { return s.store }
 
 // Switches returns the fault switches, for tests in the same process.
 func (s *Server) Switches() *control.Switches[Faults] { return s.switches }
--- a/internal/standin/platformserver/server_test.go
+++ b/internal/standin/platformserver/server_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
 )
 
@@ -73,15 +73,15 @@
 }
 
 // events starts a watch and returns its events.
-func (c client) events(after string) <-chan platform.Event {
+func (c client) events(after string) <-chan objectstore.Event {
 	GinkgoHelper()
 	resp := c.expect(http.StatusOK, http.MethodGet, "/v1/watch/claims?after="+after, "")
-	events := make(chan platform.Event, 100)
+	events := make(chan objectstore.Event, 100)
 	go func() {
 		defer close(events)
 		lines := bufio.NewScanner(resp.Body)
 		for lines.Scan() {
-			var event platform.Event
+			var event objectstore.Event
 			if json.Unmarshal(lines.Bytes(), &event) != nil {
 				return
 			}
@@ -100,7 +100,7 @@
 		GinkgoHelper()
 		return api.expect(http.StatusCreated, http.MethodPut, "/v1/objects/claims/"+name, value, "If-None-Match", "*", "X-Write-Id", "w-"+name)
 	}
-	put := func(name string, event platform.EventType, version platform.Version) any {
+	put := func(name string, event objectstore.EventType, version objectstore.Version) any {
 		return SatisfyAll(HaveField("Type", event), HaveField("Version", version), HaveField("Object.Name", name))
 	}
 
@@ -119,17 +119,17 @@
 	})
 
 	It("serves objects with conditional writes", func() {
-		created := decode[platform.Object](create("a/b"))
+		created := decode[objectstore.Object](create("a/b"))
 		Expect(created.Version).To(BeEquivalentTo(1))
 		Expect(created.WriteID).To(Equal("w-a/b"))
 		conflict := api.expect(http.StatusPreconditionFailed, http.MethodPut, "/v1/objects/claims/a/b", value, "If-None-Match", "*")
-		Expect(decode[platform.Object](conflict)).To(Equal(created))
+		Expect(decode[objectstore.Object](conflict)).To(Equal(created))
 		api.expect(http.StatusOK, http.MethodPut, "/v1/objects/claims/a/b", `2`, "If-Match", `"1"`)
 		api.expect(http.StatusPreconditionFailed, http.MethodPut, "/v1/objects/claims/a/b", value, "If-Match", `"1"`)
-		Expect(decode[platform.Object](api.expect(http.StatusOK, http.MethodGet, "/v1/objects/claims/a/b", "")).Value).To(MatchJSON(`2`))
+		Expect(decode[objectstore.Object](api.expect(http.StatusOK, http.MethodGet, "/v1/objects/claims/a/b", "")).Value).To(MatchJSON(`2`))
 		create("ac")
 		create("b")
-		Expect(decode[platform.Listing](api.expect(http.StatusOK, http.MethodGet, "/v1/objects/claims?prefix=a", "")).Items).To(HaveLen(2))
+		Expect(decode[objectstore.Listing](api.expect(http.StatusOK, http.MethodGet, "/v1/objects/claims?prefix=a", "")).Items).To(HaveLen(2))
 		api.expect(http.StatusPreconditionFailed, http.MethodDelete, "/v1/objects/claims/b", "", "If-Match", `"1"`)
 		api.expect(http.StatusNoContent, http.MethodDelete, "/v1/objects/claims/b", "", "If-Match", `"4"`)
 		api.expect(http.StatusNotFound, http.MethodGet, "/v1/objects/claims/b", "")
@@ -144,10 +144,10 @@
 	It("reports events and bookmarks, and counts a waiting watch", func() {
 		create("a")
 		events := api.events("0")
-		Eventually(events).Should(Receive(put("a", platform.EventPut, 1)))
+		Eventually(events).Should(Receive(put("a", objectstore.EventPut, 1)))
 		create("b")
-		Eventually(events).Should(Receive(put("b", platform.EventPut, 2)))
-		Eventually(events, "1s").Should(Receive(put("", platform.EventBookmark, 2)))
+		Eventually(events).Should(Receive(put("b", objectstore.EventPut, 2)))
+		Eventually(events, "1s").Should(Receive(put("", objectstore.EventBookmark, 2)))
 		Expect(server.State().WaitingWatches).To(Equal(1))
 		api.control(`{"cutWatches":1}`)
 		Eventually(events).Should(BeClosed())
@@ -158,10 +158,10 @@
 		events := api.events("0")
 		api.control(`{"staleWatches":true}`)
 		create("a")
-		Eventually(events, "2s").Should(Receive(put("", platform.EventBookmark, 0)))
-		Consistently(events, "100ms").ShouldNot(Receive(HaveField("Type", platform.EventPut)))
+		Eventually(events, "2s").Should(Receive(put("", objectstore.EventBookmark, 0)))
+		Consistently(events, "100ms").ShouldNot(Receive(HaveField("Type", objectstore.EventPut)))
 		api.control(`{"staleWatches":false}`)
-		Eventually(events, "2s").Should(Receive(put("a", platform.EventPut, 1)))
+		Eventually(events, "2s").Should(Receive(put("a", objectstore.EventPut, 1)))
 	})
 
 	It("silences running watches for good while new ones work", func() {
@@ -170,7 +170,7 @@
 		api.control(`{"silentWatches":false}`)
 		create("a")
 		Consistently(events, "700ms").ShouldNot(Receive())
-		Eventually(api.events("0")).Should(Receive(put("a", platform.EventPut, 1)))
+		Eventually(api.events("0")).Should(Receive(put("a", objectstore.EventPut, 1)))
 	})
 
 	It("loses the answer after the write took effect", func() {
@@ -178,7 +178,7 @@
 		api.expect(http.StatusCreated, http.MethodPut, "/v1/objects/leases/a", value, "If-None-Match", "*")
 		_, err := api.call(http.MethodPut, "/v1/objects/claims/a", value, "If-None-Match", "*", "X-Write-Id", "lost")
 		Expect(err).To(HaveOccurred())
-		stored := decode[platform.Object](api.expect(http.StatusOK, http.MethodGet, "/v1/objects/claims/a", ""))
+		stored := decode[objectstore.Object](api.expect(http.StatusOK, http.MethodGet, "/v1/objects/claims/a", ""))
 		Expect(stored.WriteID).To(Equal("lost"))
 		create("b")
 	})
@@ -201,15 +201,15 @@
 	})
 
 	It("shows a changed host list only after its lag", func() {
-		hosts := func() []platform.ListedHost {
+		hosts := func() []objectstore.ListedHost {
 			resp := api.expect(http.StatusOK, http.MethodGet, "/v1/hosts", "")
-			return decode[struct{ Hosts []platform.ListedHost }](resp).Hosts
+			return decode[struct{ Hosts []objectstore.ListedHost }](resp).Hosts
 		}
 		start := time.Now()
 		api.control(`{"hosts":[{"name":"h1","zone":"z1","peerUrl":"http://127.0.0.1:1","state":"live"}]}`)
 		Eventually(hosts).Should(HaveLen(1))
 		Expect(time.Since(start)).To(BeNumerically(">=", hostListLag))
-		Expect(hosts()[0].State).To(Equal(platform.HostLive))
+		Expect(hosts()[0].State).To(Equal(objectstore.HostLive))
 	})
 
 	It("limits loads and takes their time", func() {
--- a/internal/standin/platformserver/watch.go
+++ b/internal/standin/platformserver/watch.go
@@ -7,24 +7,24 @@
 
 	"github.com/labstack/echo/v4"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
 
 func (s *Server) watch(c echo.Context) error {
-	kind := platform.Kind(c.Param("kind"))
+	kind := objectstore.Kind(c.Param("kind"))
 	s.count(kind, func(calls *Calls) { calls.Watch++ })
 	after, err := strconv.ParseInt(c.QueryParam("after"), 10, 64)
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, "after is not a version")
 	}
-	w, err := s.store.Watch(c.Request().Context(), kind, platform.Version(after))
+	w, err := s.store.Watch(c.Request().Context(), kind, objectstore.Version(after))
 	if err != nil {
 		return answerError(c, err)
 	}
 	defer w.Stop()
 	s.countWaiting(1)
 	defer s.countWaiting(-1)
-	stream := watchStream{server: s, response: c.Response(), delivered: platform.Version(after)}
+	stream := watchStream{server: s, response: c.Response(), delivered: objectstore.Version(after)}
 	return stream.run(c, w)
 }
 
@@ -32,12 +32,12 @@
 type watchStream struct {
 	server    *Server
 	response  *echo.Response
-	delivered platform.Version
-	held      []platform.Event
+	delivered objectstore.Version
+	held      []objectstore.Event
 	silent    bool
 }
 
-func (w *watchStream) run(c echo.Context, source platform.Watch) error {
+func (w *watchStream) run(c echo.Context, source objectstore.Watch) error {
 	w.response.Header().Set("Content-Type", "application/x-ndjson")
 	w.response.WriteHeader(http.StatusOK)
 	w.response.Flush()
@@ -81,14 +81,14 @@
 	return nil
 }
 
-func (w *watchStream) handle(faults Faults, event platform.Event) error {
+func (w *watchStream) handle(faults Faults, event objectstore.Event) error {
 	if w.silent {
 		return nil
 	}
 	if !faults.StaleWatches {
 		return w.send(event)
 	}
-	if event.Type != platform.EventBookmark {
+	if event.Type != objectstore.EventBookmark {
 		w.held = append(w.held, event)
 		return nil
 	}
@@ -96,7 +96,7 @@
 	return w.send(event)
 }
 
-func (w *watchStream) send(event platform.Event) error {
+func (w *watchStream) send(event objectstore.Event) error {
 	if err := json.NewEncoder(w.response).Encode(event); err != nil {
 		return err
 	}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -16,7 +16,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/standin/platformserver"
 )
 
@@ -42,14 +42,14 @@
 	options  Options
 	programs Programs
 	dir      string
-	listed   map[string]platform.ListedHost
+	listed   map[string]objectstore.ListedHost
 }
 
 // Start starts a cluster and its configuration, and waits until every host has
 // that in force. The test's cleanup ends it.
 func Start(programs Programs, options Options) *Cluster {
 	ginkgo.GinkgoHelper()
-	c := &Cluster{options: options, programs: programs, dir: ginkgo.GinkgoT().TempDir(), listed: make(map[string]platform.ListedHost)}
+	c := &Cluster{options: options, programs: programs, dir: ginkgo.GinkgoT().TempDir(), listed: make(map[string]objectstore.ListedHost)}
 	ginkgo.DeferCleanup(c.reportLogs)
 	gomega.Expect(os.WriteFile(c.path("secret"), []byte(strings.Repeat("peer-secret", 3)), 0o600)).To(gomega.Succeed())
 	c.startPlatform()
--- a/test/cluster/host.go
+++ b/test/cluster/host.go
@@ -16,7 +16,7 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
-	"bilberryslip.example/bilberryslip/internal/platform"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/settings"
 	"bilberryslip.example/bilberryslip/internal/standin/relay"
 )
@@ -61,7 +61,7 @@
 	gomega.Expect(json.Unmarshal([]byte(h.waitFile(addresses)), &h.Addresses)).To(gomega.Succeed())
 	h.ToPeers.SetTarget(h.Addresses.Peers)
 	c.Hosts = append(c.Hosts, h)
-	c.list(platform.ListedHost{Name: name, Zone: zone, PeerURL: h.ToPeers.URL(), State: platform.HostLive})
+	c.list(objectstore.ListedHost{Name: name, Zone: zone, PeerURL: h.ToPeers.URL(), State: objectstore.HostLive})
 	return h
 }
 
@@ -85,7 +85,7 @@
 	c.publishList()
 }
 
-func (c *Cluster) list(host platform.ListedHost) {
+func (c *Cluster) list(host objectstore.ListedHost) {
 	ginkgo.GinkgoHelper()
 	c.listed[host.Name] = host
 	c.publishList()
@@ -93,7 +93,7 @@
 
 func (c *Cluster) publishList() {
 	ginkgo.GinkgoHelper()
-	hosts := make([]platform.ListedHost, 0, len(c.listed))
+	hosts := make([]objectstore.ListedHost, 0, len(c.listed))
 	for _, host := range c.listed {
 		hosts = append(hosts, host)
 	}
