Forward routed requests on the users' platform: the whole path, thin

Cause: the users run bilberryslip on their platform, whose callers, workers and store speak protocols of their own.

Change: a second daemon, bilberryslip-edge, whose core knows no wire (internal/traffic, forward, fleet, upstream, quota, exchange, mirror, edge) and an adapter platform/ that translates. The server that stops without cutting a request and the supervisor tree of bilberryslipd moved into packages of their own, and serve both daemons.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 generate:
 	$(TOOL) buf generate
-	sha256sum api/v1/*.proto api/peer/v1/*.proto > api/SHA256SUMS
+	sha256sum api/v1/*.proto api/peer/v1/*.proto api/fleet/v1/*.proto > api/SHA256SUMS
 
 check-generated:
 	@sha256sum --quiet -c api/SHA256SUMS || { echo "the schema changed; run 'make generate' and commit"; exit 1; }
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -19,6 +19,7 @@
 	"bilberryslip.example/bilberryslip/internal/demand"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/httpserver"
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/lease"
 	"bilberryslip.example/bilberryslip/internal/membership"
@@ -28,6 +29,7 @@
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
 	"bilberryslip.example/bilberryslip/internal/settings"
 	"bilberryslip.example/bilberryslip/internal/shares"
+	"bilberryslip.example/bilberryslip/internal/supervise"
 )
 
 // host is one running entry host with all its parts.
@@ -50,7 +52,7 @@
 	book      *claims.Book
 	demand    *demand.Tracker
 	gateway   *gateway.Gateway
-	callers   *httpServer
+	callers   *httpserver.Server
 
 	ready *readiness
 	dump  *stateDump
@@ -184,15 +186,15 @@
 	}
 	h.callers = h.tlsServer("callers", h.sockets.callers, proveFirst(h.log, h.gateway.Handler()))
 	control := &selfControl{dump: h.dump, leave: h.leave}
-	h.tree = newTree([]branch{
-		{"platform", []suture.Service{h.log}},
-		{"peers", []suture.Service{h.members, h.server("peers", h.sockets.peers, h.peerHandler(secret, control))}},
-		{"endpoints", []suture.Service{h.endpoints}},
-		{"placement", []suture.Service{h.lease, h.owner, h.recorder}},
-		{"limits", []suture.Service{h.shares, h.book}},
-		{"gateway", []suture.Service{h.gateway, h.callers}},
-		{"admin", []suture.Service{h.tlsServer("operators", h.sockets.operators, h.adminHandler(control))}},
-		{"debug", []suture.Service{h.server("debug", h.sockets.debug, newDebugHandler(h.ready, h.metrics(), h.dump))}},
+	h.tree = supervise.NewTree("bilberryslipd", []supervise.Branch{
+		{Name: "platform", Services: []suture.Service{h.log}},
+		{Name: "peers", Services: []suture.Service{h.members, h.server("peers", h.sockets.peers, h.peerHandler(secret, control))}},
+		{Name: "endpoints", Services: []suture.Service{h.endpoints}},
+		{Name: "placement", Services: []suture.Service{h.lease, h.owner, h.recorder}},
+		{Name: "limits", Services: []suture.Service{h.shares, h.book}},
+		{Name: "gateway", Services: []suture.Service{h.gateway, h.callers}},
+		{Name: "admin", Services: []suture.Service{h.tlsServer("operators", h.sockets.operators, h.adminHandler(control))}},
+		{Name: "debug", Services: []suture.Service{h.server("debug", h.sockets.debug, newDebugHandler(h.ready, h.metrics(), h.dump))}},
 	}, h.ready.onEvent)
 	return nil
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -11,6 +11,7 @@
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/gateway"
+	"bilberryslip.example/bilberryslip/internal/httpserver"
 	"bilberryslip.example/bilberryslip/internal/placement/owner"
 	"bilberryslip.example/bilberryslip/internal/ratelimit"
 	"bilberryslip.example/bilberryslip/internal/shares"
@@ -64,7 +65,7 @@
 		FirstByte:        h.settings.Endpoints.FirstByteTimeout.Std(),
 		Between:          h.settings.Endpoints.ProgressTimeout.Std(),
 		ServiceFirstByte: h.settings.Endpoints.FirstByteTimeout.Std(),
-		StopAccepting:    func(ctx context.Context) { h.callers.stopAccepting(ctx) },
+		StopAccepting:    func(ctx context.Context) { h.callers.StopAccepting(ctx) },
 	})
 }
 
@@ -108,18 +109,18 @@
 }
 
 // server returns the service of a plain HTTP address.
-func (h *host) server(name string, listener net.Listener, handler http.Handler) *httpServer {
-	return &httpServer{name: name, listener: listener, handler: handler}
+func (h *host) server(name string, listener net.Listener, handler http.Handler) *httpserver.Server {
+	return httpserver.New(httpserver.Config{Name: name, Listener: listener, Handler: handler})
 }
 
 // tlsServer returns the service of an address that has TLS where the settings
 // name a certificate.
-func (h *host) tlsServer(name string, listener net.Listener, handler http.Handler) *httpServer {
-	server := h.server(name, listener, handler)
+func (h *host) tlsServer(name string, listener net.Listener, handler http.Handler) *httpserver.Server {
+	config := httpserver.Config{Name: name, Listener: listener, Handler: handler}
 	if files := h.settings.TLS; files.CertificateFile != "" {
-		server.tls = &certificate{certificateFile: files.CertificateFile, keyFile: files.KeyFile}
+		config.TLS = &httpserver.Certificate{CertificateFile: files.CertificateFile, KeyFile: files.KeyFile}
 	}
-	return server
+	return httpserver.New(config)
 }
 
 // forgetter frees what a dead host held, for operators.
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -19,7 +19,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Shutdown.Limit.Std())
 	defer cancel()
 	h.ready.leave()
-	h.callers.drain()
+	h.callers.Drain()
 	h.members.SetLeaving()
 	h.members.Round(ctx)
 	cut := h.gateway.Drain(ctx, h.settings.Shutdown.BalancerDelay.Std())
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,316 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/retry"
+	"bilberryslip.example/bilberryslip/internal/upstream"
+)
+
+// KindHost holds the entries by which hosts find each other.
+const KindHost objectstore.Kind = "bilberryslip-hosts"
+
+const (
+	// shortestInterval is the time between two rounds of reports in a small
+	// fleet; what organisations may use beyond their rates grows with it.
+	shortestInterval = 200 * time.Millisecond
+	// perPeer stretches the interval in large fleets, so that reports take a
+	// bounded part of a host's processor.
+	perPeer = 15 * time.Millisecond
+	// callTimeout bounds a call to a peer.
+	callTimeout = 600 * time.Millisecond
+	// registerPause and registerLongest pace the attempts to write this
+	// host's entry.
+	registerPause   = 100 * time.Millisecond
+	registerLongest = time.Second
+)
+
+// hostEntry is a host's entry in the store.
+type hostEntry struct {
+	// Address is IP:PORT of the host's peer service.
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Part takes part in the reports between hosts.
+type Part interface {
+	// Contribute adds to this host's own report.
+	Contribute(report *fleetv1.Report)
+	// Hear takes a peer's report. Joining tells that this process has just
+	// started.
+	Hear(report *fleetv1.Report, joining bool)
+	// Reach is told the part of the hosts in reach and the number of hosts
+	// that may be serving.
+	Reach(reach float64, hosts int)
+}
+
+// Config sets a Service.
+type Config struct {
+	Store objectstore.Store
+	// Host is this host's name, Incarnation that of this process.
+	Host, Incarnation string
+	// Address is IP:PORT of this host's peer service.
+	Address string
+	Parts   []Part
+	// Adapters answers requests for adapters; nil refuses them.
+	Adapters func(ctx context.Context, request *fleetv1.AdapterRequest) *fleetv1.AdapterResponse
+}
+
+// Service reports to the other hosts. It implements suture.Service,
+// mirror.Handler for KindHost, and the peer service.
+type Service struct {
+	config  Config
+	started time.Time
+	client  *http.Client
+
+	mu      sync.Mutex
+	roster  *roster
+	clients map[string]fleetv1.Fleet
+}
+
+var _ fleetv1.Fleet = (*Service)(nil)
+
+// New returns a service.
+func New(cfg Config) *Service {
+	transport := &http.Transport{DialContext: upstream.Dial, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	return &Service{
+		config: cfg, started: time.Now(), client: &http.Client{Transport: transport},
+		roster: newRoster(cfg.Host), clients: make(map[string]fleetv1.Fleet),
+	}
+}
+
+// AddPart adds a part; it must be called before Serve.
+func (s *Service) AddPart(p Part) { s.config.Parts = append(s.config.Parts, p) }
+
+// Handler serves the other hosts.
+func (s *Service) Handler() http.Handler { return fleetv1.NewFleetServer(s) }
+
+// String names the service in logs.
+func (s *Service) String() string { return "exchange" }
+
+// Serve registers this host and reports to the others until ctx ends.
+func (s *Service) Serve(ctx context.Context) error {
+	go s.register(ctx)
+	for {
+		s.round(ctx)
+		if !retry.Sleep(ctx, s.interval()) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Service) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(shortestInterval, perPeer*time.Duration(len(s.roster.peers)))
+}
+
+// register writes this host's entry, whatever an earlier process left there.
+func (s *Service) register(ctx context.Context) {
+	value, err := json.Marshal(hostEntry{Address: s.config.Address, Incarnation: s.config.Incarnation})
+	if err != nil {
+		logrus.WithError(err).Error("host entry not encoded")
+		return
+	}
+	pause := retry.NewBackOff(registerPause, registerLongest)
+	for {
+		err := s.writeEntry(ctx, value)
+		if err == nil {
+			return
+		}
+		logrus.WithError(err).Warn("host not registered; trying again")
+		if !retry.Sleep(ctx, pause.NextBackOff()) {
+			return
+		}
+	}
+}
+
+func (s *Service) writeEntry(ctx context.Context, value json.RawMessage) error {
+	store, writeID := s.config.Store, uuid.NewString()
+	_, err := store.Create(ctx, KindHost, s.config.Host, writeID, value)
+	var conflict *objectstore.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	if conflict.Current.WriteID == writeID {
+		return nil
+	}
+	_, err = store.Update(ctx, KindHost, s.config.Host, conflict.Current.Version, writeID, value)
+	return err
+}
+
+// Replace implements mirror.Handler.
+func (s *Service) Replace(listing objectstore.Listing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, item := range listing.Items {
+		s.list(item)
+	}
+}
+
+// Apply implements mirror.Handler.
+func (s *Service) Apply(event objectstore.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if event.Type == objectstore.EventDelete {
+		s.roster.unlist(event.Object.Name)
+		return
+	}
+	s.list(event.Object)
+}
+
+func (s *Service) list(object objectstore.Object) {
+	var entry hostEntry
+	if err := json.Unmarshal(object.Value, &entry); err != nil {
+		logrus.WithError(err).WithField("name", object.Name).Warn("host entry ignored; remove it in the store")
+		return
+	}
+	s.roster.list(time.Now(), object.Name, entry.Address, entry.Incarnation)
+}
+
+// round reports to all peers at once and waits for their answers.
+func (s *Service) round(ctx context.Context) {
+	now := time.Now()
+	s.mu.Lock()
+	peers := s.roster.addresses(now)
+	reach, known := s.roster.reach(now), s.roster.known(now)
+	s.mu.Unlock()
+	for _, part := range s.config.Parts {
+		part.Reach(reach, known)
+	}
+	if len(peers) == 0 {
+		return
+	}
+	report := s.report()
+	var wait sync.WaitGroup
+	for _, p := range peers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			s.reportTo(ctx, p, report)
+		}()
+	}
+	wait.Wait()
+}
+
+func (s *Service) report() *fleetv1.Report {
+	report := &fleetv1.Report{Host: s.config.Host, Incarnation: s.config.Incarnation}
+	for _, part := range s.config.Parts {
+		part.Contribute(report)
+	}
+	return report
+}
+
+func (s *Service) reportTo(ctx context.Context, p peer, report *fleetv1.Report) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := time.Now()
+	answer, err := s.peerClient(p.address).Exchange(ctx, report)
+	if err != nil {
+		logrus.WithError(err).WithField("peer", p.name).Debug("peer not reached")
+		return
+	}
+	s.hear(asked, answer)
+}
+
+func (s *Service) peerClient(address string) fleetv1.Fleet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.clients[address]
+	if !ok {
+		c = fleetv1.NewFleetProtobufClient("http://"+address, s.client)
+		s.clients[address] = c
+	}
+	return c
+}
+
+// joinTime is for how long a process counts as one that has just started.
+const joinTime = 2 * time.Second
+
+func (s *Service) hear(asked time.Time, report *fleetv1.Report) {
+	s.mu.Lock()
+	wasHeard := false
+	if before, ok := s.roster.peers[report.GetHost()]; ok {
+		wasHeard = asked.Sub(before.heard) < heardFor
+	}
+	p := s.roster.hear(asked, report)
+	s.mu.Unlock()
+	if p == nil {
+		return
+	}
+	if !wasHeard {
+		logrus.WithFields(logrus.Fields{"peer": p.name, "address": p.address}).Info("peer in reach")
+	}
+	joining := time.Since(s.started) < joinTime
+	for _, part := range s.config.Parts {
+		part.Hear(report, joining)
+	}
+}
+
+// Exchange implements fleetv1.Fleet.
+func (s *Service) Exchange(_ context.Context, report *fleetv1.Report) (*fleetv1.Report, error) {
+	s.hear(time.Now(), report)
+	return s.report(), nil
+}
+
+// RequestAdapter implements fleetv1.Fleet.
+func (s *Service) RequestAdapter(ctx context.Context, request *fleetv1.AdapterRequest) (*fleetv1.AdapterResponse, error) {
+	if s.config.Adapters == nil {
+		return &fleetv1.AdapterResponse{}, nil
+	}
+	return s.config.Adapters(ctx, request), nil
+}
+
+// AskLeader asks the holder of the placement lease for an adapter. It returns
+// an error where none is in reach.
+func (s *Service) AskLeader(ctx context.Context, request *fleetv1.AdapterRequest) (*fleetv1.AdapterResponse, error) {
+	s.mu.Lock()
+	leader := s.roster.leader(time.Now())
+	s.mu.Unlock()
+	if leader == nil {
+		return nil, errors.New("no holder of the placement lease is in reach; check the hosts' path to the store")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.peerClient(leader.address).RequestAdapter(ctx, request)
+}
+
+// LeaderHeard reports whether a peer says that it holds the placement lease.
+func (s *Service) LeaderHeard() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.leader(time.Now()) != nil
+}
+
+// Hosts returns how many hosts may be serving, this one included.
+func (s *Service) Hosts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.known(time.Now())
+}
+
+// DumpState returns the peers for the state dump.
+func (s *Service) DumpState() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	type state struct {
+		Name, Address string
+		HeardMS       int64
+	}
+	list := []state{}
+	for _, p := range s.roster.addresses(now) {
+		list = append(list, state{p.name, p.address, now.Sub(p.heard).Milliseconds()})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/exchange/roster.go
@@ -0,0 +1,135 @@
+// Package exchange keeps the hosts that forward routed requests in touch with
+// each other: who there is, what each has used of the organisations' rates,
+// what is asked for, and who places models.
+package exchange
+
+import (
+	"slices"
+	"time"
+
+	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+)
+
+const (
+	// heardFor is how long a host counts as in reach after its last report: a
+	// few intervals between reports.
+	heardFor = 1200 * time.Millisecond
+	// rememberedFor is how long a silent host still counts as one that may be
+	// serving out of reach.
+	rememberedFor = 15 * time.Second
+)
+
+// peer is another host.
+type peer struct {
+	name, address string
+	incarnation   string
+	// listed is when the host's entry was first seen.
+	listed time.Time
+	// heard is when its last report was sent, by this host's clock.
+	heard time.Time
+	// leader tells until when it holds the placement lease.
+	leader time.Time
+	report *fleetv1.Report
+}
+
+// roster is the other hosts. It is not safe for concurrent use.
+type roster struct {
+	self  string
+	peers map[string]*peer
+}
+
+func newRoster(self string) *roster { return &roster{self: self, peers: make(map[string]*peer)} }
+
+// list takes over a host's entry in the store.
+func (r *roster) list(now time.Time, name, address, incarnation string) {
+	if name == r.self {
+		return
+	}
+	p, ok := r.peers[name]
+	if !ok {
+		p = &peer{name: name, listed: now}
+		r.peers[name] = p
+	}
+	if p.incarnation != incarnation {
+		p.listed = now
+		p.report = nil
+	}
+	p.address, p.incarnation = address, incarnation
+}
+
+func (r *roster) unlist(name string) { delete(r.peers, name) }
+
+// hear takes a report that was asked for at the time given.
+func (r *roster) hear(asked time.Time, report *fleetv1.Report) *peer {
+	p, ok := r.peers[report.GetHost()]
+	if !ok {
+		return nil
+	}
+	p.incarnation = report.GetIncarnation()
+	if asked.After(p.heard) {
+		p.heard = asked
+		p.report = report
+		p.leader = asked.Add(time.Duration(report.GetLeaseMillis()) * time.Millisecond)
+	}
+	return p
+}
+
+// reach returns the part of the hosts that are heard, this one included.
+func (r *roster) reach(now time.Time) float64 {
+	heard, known := 1, 1
+	for _, p := range r.peers {
+		switch {
+		case now.Sub(p.heard) < heardFor:
+			heard++
+			known++
+		case now.Sub(p.lastSign()) < rememberedFor:
+			known++
+		}
+	}
+	return float64(heard) / float64(known)
+}
+
+func (p *peer) lastSign() time.Time {
+	if p.heard.After(p.listed) {
+		return p.heard
+	}
+	return p.listed
+}
+
+// known returns the number of hosts that may be serving, this one included.
+func (r *roster) known(now time.Time) int {
+	known := 1
+	for _, p := range r.peers {
+		if now.Sub(p.lastSign()) < rememberedFor {
+			known++
+		}
+	}
+	return known
+}
+
+// leader returns the peer that says it holds the placement lease, or nil.
+func (r *roster) leader(now time.Time) *peer {
+	for _, p := range r.peers {
+		if now.Before(p.leader) {
+			return p
+		}
+	}
+	return nil
+}
+
+// addresses returns the peers to report to, by name.
+func (r *roster) addresses(now time.Time) []peer {
+	var list []peer
+	for _, p := range r.peers {
+		if now.Sub(p.lastSign()) < rememberedFor {
+			list = append(list, *p)
+		}
+	}
+	slices.SortFunc(list, func(a, b peer) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/internal/forward/run.go
@@ -0,0 +1,368 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/traffic"
+	"bilberryslip.example/bilberryslip/internal/upstream"
+)
+
+const (
+	// answerGrace is how long after the caller's limit the endpoint's own
+	// answer is still awaited; it covers the way back.
+	answerGrace = 60 * time.Millisecond
+	// configurationPause is when to ask a host again that has no
+	// configuration; another host most likely has one.
+	configurationPause = 200 * time.Millisecond
+	// capacityPause is when to come back where no endpoint takes the request:
+	// about the time in which a batch frees a slot.
+	capacityPause = 300 * time.Millisecond
+	// loadPause is when to come back for a model that has to be loaded first.
+	loadPause = 1500 * time.Millisecond
+	// maxDials bounds the endpoints tried that could not be reached at all.
+	maxDials = 4
+	// maxPlainAnswer bounds an answer that is read whole before it is passed
+	// on.
+	maxPlainAnswer = 4 << 20
+)
+
+// errLimit is the end of the time that the caller waits.
+var errLimit = errors.New("the caller's time is over")
+
+// run is one call on its way.
+type run struct {
+	forwarder    *Forwarder
+	call         *Call
+	ctx          context.Context
+	writer       http.ResponseWriter
+	started      time.Time
+	version      int64
+	route        *traffic.Route
+	service      string
+	engine       bool
+	organisation *traffic.Organisation
+	// limit is when the caller stops waiting.
+	limit time.Time
+
+	tried []string
+	// sends counts the endpoints that the request was sent to, dials those
+	// that could not be reached.
+	sends, dials int
+	// mayHaveRun is set once an endpoint may have begun to work on it.
+	mayHaveRun bool
+	// begun is set once the caller has seen a part of the answer.
+	begun bool
+	// lastEvent is the last whole event that the caller got of a stream.
+	lastEvent string
+	// status is that of the answer passed on.
+	status     int
+	firstByte  time.Duration
+	lastReason fleet.Reason
+}
+
+// serve takes the call through rate, choice and sends.
+func (x *run) serve() error {
+	giveBack, failure := x.takeQuota()
+	if failure != nil {
+		return failure
+	}
+	defer func() {
+		if !x.mayHaveRun {
+			giveBack()
+		}
+	}()
+	x.noteDemand()
+	x.forwarder.firstSend(x.service)
+	for {
+		attempt, failure := x.choose()
+		if failure != nil {
+			return failure
+		}
+		verdict, err := x.send(attempt)
+		if verdict == verdictDone {
+			return nil
+		}
+		if x.again(verdict) {
+			continue
+		}
+		return x.giveUp(verdict, err)
+	}
+}
+
+// takeQuota charges the organisation and returns how to undo that.
+func (x *run) takeQuota() (func(), error) {
+	if x.organisation == nil || x.organisation.TokensPerSecond <= 0 {
+		return func() {}, nil
+	}
+	tokens := x.call.Tokens(x.organisation.PlainTokens)
+	quota := x.forwarder.config.Quota
+	if wait, ok := quota.Take(x.organisation.Name, tokens); !ok {
+		return nil, refuse(ReasonOverRate, wait)
+	}
+	return func() { quota.GiveBack(x.organisation.Name, tokens) }, nil
+}
+
+func (x *run) noteDemand() {
+	if holdings := x.forwarder.config.Holdings; holdings != nil && x.call.Model != "" {
+		holdings.Demand(x.service, x.call.Model, x.call.Adapter, x.call.PromptTokens+x.call.AnswerTokens)
+	}
+}
+
+func (x *run) work() fleet.Work {
+	return fleet.Work{
+		Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter,
+		Parts: x.call.Parts, PromptTokens: x.call.PromptTokens, Tried: x.tried,
+	}
+}
+
+// choose finds an endpoint, bringing an adapter to one where that is needed.
+func (x *run) choose() (*fleet.Attempt, error) {
+	attempt, reason := x.forwarder.config.Endpoints.Start(x.work())
+	if reason == fleet.ReasonAdapterNotHeld && x.forwarder.config.Holdings != nil {
+		if x.forwarder.config.Holdings.WaitAdapter(x.ctx, x.service, x.call.Model, x.call.Adapter) {
+			attempt, reason = x.forwarder.config.Endpoints.Start(x.work())
+		}
+	}
+	x.lastReason = reason
+	switch {
+	case reason == fleet.ReasonNone:
+		return attempt, nil
+	case x.begun:
+		return nil, ErrBroken
+	case x.mayHaveRun:
+		return nil, &Failure{Reason: ReasonEndpointFailed}
+	case reason == fleet.ReasonModelNotHeld || reason == fleet.ReasonAdapterNotHeld:
+		return nil, refuse(ReasonNotHeld, loadPause)
+	case reason == fleet.ReasonFull:
+		return nil, refuse(ReasonOverloaded, capacityPause)
+	default:
+		return nil, refuse(ReasonNoEndpoint, capacityPause)
+	}
+}
+
+// verdict is how a send ended.
+type verdict int
+
+const (
+	// verdictDone means that the answer was passed on.
+	verdictDone verdict = iota
+	// verdictNotSent means that the endpoint was not reached.
+	verdictNotSent
+	// verdictNotRun is the endpoint's word that it did not run the request.
+	verdictNotRun
+	// verdictUnknown means that the request may have run.
+	verdictUnknown
+	// verdictGone means that the caller went away or its time is over.
+	verdictGone
+)
+
+// send sends the request to one endpoint.
+func (x *run) send(attempt *fleet.Attempt) (verdict, error) {
+	x.tried = append(x.tried, attempt.Endpoint.ID)
+	codec := x.forwarder.config.Codec
+	message := upstream.Message{
+		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
+		Header: codec.Encode(x.call, x.order(attempt)), Body: x.call.Body, Fresh: !x.route.MayRepeat(),
+	}
+	belongs := func(header http.Header) bool { return codec.Belongs(x.call, header) }
+	exchange, err := x.forwarder.config.Upstream.Send(x.ctx, attempt.Endpoint.Address, message, belongs)
+	if err != nil {
+		return x.sendFailed(attempt, err)
+	}
+	defer exchange.Close()
+	x.sends++
+	return x.take(attempt, exchange)
+}
+
+func (x *run) order(attempt *fleet.Attempt) Send {
+	send := Send{
+		Endpoint:    attempt.Endpoint.ID,
+		Remaining:   x.limit.Sub(x.forwarder.config.Clock()),
+		Rank:        x.rank(),
+		ResumeAfter: x.resumeAfter(),
+		Engine:      x.engine,
+	}
+	if x.organisation != nil {
+		send.Organisation = x.organisation.Name
+	}
+	return send
+}
+
+func (x *run) resumeAfter() string {
+	if x.lastEvent != "" {
+		return x.lastEvent
+	}
+	return x.call.ResumeAfter
+}
+
+func (x *run) sendFailed(attempt *fleet.Attempt, err error) (verdict, error) {
+	var notSent *upstream.NotSentError
+	unsent := errors.As(err, &notSent)
+	if !unsent {
+		x.sends++
+		x.mayHaveRun = true
+	}
+	if x.ctx.Err() != nil {
+		attempt.Finish(endpoint.OutcomeCancelled)
+		return verdictGone, err
+	}
+	attempt.Finish(endpoint.OutcomeFailed)
+	x.forwarder.config.Upstream.Forget(attempt.Endpoint.Address)
+	x.logSend(attempt, "endpoint failed", err)
+	if unsent {
+		x.dials++
+		return verdictNotSent, err
+	}
+	return verdictUnknown, err
+}
+
+// take reads the header of an answer and passes the answer on.
+func (x *run) take(attempt *fleet.Attempt, exchange *upstream.Exchange) (verdict, error) {
+	reply := x.forwarder.config.Codec.Decode(exchange.Response)
+	if reply.Load != nil {
+		attempt.Reported(*reply.Load)
+	}
+	if reply.NotRun {
+		return x.refused(attempt, exchange, reply)
+	}
+	x.mayHaveRun = true
+	attempt.Begun()
+	if reply.Encoded || exchange.Response.StatusCode < http.StatusMultipleChoices && !reply.Signed {
+		attempt.Finish(endpoint.OutcomeFailed)
+		err := errors.Newf("answer with status %d is not the endpoint's own", exchange.Response.StatusCode)
+		x.logSend(attempt, "answer discarded", err)
+		return verdictUnknown, err
+	}
+	if x.route.Kind == traffic.Streaming && exchange.Response.StatusCode == http.StatusOK {
+		return x.relayStream(attempt, exchange)
+	}
+	return x.relayWhole(attempt, exchange)
+}
+
+// refused takes account of an endpoint that did not run the request.
+func (x *run) refused(attempt *fleet.Attempt, exchange *upstream.Exchange, reply Reply) (verdict, error) {
+	outcome := endpoint.OutcomeCancelled // a full endpoint is not a failing one
+	if reply.WrongEndpoint {
+		x.forwarder.config.Endpoints.Learn(attempt.Endpoint.ID, x.call.Model, x.call.Adapter, false)
+		outcome = endpoint.OutcomeFailed
+	}
+	attempt.Finish(outcome)
+	err := errors.Newf("endpoint %s did not run it, status %d", attempt.Endpoint.ID, exchange.Response.StatusCode)
+	x.logSend(attempt, "endpoint refused", err)
+	return verdictNotRun, err
+}
+
+// again decides whether the request is sent once more.
+func (x *run) again(v verdict) bool {
+	switch v {
+	case verdictNotSent:
+		return x.dials < maxDials && x.ctx.Err() == nil
+	case verdictNotRun:
+	case verdictUnknown:
+		if !x.route.MayRepeat() {
+			return false
+		}
+	default:
+		return false
+	}
+	if x.sends >= x.route.MaxAttempts || x.ctx.Err() != nil {
+		return false
+	}
+	if !x.forwarder.retryAllowed(x.service) {
+		x.log().Info("no send left in the retry budget")
+		return false
+	}
+	x.forwarder.metrics.retries.WithLabelValues(x.service).Inc()
+	return true
+}
+
+// giveUp returns the final answer after the last send.
+func (x *run) giveUp(v verdict, err error) error {
+	switch {
+	case x.begun:
+		return ErrBroken
+	case v == verdictGone && errors.Is(context.Cause(x.ctx), errLimit):
+		return &Failure{Reason: ReasonTimeout, NotRun: !x.mayHaveRun, Cause: err}
+	case v == verdictGone:
+		return &Failure{Reason: ReasonCallerGone, NotRun: !x.mayHaveRun, Cause: err}
+	case x.mayHaveRun:
+		return &Failure{Reason: ReasonEndpointFailed, Cause: err}
+	case v == verdictNotSent:
+		return &Failure{Reason: ReasonNoEndpoint, NotRun: true, RetryAfter: capacityPause, Cause: err}
+	default:
+		return &Failure{Reason: ReasonOverloaded, NotRun: true, RetryAfter: capacityPause, Cause: err}
+	}
+}
+
+// The ranks of engines: 0 to 9, where 5 is the default.
+const maxRank = 9
+
+// rank orders requests in an engine by their organisation's priority or their
+// route's, and then by how soon they are due.
+func (x *run) rank() int {
+	const (
+		perPriority = 3
+		// leisurely objectives rank behind others of their priority.
+		leisurely = 2 * time.Second
+	)
+	priority := x.route.Priority
+	if x.organisation != nil && x.organisation.Priority != nil {
+		priority = *x.organisation.Priority
+	}
+	rank := perPriority * priority
+	if x.route.Objective > leisurely {
+		rank++
+	}
+	return min(rank, maxRank)
+}
+
+func (x *run) log() *logrus.Entry {
+	return logrus.WithFields(logrus.Fields{"request": x.call.ID, "service": x.service})
+}
+
+func (x *run) logSend(attempt *fleet.Attempt, event string, err error) {
+	x.log().WithError(err).WithFields(logrus.Fields{
+		"endpoint": attempt.Endpoint.ID, "address": attempt.Endpoint.Address, "send": x.sends,
+	}).Info(event)
+}
+
+// finish logs and counts the end of the call.
+func (x *run) finish(err error) {
+	elapsed := x.forwarder.config.Clock().Sub(x.started)
+	fields := logrus.Fields{
+		"request": x.call.ID, "config": x.version, "service": x.service, "model": x.call.Model, "adapter": x.call.Adapter,
+		"sends": x.sends, "duration_ms": elapsed.Milliseconds(), "first_byte_ms": x.firstByte.Milliseconds(),
+	}
+	if x.route != nil {
+		fields["route"] = x.route.Name
+	}
+	if x.organisation != nil {
+		fields["organisation"] = x.organisation.Name
+	}
+	if len(x.tried) > 0 {
+		fields["endpoint"] = x.tried[len(x.tried)-1]
+	}
+	outcome := "served"
+	var failure *Failure
+	switch {
+	case errors.As(err, &failure):
+		outcome = string(failure.Reason)
+		fields["not_run"] = failure.NotRun
+		fields["choice"] = x.lastReason
+		fields["retry_after_ms"] = failure.RetryAfter.Milliseconds()
+	case err != nil:
+		outcome = "broken"
+	default:
+		fields["status"] = x.status
+	}
+	fields["outcome"] = outcome
+	x.forwarder.metrics.finished(x.service, outcome, elapsed, x.firstByte)
+	logrus.WithFields(fields).Info("request ended")
+}
--- a/internal/daemon/server.go
+++ b/internal/httpserver/server.go
@@ -1,4 +1,5 @@
-package daemon
+// Package httpserver serves one address and stops without cutting a request.
+package httpserver
 
 import (
 	"context"
@@ -28,14 +29,26 @@
 	idlePollInterval = 10 * time.Millisecond
 )
 
-// httpServer serves one address.
-type httpServer struct {
-	name string
-	// listener is open before the first start and nil afterwards.
+// Config sets a Server.
+type Config struct {
+	// Name is used in logs.
+	Name string
+	// Listener is open before the first start.
+	Listener net.Listener
+	Handler  http.Handler
+	// TLS is nil for plain HTTP.
+	TLS *Certificate
+	// Idle returns how long a connection without request is kept. Nil means
+	// 2 min.
+	Idle func() time.Duration
+}
+
+// Server serves one address. It implements suture.Service.
+type Server struct {
+	config Config
+	// listener is nil after the first start.
 	listener net.Listener
 	address  string
-	handler  http.Handler
-	tls      *certificate
 
 	// draining is set once the server is to stop.
 	draining atomic.Bool
@@ -47,25 +60,32 @@
 	open net.Listener
 	// busy holds the connections that may carry a request.
 	busy map[net.Conn]http.ConnState
+	// idle holds the timers that close connections without request.
+	idle map[net.Conn]*time.Timer
 }
 
-// certificate names a certificate and its key.
-type certificate struct {
-	certificateFile, keyFile string
+// New returns a server; Serve runs it.
+func New(config Config) *Server { return &Server{config: config, listener: config.Listener} }
+
+// Certificate names the files of a certificate and its key.
+type Certificate struct {
+	CertificateFile, KeyFile string
 }
 
 // String implements fmt.Stringer, which the supervisor uses in logs.
-func (s *httpServer) String() string { return "http-" + s.name }
+func (s *Server) String() string { return "http-" + s.config.Name }
 
 // Serve implements suture.Service.
-func (s *httpServer) Serve(ctx context.Context) error {
+func (s *Server) Serve(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           s.closing(s.handler),
+		Handler:           s.closing(s.config.Handler),
 		ConnState:         s.track,
 		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	if s.config.Idle == nil {
+		server.IdleTimeout = idleTimeout
+	}
 	s.mu.Lock()
 	s.server = server
 	s.mu.Unlock()
@@ -83,15 +103,15 @@
 		<-stopped
 		return ctx.Err()
 	}
-	return errors.Wrapf(err, "serve %s", s.name)
+	return errors.Wrapf(err, "serve %s", s.config.Name)
 }
 
-// drain makes each connection close after its next answer, so that callers do
+// Drain makes each connection close after its next answer, so that callers do
 // not send on one that is about to be closed.
-func (s *httpServer) drain() { s.draining.Store(true) }
+func (s *Server) Drain() { s.draining.Store(true) }
 
 // closing adds to the answers of a draining server that the connection closes.
-func (s *httpServer) closing(next http.Handler) http.Handler {
+func (s *Server) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
@@ -101,9 +121,10 @@
 }
 
 // track follows which connections may carry a request.
-func (s *httpServer) track(conn net.Conn, state http.ConnState) {
+func (s *Server) track(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.timeIdle(conn, state)
 	if state == http.StateNew || state == http.StateActive {
 		s.busy[conn] = state
 		return
@@ -111,11 +132,24 @@
 	delete(s.busy, conn)
 }
 
-// stopAccepting closes the listener for good and waits until no connection
+// timeIdle closes a connection that stays without request for too long. The
+// limit is asked each time, since configurations change it. It must be called
+// with the mutex held.
+func (s *Server) timeIdle(conn net.Conn, state http.ConnState) {
+	if timer, ok := s.idle[conn]; ok {
+		timer.Stop()
+		delete(s.idle, conn)
+	}
+	if state == http.StateIdle && s.config.Idle != nil {
+		s.idle[conn] = time.AfterFunc(s.config.Idle(), func() { _ = conn.Close() })
+	}
+}
+
+// StopAccepting closes the listener for good and waits until no connection
 // carries a request or ctx ends. http.Server.Shutdown comes last: it drops
 // requests whose headers arrive while it runs.
-func (s *httpServer) stopAccepting(ctx context.Context) {
-	s.drain()
+func (s *Server) StopAccepting(ctx context.Context) {
+	s.Drain()
 	s.mu.Lock()
 	server, listener := s.server, s.open
 	s.mu.Unlock()
@@ -131,7 +165,7 @@
 
 // mayCarryRequest reports whether a connection is active, or, where it counts
 // new ones too, has not sent anything yet.
-func (s *httpServer) mayCarryRequest(countNew bool) bool {
+func (s *Server) mayCarryRequest(countNew bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, state := range s.busy {
@@ -142,7 +176,7 @@
 	return false
 }
 
-func (s *httpServer) serve(server *http.Server) error {
+func (s *Server) serve(server *http.Server) error {
 	listener, err := s.takeListener()
 	if err != nil {
 		return err
@@ -150,16 +184,17 @@
 	s.mu.Lock()
 	s.open = listener
 	s.busy = make(map[net.Conn]http.ConnState)
+	s.idle = make(map[net.Conn]*time.Timer)
 	s.mu.Unlock()
-	if s.tls == nil {
+	if s.config.TLS == nil {
 		return server.Serve(listener)
 	}
-	return server.ServeTLS(listener, s.tls.certificateFile, s.tls.keyFile)
+	return server.ServeTLS(listener, s.config.TLS.CertificateFile, s.config.TLS.KeyFile)
 }
 
 // takeListener returns the open listener at the first start, and opens the
 // same address again at a restart.
-func (s *httpServer) takeListener() (net.Listener, error) {
+func (s *Server) takeListener() (net.Listener, error) {
 	if listener := s.listener; listener != nil {
 		s.address = listener.Addr().String()
 		s.listener = nil
--- a/internal/daemon/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -1,4 +1,4 @@
-package daemon
+package httpserver
 
 import (
 	"bufio"
@@ -27,9 +27,9 @@
 		t.Fatal(err)
 	}
 	address := listener.Addr().String()
-	server := &httpServer{name: "test", listener: listener, handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := New(Config{Name: "test", Listener: listener, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "whole")
-	})}
+	})})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = server.Serve(ctx) }()
@@ -42,7 +42,7 @@
 		t.Fatal(err)
 	}
 	waitFor(t, "the connection is accepted", func() bool { return server.mayCarryRequest(true) })
-	go server.stopAccepting(ctx)
+	go server.StopAccepting(ctx)
 	waitFor(t, "the listener is closed", func() bool {
 		other, err := net.Dial("tcp", address)
 		if err == nil {
--- /dev/null
+++ b/internal/quota/service.go
@@ -0,0 +1,81 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/traffic"
+)
+
+// Service is a Limiter in touch with the other hosts. It is safe for
+// concurrent use and implements forward.Quota and exchange.Part.
+type Service struct {
+	mu      sync.Mutex
+	limiter *Limiter
+}
+
+// NewService returns a service without policies. Full buckets are for the
+// first start of a whole fleet.
+func NewService(full bool) *Service { return &Service{limiter: NewLimiter(full)} }
+
+// Configure takes over the policies of a configuration.
+func (s *Service) Configure(config *traffic.Config) {
+	policies := make(map[string]Policy)
+	for _, organisation := range config.Organisations() {
+		if organisation.TokensPerSecond > 0 {
+			policies[organisation.Name] = Policy{Rate: organisation.TokensPerSecond, Burst: organisation.Burst}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.SetPolicies(time.Now(), policies)
+}
+
+// Take implements forward.Quota.
+func (s *Service) Take(organisation string, tokens float64) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limiter.Take(time.Now(), organisation, tokens)
+}
+
+// GiveBack implements forward.Quota.
+func (s *Service) GiveBack(organisation string, tokens float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.GiveBack(organisation, tokens)
+}
+
+// Contribute implements exchange.Part.
+func (s *Service) Contribute(report *fleetv1.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, u := range s.limiter.Usage(time.Now()) {
+		report.Usage = append(report.Usage, &fleetv1.Usage{Organisation: name, Tokens: u.Taken, Level: u.Level})
+	}
+}
+
+// Hear implements exchange.Part.
+func (s *Service) Hear(report *fleetv1.Report, joining bool) {
+	usage := make(map[string]Usage, len(report.GetUsage()))
+	for _, u := range report.GetUsage() {
+		usage[u.GetOrganisation()] = Usage{Taken: u.GetTokens(), Level: u.GetLevel()}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.Heard(time.Now(), report.GetHost()+"/"+report.GetIncarnation(), usage, joining)
+}
+
+// Reach implements exchange.Part.
+func (s *Service) Reach(reach float64, _ int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.SetReach(time.Now(), reach)
+}
+
+// DumpState returns the buckets for the state dump.
+func (s *Service) DumpState() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limiter.Usage(time.Now())
+}
--- /dev/null
+++ b/internal/settings/edge.go
@@ -0,0 +1,130 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Edge is the whole settings file of a bilberryslip-edge process.
+type Edge struct {
+	Host   Host       `json:"host"`
+	Listen EdgeListen `json:"listen"`
+	Store  EdgeStore  `json:"store"`
+	Log    Log        `json:"log"`
+	// MemoryMB is what the process may use.
+	MemoryMB int    `json:"memory_mb"`
+	Bounds   Bounds `json:"bounds"`
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool `json:"first_start"`
+}
+
+// EdgeListen holds the addresses, IP:PORT, that the process listens on.
+type EdgeListen struct {
+	Callers string `json:"callers"`
+	// Readiness is asked by the balancer.
+	Readiness string `json:"readiness"`
+	Peers     string `json:"peers"`
+	// Metrics serves metrics and the state dump.
+	Metrics string `json:"metrics"`
+}
+
+// EdgeStore says how to reach the store.
+type EdgeStore struct {
+	// Address is IP:PORT.
+	Address string `json:"address"`
+}
+
+// Bounds are what the deployment demands of the system.
+type Bounds struct {
+	// Grace is how long after it is told to stop the process may run.
+	Grace Duration `json:"grace"`
+	// RetryRatio and RetryReserve bound the sends beyond each request's first
+	// in RetryWindow, over all hosts.
+	RetryRatio   float64  `json:"retry_ratio"`
+	RetryReserve float64  `json:"retry_reserve"`
+	RetryWindow  Duration `json:"retry_window"`
+	// Lease is how long after one holder's orders another's may follow.
+	Lease Duration `json:"lease"`
+	// LoadWindow and LoadOverage bound the loads from the weight store.
+	LoadWindow  Duration `json:"load_window"`
+	LoadOverage float64  `json:"load_overage"`
+}
+
+// LoadEdge reads and checks a settings file. Its error is *InvalidError.
+func LoadEdge(path string) (Edge, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Edge{}, &InvalidError{Faults: []Fault{{Path: path, Problem: err.Error(), Remedy: "name a readable settings file"}}}
+	}
+	return ParseEdge(data)
+}
+
+// ParseEdge reads and checks settings in JSON. Its error is *InvalidError.
+func ParseEdge(data []byte) (Edge, error) {
+	e := defaultEdge()
+	p := &parser{}
+	p.object("", data, reflect.ValueOf(&e).Elem())
+	faults := p.faults
+	if !p.broken {
+		faults = append(faults, e.validate(p.failed)...)
+	}
+	if len(faults) > 0 {
+		return Edge{}, &InvalidError{Faults: faults}
+	}
+	return e, nil
+}
+
+func defaultEdge() Edge {
+	return Edge{
+		Log:      Log{Level: "info"},
+		MemoryMB: 256,
+		Bounds: Bounds{
+			Grace: Duration(8 * time.Second), RetryRatio: 0.2, RetryReserve: 50, RetryWindow: Duration(10 * time.Second),
+			Lease: Duration(3 * time.Second), LoadWindow: Duration(5 * time.Second), LoadOverage: 1,
+		},
+	}
+}
+
+// validate checks ranges and forms.
+func (e *Edge) validate(skip func(path string) bool) []Fault {
+	c := &checker{skip: skip}
+	c.name("host.name", e.Host.Name)
+	c.name("host.zone", e.Host.Zone)
+	c.address("listen.callers", e.Listen.Callers)
+	c.address("listen.readiness", e.Listen.Readiness)
+	c.address("listen.peers", e.Listen.Peers)
+	c.address("listen.metrics", e.Listen.Metrics)
+	c.address("store.address", e.Store.Address)
+	if _, err := logrus.ParseLevel(e.Log.Level); err != nil {
+		c.fault("log.level", fmt.Sprintf("%q is not a level", e.Log.Level), "write error, warning, info or debug")
+	}
+	const least = 32
+	if e.MemoryMB < least {
+		c.fault("memory_mb", "too small", fmt.Sprintf("give at least %d", least))
+	}
+	e.Bounds.validate(c)
+	return c.faults
+}
+
+func (b *Bounds) validate(c *checker) {
+	for _, d := range []struct {
+		path  string
+		value Duration
+	}{
+		{"bounds.grace", b.Grace},
+		{"bounds.retry_window", b.RetryWindow},
+		{"bounds.lease", b.Lease},
+		{"bounds.load_window", b.LoadWindow},
+	} {
+		if d.value <= 0 {
+			c.fault(d.path, "not positive", `write a duration such as "3s"`)
+		}
+	}
+	if b.RetryRatio < 0 || b.RetryReserve < 0 || b.LoadOverage <= 0 {
+		c.fault("bounds", "a ratio is negative or zero", "write the deployment's figures")
+	}
+}
--- a/internal/daemon/tree.go
+++ b/internal/supervise/supervise.go
@@ -1,4 +1,5 @@
-package daemon
+// Package supervise builds the supervisor tree of a daemon.
+package supervise
 
 import (
 	"time"
@@ -15,14 +16,14 @@
 	serviceStopTimeout  = 3 * time.Second
 )
 
-// branch is one restartable part of the daemon.
-type branch struct {
-	name     string
-	services []suture.Service
+// Branch is one restartable part of a daemon.
+type Branch struct {
+	Name     string
+	Services []suture.Service
 }
 
-// newTree returns the root supervisor with one supervisor for each branch.
-func newTree(branches []branch, onEvent suture.EventHook) *suture.Supervisor {
+// NewTree returns the root supervisor with one supervisor for each branch.
+func NewTree(name string, branches []Branch, onEvent suture.EventHook) *suture.Supervisor {
 	spec := suture.Spec{
 		EventHook:         onEvent,
 		FailureThreshold:  failureThreshold,
@@ -31,10 +32,10 @@
 		Timeout:           serviceStopTimeout,
 		PassThroughPanics: false,
 	}
-	root := suture.New("bilberryslipd", spec)
+	root := suture.New(name, spec)
 	for _, b := range branches {
-		supervisor := suture.New(b.name, spec)
-		for _, service := range b.services {
+		supervisor := suture.New(b.Name, spec)
+		for _, service := range b.Services {
 			supervisor.Add(service)
 		}
 		root.Add(supervisor)
