Place models and adapters by order of one holder

Change: internal/orders plans by demand and orders through the holder of one placement lease; hosts ask it for adapters.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,13 +20,16 @@
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
+	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/exchange"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/forward"
 	"bilberryslip.example/bilberryslip/internal/httpserver"
+	"bilberryslip.example/bilberryslip/internal/lease"
 	"bilberryslip.example/bilberryslip/internal/logsink"
 	"bilberryslip.example/bilberryslip/internal/mirror"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/orders"
 	"bilberryslip.example/bilberryslip/internal/quota"
 	"bilberryslip.example/bilberryslip/internal/routing"
 	"bilberryslip.example/bilberryslip/internal/settings"
@@ -58,6 +61,8 @@
 	Configuration(onChange ConfigHook) (forward.Source, *mirror.Mirror)
 	// Endpoints returns what feeds the registry.
 	Endpoints(registry *fleet.Registry) *mirror.Mirror
+	// Engines returns what gives orders to engines over the pool.
+	Engines(pool *upstream.Pool) orders.Engines
 	Callers(forwarder *forward.Forwarder) http.Handler
 	Readiness(ready func() bool) http.Handler
 }
@@ -73,6 +78,8 @@
 	endpoints *fleet.Registry
 	quota     *quota.Service
 	exchange  *exchange.Service
+	lease     *lease.Lease
+	orders    *orders.Service
 	forwarder *forward.Forwarder
 	callers   *httpserver.Server
 	tree      *suture.Supervisor
@@ -113,9 +120,11 @@
 		Store: h.adapter.Store(), Host: s.Host.Name, Incarnation: incarnation, Address: s.Listen.Peers,
 	})
 	h.exchange.AddPart(h.quota)
+	pool := upstream.NewPool()
+	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
-		Source: source, Endpoints: h.endpoints, Upstream: upstream.NewPool(), Codec: h.adapter.Codec(),
-		Quota: h.quota, Retry: h.retryBudget(),
+		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
+		Quota: h.quota, Holdings: h.orders, Retry: h.retryBudget(),
 	})
 	branches := []supervise.Branch{
 		{Name: "store", Services: []suture.Service{
@@ -128,11 +137,36 @@
 	}
 	branches = append(branches,
 		supervise.Branch{Name: "peers", Services: []suture.Service{h.exchange}},
+		supervise.Branch{Name: "placement", Services: []suture.Service{h.lease, h.orders}},
 		supervise.Branch{Name: "listeners", Services: servers})
 	h.tree = supervise.NewTree("bilberryslip-edge", branches, logEvent)
 	return nil
 }
 
+// placementLease is the lease whose holder gives all orders to engines. One
+// for the whole fleet: a holder is one host, and engines refuse turns.
+const placementLease = "placement"
+
+// renewals is how often a lease is renewed within its duration.
+const renewals = 3
+
+func (h *host) buildOrders(pool *upstream.Pool) {
+	s := h.settings
+	duration := s.Bounds.Lease.Std()
+	h.lease = lease.New(lease.Config{
+		// A host that restarts is the same holder as before.
+		Store: h.adapter.Store(), Name: placementLease, Host: s.Host.Name, Incarnation: s.Host.Name,
+		Duration: duration, Renewal: duration / renewals, Now: clock.Boot, Quiet: h.exchange.LeaderHeard,
+	})
+	h.orders = orders.New(orders.Config{
+		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
+		Lease: h.lease, Peers: h.exchange, LeaseTime: duration,
+		LoadWindow: s.Bounds.LoadWindow.Std(), LoadOverage: s.Bounds.LoadOverage,
+	})
+	h.exchange.AddPart(h.orders)
+	h.exchange.ServeAdapters(h.orders.PlaceAdapter)
+}
+
 // retryBudget returns this host's part of the fleet's budget.
 func (h *host) retryBudget() routing.RetryBudgetConfig {
 	// hostsAssumed divides the reserve; few of the hosts need theirs at once.
@@ -186,6 +220,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
 	registry.MustRegister(h.forwarder.Collectors()...)
+	registry.MustRegister(h.orders.Collectors()...)
 	return registry
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -17,6 +17,8 @@
 			"endpoints": h.endpoints.DumpState(),
 			"peers":     h.exchange.DumpState(),
 			"quota":     h.quota.DumpState(),
+			"lease":     h.lease.DumpState(),
+			"orders":    h.orders.DumpState(),
 		})
 	})
 	return e
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -61,9 +61,6 @@
 	Host, Incarnation string
 	// Address is IP:PORT of this host's peer service.
 	Address string
-	Parts   []Part
-	// Adapters answers requests for adapters; nil refuses them.
-	Adapters func(ctx context.Context, request *fleetv1.AdapterRequest) *fleetv1.AdapterResponse
 }
 
 // Service reports to the other hosts. It implements suture.Service,
@@ -72,6 +69,9 @@
 	config  Config
 	started time.Time
 	client  *http.Client
+	parts   []Part
+	// adapters answers requests for adapters; nil refuses them.
+	adapters func(ctx context.Context, request *fleetv1.AdapterRequest) *fleetv1.AdapterResponse
 
 	mu      sync.Mutex
 	roster  *roster
@@ -90,7 +90,13 @@
 }
 
 // AddPart adds a part; it must be called before Serve.
-func (s *Service) AddPart(p Part) { s.config.Parts = append(s.config.Parts, p) }
+func (s *Service) AddPart(p Part) { s.parts = append(s.parts, p) }
+
+// ServeAdapters sets what answers requests for adapters; it must be called
+// before Serve.
+func (s *Service) ServeAdapters(answer func(context.Context, *fleetv1.AdapterRequest) *fleetv1.AdapterResponse) {
+	s.adapters = answer
+}
 
 // Handler serves the other hosts.
 func (s *Service) Handler() http.Handler { return fleetv1.NewFleetServer(s) }
@@ -185,7 +191,7 @@
 	peers := s.roster.addresses(now)
 	reach, known := s.roster.reach(now), s.roster.known(now)
 	s.mu.Unlock()
-	for _, part := range s.config.Parts {
+	for _, part := range s.parts {
 		part.Reach(reach, known)
 	}
 	if len(peers) == 0 {
@@ -205,7 +211,7 @@
 
 func (s *Service) report() *fleetv1.Report {
 	report := &fleetv1.Report{Host: s.config.Host, Incarnation: s.config.Incarnation}
-	for _, part := range s.config.Parts {
+	for _, part := range s.parts {
 		part.Contribute(report)
 	}
 	return report
@@ -252,7 +258,7 @@
 		logrus.WithFields(logrus.Fields{"peer": p.name, "address": p.address}).Info("peer in reach")
 	}
 	joining := time.Since(s.started) < joinTime
-	for _, part := range s.config.Parts {
+	for _, part := range s.parts {
 		part.Hear(report, joining)
 	}
 }
@@ -265,10 +271,10 @@
 
 // RequestAdapter implements fleetv1.Fleet.
 func (s *Service) RequestAdapter(ctx context.Context, request *fleetv1.AdapterRequest) (*fleetv1.AdapterResponse, error) {
-	if s.config.Adapters == nil {
+	if s.adapters == nil {
 		return &fleetv1.AdapterResponse{}, nil
 	}
-	return s.config.Adapters(ctx, request), nil
+	return s.adapters(ctx, request), nil
 }
 
 // AskLeader asks the holder of the placement lease for an adapter. It returns
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -22,8 +22,6 @@
 	Leaving bool
 	// Models are the models held, each with its adapters.
 	Models map[string]Adapters
-	// Orders is how many orders the endpoint has accepted since its start.
-	Orders int64
 }
 
 // Adapters is a set of adapter names.
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -38,6 +38,9 @@
 	Renewal time.Duration
 	// Now is the clock. Nil means time.Now.
 	Now func() time.Time
+	// Quiet, if set, reports that another holder is known to be well; the
+	// lease is not read then, which saves calls to the store.
+	Quiet func() bool
 }
 
 // Holding tells whether this candidate holds the lease.
@@ -47,6 +50,11 @@
 	Term int64
 	// Holder is the host that was last read to hold it.
 	Holder string
+	// Version is that of the stored lease as last read. It grows with each
+	// change of holder and each renewal.
+	Version objectstore.Version
+	// Until is up to when the lease is held; zero where it is not.
+	Until time.Time
 }
 
 // Lease is a candidate for a lease. The zero value is not usable; call New.
@@ -82,11 +90,16 @@
 func (l *Lease) Holding() Holding {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Holding{
-		Held:   l.view.held(l.self, l.cfg.Now(), l.cfg.Duration),
-		Term:   l.view.value.Term,
-		Holder: l.view.value.Holder,
+	holding := Holding{
+		Held:    l.view.held(l.self, l.cfg.Now(), l.cfg.Duration),
+		Term:    l.view.value.Term,
+		Holder:  l.view.value.Holder,
+		Version: l.view.object.Version,
 	}
+	if holding.Held {
+		holding.Until = l.view.validFrom.Add(l.cfg.Duration)
+	}
+	return holding
 }
 
 // RaiseTerm makes the candidate's next write of the lease use at least the term
@@ -125,6 +138,9 @@
 // Step reads the lease, and takes or renews it where that is due.
 func (l *Lease) Step(ctx context.Context) error {
 	if !l.mineByView() {
+		if l.cfg.Quiet != nil && l.cfg.Quiet() {
+			return nil
+		}
 		if err := l.read(ctx); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/orders/adapters.go
@@ -0,0 +1,186 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/retry"
+	"bilberryslip.example/bilberryslip/internal/traffic"
+)
+
+const (
+	// adapterTime is how long an adapter takes to an engine after the order;
+	// requests sent earlier are refused.
+	adapterTime = 25 * time.Millisecond
+	// adapterWait bounds the wait for an adapter; later the caller is better
+	// served by coming back.
+	adapterWait = 400 * time.Millisecond
+	// adapterRest is how long an adapter stays after its last request before
+	// another may take its place.
+	adapterRest = 1500 * time.Millisecond
+)
+
+// WaitAdapter implements forward.Holdings. Requests for the same adapter wait
+// for one order.
+func (s *Service) WaitAdapter(ctx context.Context, service, model, adapter string) bool {
+	of := subject{service, model, adapter}
+	ctx, cancel := context.WithTimeout(ctx, adapterWait)
+	defer cancel()
+	s.mu.Lock()
+	done, running := s.waiting[of]
+	if !running {
+		done = make(chan struct{})
+		s.waiting[of] = done
+		go s.fetch(of, done)
+	}
+	s.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fetch brings an adapter to an engine and tells those that wait.
+func (s *Service) fetch(of subject, done chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), adapterWait)
+	defer cancel()
+	request := &fleetv1.AdapterRequest{Service: of.service, Model: of.model, Adapter: of.adapter}
+	var answer *fleetv1.AdapterResponse
+	var err error
+	if s.mayOrder() {
+		answer = s.PlaceAdapter(ctx, request)
+	} else {
+		answer, err = s.config.Peers.AskLeader(ctx, request)
+	}
+	switch {
+	case err != nil:
+		logrus.WithError(err).WithFields(logrus.Fields{"model": of.model, "adapter": of.adapter}).Info("adapter not had")
+	case answer.GetEndpoint() != "":
+		retry.Sleep(ctx, time.Duration(answer.GetReadyMillis())*time.Millisecond)
+		s.config.Registry.Learn(answer.GetEndpoint(), of.model, of.adapter, true)
+	}
+	s.mu.Lock()
+	delete(s.waiting, of)
+	s.mu.Unlock()
+	close(done)
+}
+
+// PlaceAdapter brings an adapter to an engine that holds its model. It
+// answers other hosts, and is empty where no engine can take it now.
+func (s *Service) PlaceAdapter(ctx context.Context, request *fleetv1.AdapterRequest) *fleetv1.AdapterResponse {
+	of := subject{request.GetService(), request.GetModel(), request.GetAdapter()}
+	engine := s.engineOf(of.service)
+	if engine == nil || engine.Model(of.model) == nil || !s.mayOrder() {
+		return &fleetv1.AdapterResponse{}
+	}
+	v, held := s.engineFor(of, engine)
+	if v == nil {
+		logrus.WithFields(logrus.Fields{"model": of.model, "adapter": of.adapter}).Info("no engine takes the adapter now")
+		return &fleetv1.AdapterResponse{}
+	}
+	id := v.endpoint.ID
+	if held {
+		return &fleetv1.AdapterResponse{Endpoint: id, ReadyMillis: adapterTime.Milliseconds()}
+	}
+	l := s.lock(id)
+	l.Lock()
+	defer l.Unlock()
+	if !s.makeRoom(ctx, v, of, engine) {
+		return &fleetv1.AdapterResponse{}
+	}
+	if err := s.order(ctx, v, Order{Action: Load, Model: of.model, Adapter: of.adapter}); err != nil {
+		logrus.WithError(err).WithField("endpoint", id).Info("adapter not loaded")
+		return &fleetv1.AdapterResponse{}
+	}
+	time.AfterFunc(adapterTime, func() { s.announce(id, of.model, of.adapter, true) })
+	return &fleetv1.AdapterResponse{Endpoint: id, ReadyMillis: adapterTime.Milliseconds()}
+}
+
+// engineFor returns the engine that holds the adapter, or else the one with
+// most room for it.
+func (s *Service) engineFor(of subject, engine *traffic.Engine) (best *view, held bool) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least := 0
+	for _, v := range s.refresh(of.service) {
+		adapters, ok := v.models[of.model]
+		if !ok || v.endpoint.Leaving || v.busy {
+			continue
+		}
+		if adapters[of.adapter] && !v.unsure {
+			v.used[adapterKey{of.model, of.adapter}] = now
+			return v, true
+		}
+		count := v.adapters()
+		if count >= engine.AdapterSlots {
+			if _, ok := v.idlest(now); !ok {
+				continue
+			}
+		}
+		if best == nil || count < least {
+			best, least = v, count
+		}
+	}
+	return best, false
+}
+
+// idlest returns the adapter that was asked for longest ago, if any rests.
+func (v *view) idlest(now time.Time) (adapterKey, bool) {
+	var idlest adapterKey
+	oldest := now.Add(-adapterRest)
+	found := false
+	for model, adapters := range v.models {
+		for name := range adapters {
+			key := adapterKey{model, name}
+			if used := v.used[key]; used.Before(oldest) {
+				idlest, oldest, found = key, used, true
+			}
+		}
+	}
+	return idlest, found
+}
+
+// makeRoom unloads adapters until the engine has a slot and memory for one
+// more. The caller holds the engine's lock.
+func (s *Service) makeRoom(ctx context.Context, v *view, of subject, engine *traffic.Engine) bool {
+	for {
+		s.mu.Lock()
+		_, present := v.models[of.model]
+		room := v.adapters() < engine.AdapterSlots && v.freeMB(engine) >= engine.Model(of.model).AdapterMB
+		key, found := v.idlest(time.Now())
+		if room {
+			v.used[adapterKey{of.model, of.adapter}] = time.Now()
+		}
+		s.mu.Unlock()
+		if !present || room {
+			return present
+		}
+		if !found {
+			return false
+		}
+		s.announce(v.endpoint.ID, key.model, key.adapter, false)
+		if err := s.order(ctx, v, Order{Action: Unload, Model: key.model, Adapter: key.adapter}); err != nil {
+			return false
+		}
+	}
+}
+
+// freeMB returns the memory that is left on an engine. What is not
+// configured any more counts as everything.
+func (v *view) freeMB(engine *traffic.Engine) float64 {
+	free := engine.MemoryMB
+	for name, adapters := range v.models {
+		m := engine.Model(name)
+		if m == nil {
+			return 0
+		}
+		free -= m.MemoryMB + float64(len(adapters))*m.AdapterMB
+	}
+	return free
+}
--- /dev/null
+++ b/internal/orders/models.go
@@ -0,0 +1,164 @@
+package orders
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/clock"
+	"bilberryslip.example/bilberryslip/internal/retry"
+	"bilberryslip.example/bilberryslip/internal/traffic"
+)
+
+const (
+	// reportPause is the time between two reports while an order is awaited.
+	reportPause = 300 * time.Millisecond
+	// unloadWait bounds the wait for the runs of a model that is unloaded.
+	unloadWait = 10 * time.Second
+	// loadWait is how many times a load's usual duration is waited for.
+	loadWait = 4
+)
+
+// plan starts the changes that are worth their loads.
+func (s *Service) plan(ctx context.Context) {
+	config := s.config.Source.Current()
+	if config == nil {
+		return
+	}
+	for i := range config.Services() {
+		service := &config.Services()[i]
+		if service.Engine == nil {
+			continue
+		}
+		for s.mayLoad(service.Engine) {
+			c, ok := nextChange(s.planInput(service))
+			if !ok {
+				break
+			}
+			s.start(ctx, service, c)
+		}
+	}
+}
+
+// mayLoad reports whether the ceiling allows another load now.
+func (s *Service) mayLoad(engine *traffic.Engine) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Boot()
+	s.loads = slices.DeleteFunc(s.loads, func(at time.Time) bool { return now.Sub(at) > s.config.LoadWindow })
+	allowed := ceilingShare * engine.LoadsPerSecond * s.config.LoadWindow.Seconds() * s.config.LoadOverage
+	return float64(len(s.loads)+1) <= allowed && len(s.moving) < loadsUnderWay
+}
+
+func (s *Service) planInput(service *traffic.Service) planInput {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var in planInput
+	for _, m := range service.Engine.Models {
+		in.models = append(in.models, planModel{
+			name: m.Name, mb: m.MemoryMB, demand: s.demand.of(now, subject{service: service.Name, model: m.Name}),
+		})
+	}
+	for _, v := range s.refresh(service.Name) {
+		coming, moving := s.moving[v.endpoint.ID]
+		e := planEngine{id: v.endpoint.ID, freeMB: v.freeMB(service.Engine), closed: moving}
+		if v.endpoint.Leaving {
+			continue
+		}
+		for name := range v.models {
+			e.models = append(e.models, name)
+		}
+		if moving && !slices.Contains(e.models, coming) {
+			e.models = append(e.models, coming)
+		}
+		slices.Sort(e.models)
+		in.engines = append(in.engines, e)
+	}
+	return in
+}
+
+// start begins a change beside the plan.
+func (s *Service) start(ctx context.Context, service *traffic.Service, c change) {
+	s.mu.Lock()
+	s.moving[c.engine] = c.model
+	s.loads = append(s.loads, clock.Boot())
+	v := s.views[c.engine]
+	s.mu.Unlock()
+	logrus.WithFields(logrus.Fields{
+		"endpoint": c.engine, "model": c.model, "victims": c.victims, "unreachable": c.unreachable,
+	}).Info("model placed")
+	go func() {
+		if err := s.carryOut(ctx, service, v, c); err != nil {
+			logrus.WithError(err).WithFields(logrus.Fields{"endpoint": c.engine, "model": c.model}).Warn("placement not carried out; the next plan decides anew")
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.moving, c.engine)
+		v.busy = false
+	}()
+}
+
+// carryOut unloads the victims and loads the model.
+func (s *Service) carryOut(ctx context.Context, service *traffic.Service, v *view, c change) error {
+	l := s.lock(c.engine)
+	l.Lock()
+	defer l.Unlock()
+	s.setBusy(v)
+	for _, victim := range c.victims {
+		s.announce(c.engine, victim, "", false)
+		if err := s.order(ctx, v, Order{Action: Unload, Model: victim}); err != nil {
+			return err
+		}
+		if err := s.await(ctx, v, victim, false, unloadWait); err != nil {
+			return err
+		}
+	}
+	model := service.Engine.Model(c.model)
+	s.mu.Lock()
+	fits := model != nil && v.freeMB(service.Engine) >= model.MemoryMB
+	s.mu.Unlock()
+	if !fits {
+		return errors.New("no memory for the model after all")
+	}
+	if err := s.order(ctx, v, Order{Action: Load, Model: c.model}); err != nil {
+		return err
+	}
+	if err := s.await(ctx, v, c.model, true, loadWait*model.LoadTime); err != nil {
+		return err
+	}
+	s.announce(c.engine, c.model, "", true)
+	return nil
+}
+
+func (s *Service) setBusy(v *view) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.busy = true
+}
+
+// await polls the engine until it holds a model, or no longer does.
+func (s *Service) await(ctx context.Context, v *view, model string, held bool, limit time.Duration) error {
+	for end := clock.Boot().Add(limit); clock.Boot().Before(end); {
+		if !retry.Sleep(ctx, reportPause) {
+			return ctx.Err()
+		}
+		if !held { // hosts keep away until the engine's own description says so
+			s.announce(v.endpoint.ID, model, "", false)
+		}
+		if err := s.readReport(ctx, v); err != nil {
+			logrus.WithError(err).WithField("endpoint", v.endpoint.ID).Info("no report")
+			continue
+		}
+		s.mu.Lock()
+		_, present := v.models[model]
+		s.mu.Unlock()
+		if present == held {
+			return nil
+		}
+	}
+	return errors.Newf("engine %s still differs in model %s", v.endpoint.ID, model)
+}
--- /dev/null
+++ b/internal/orders/plan.go
@@ -0,0 +1,162 @@
+package orders
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// worthwhile is the demand on each replica, in tokens per second, below
+	// which no replica is added: a load costs more than it brings.
+	worthwhile = 6000
+	// relief is what a change must leave at most of the demand on the most
+	// loaded replica, so that small swings cause no loads.
+	relief = 0.75
+)
+
+// planModel is a model as the plan sees it.
+type planModel struct {
+	name string
+	mb   float64
+	// demand is in tokens per second over all replicas.
+	demand float64
+}
+
+// planEngine is an engine as the plan sees it.
+type planEngine struct {
+	id     string
+	freeMB float64
+	// models are those held or on their way.
+	models []string
+	// closed engines take no order now: they are leaving or busy.
+	closed bool
+}
+
+// planInput is all that a plan depends on.
+type planInput struct {
+	models  []planModel
+	engines []planEngine
+}
+
+// change is one change of what an engine holds: the victims make room for the
+// model.
+type change struct {
+	engine  string
+	victims []string
+	model   string
+	// unreachable tells that no engine holds the model.
+	unreachable bool
+}
+
+type planner struct {
+	planInput
+	byName   map[string]*planModel
+	replicas map[string]int
+}
+
+// nextChange returns the most useful change, or false where none is worth
+// its load.
+func nextChange(in planInput) (change, bool) {
+	p := planner{planInput: in, byName: make(map[string]*planModel), replicas: make(map[string]int)}
+	for i := range in.models {
+		p.byName[in.models[i].name] = &in.models[i]
+	}
+	for _, e := range in.engines {
+		for _, name := range e.models {
+			p.replicas[name]++
+		}
+	}
+	if c, ok := p.reach(); ok {
+		return c, true
+	}
+	return p.relieve()
+}
+
+// perReplica returns the demand on each of a number of replicas.
+func perReplica(m *planModel, replicas int) float64 { return m.demand / float64(max(1, replicas)) }
+
+// reach loads the most wanted model that no engine holds.
+func (p *planner) reach() (change, bool) {
+	missing := slices.DeleteFunc(slices.Clone(p.models), func(m planModel) bool { return p.replicas[m.name] > 0 })
+	slices.SortStableFunc(missing, func(a, b planModel) int { return cmp.Compare(b.demand, a.demand) })
+	for i := range missing {
+		if c, _, ok := p.place(&missing[i]); ok {
+			c.unreachable = true
+			return c, true
+		}
+	}
+	return change{}, false
+}
+
+// relieve adds a replica of the model with the most loaded replicas.
+func (p *planner) relieve() (change, bool) {
+	loaded := slices.Clone(p.models)
+	slices.SortStableFunc(loaded, func(a, b planModel) int {
+		return cmp.Compare(perReplica(&b, p.replicas[b.name]), perReplica(&a, p.replicas[a.name]))
+	})
+	for i := range loaded {
+		m := &loaded[i]
+		before := perReplica(m, p.replicas[m.name])
+		if before < worthwhile {
+			break
+		}
+		c, loss, ok := p.place(m)
+		after := max(perReplica(m, p.replicas[m.name]+1), loss)
+		if ok && after <= relief*before {
+			return c, true
+		}
+	}
+	return change{}, false
+}
+
+// place finds the engine where the model costs least. The loss is the highest
+// demand on a replica of a victim afterwards.
+func (p *planner) place(m *planModel) (change, float64, bool) {
+	best, found := change{}, false
+	lowest := 0.0
+	for _, e := range p.engines {
+		if e.closed || slices.Contains(e.models, m.name) {
+			continue
+		}
+		victims, loss, ok := p.victims(e, m.mb)
+		if ok && (!found || loss < lowest || loss == lowest && len(victims) < len(best.victims)) {
+			best, lowest, found = change{engine: e.id, victims: victims, model: m.name}, loss, true
+		}
+	}
+	return best, lowest, found
+}
+
+// victims returns the models that make room on an engine: those with other
+// replicas whose demand suffers least. A model that is not configured any
+// more goes first.
+func (p *planner) victims(e planEngine, needed float64) ([]string, float64, bool) {
+	var victims []string
+	loss := 0.0
+	free := e.freeMB
+	candidates := slices.Clone(e.models)
+	slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(p.loss(a), p.loss(b)) })
+	for _, name := range candidates {
+		if free >= needed {
+			break
+		}
+		m, known := p.byName[name]
+		if known && p.replicas[name] < 2 {
+			continue
+		}
+		victims = append(victims, name)
+		loss = max(loss, p.loss(name))
+		if known {
+			free += m.mb
+		}
+	}
+	return victims, loss, free >= needed
+}
+
+// loss returns the demand on each replica of a model after one goes.
+func (p *planner) loss(name string) float64 {
+	m, known := p.byName[name]
+	if !known {
+		return 0
+	}
+	return perReplica(m, p.replicas[name]-1)
+}
