Keep configurations fresh together, check each order against the report, leave without late requests

Ruled out: the workers' entries as count of orders; keep-alive for the deaf watch (the connection was well).

Change: two hosts ask the store often, the others trust their word and list anew where a peer is ahead; the loss of history of one kind refreshes all; orders check room after each report; a stopping server closes idle connections and each that becomes idle (test: TestStoppingServerClosesAConnection...).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,8 @@
 // its endpoints.
 type Adapter interface {
 	Store() objectstore.Store
+	// SetWatchWait sets how long the store holds a watch without events.
+	SetWatchWait(wait time.Duration)
 	Codec() forward.Codec
 	// Configuration returns the source of configurations and what feeds it.
 	Configuration(onChange ConfigHook) (forward.Source, *mirror.Mirror)
@@ -126,10 +128,11 @@
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
 		Quota: h.quota, Holdings: h.orders, Retry: h.retryBudget(),
 	})
+	endpointMirror := h.adapter.Endpoints(h.endpoints)
+	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
+	h.exchange.AddPart(newFreshness(h, configMirror, endpointMirror))
 	branches := []supervise.Branch{
-		{Name: "store", Services: []suture.Service{
-			configMirror, h.adapter.Endpoints(h.endpoints), mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange),
-		}},
+		{Name: "store", Services: []suture.Service{configMirror, endpointMirror, hostMirror}},
 	}
 	servers, err := h.listen()
 	if err != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -210,7 +210,7 @@
 }
 
 func (s *Service) report() *fleetv1.Report {
-	report := &fleetv1.Report{Host: s.config.Host, Incarnation: s.config.Incarnation}
+	report := &fleetv1.Report{Host: s.config.Host, Incarnation: s.config.Incarnation, Address: s.config.Address}
 	for _, part := range s.parts {
 		part.Contribute(report)
 	}
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -61,10 +61,15 @@
 
 // hear takes a report that was asked for at the time given.
 func (r *roster) hear(asked time.Time, report *fleetv1.Report) *peer {
-	p, ok := r.peers[report.GetHost()]
-	if !ok {
+	if report.GetHost() == r.self || report.GetHost() == "" {
 		return nil
 	}
+	p, ok := r.peers[report.GetHost()]
+	if !ok { // not read from the store yet
+		p = &peer{name: report.GetHost(), listed: asked}
+		r.peers[p.name] = p
+	}
+	p.address = report.GetAddress()
 	p.incarnation = report.GetIncarnation()
 	if asked.After(p.heard) {
 		p.heard = asked
--- /dev/null
+++ b/internal/httpserver/idle_test.go
@@ -0,0 +1,85 @@
+package httpserver
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestStoppingServerClosesAConnectionWhoseAnswerBeganBefore has a stream that
+// begins before the stop, without word of the close, and ends after it.
+func TestStoppingServerClosesAConnectionWhoseAnswerBeganBefore(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	goOn := make(chan struct{})
+	server := New(Config{Name: "test", Listener: listener, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "begin")
+		_ = http.NewResponseController(w).Flush()
+		<-goOn
+	})})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: test\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	go server.StopAccepting(ctx)
+	waitFor(t, "the server stops", func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		return server.stopping
+	})
+	close(goOn)
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "begin" {
+		t.Fatalf("answer %q, error %v; want it whole", body, err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Fatalf("connection is kept open: %v", err)
+	}
+}
+
+func TestConnectionIsClosedAfterTheIdleLimit(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := New(Config{
+		Name: "test", Listener: listener, Idle: func() time.Duration { return 50 * time.Millisecond },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: test\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if got, err := io.ReadAll(conn); err != nil || len(got) == 0 {
+		t.Fatalf("read %q, error %v; want an answer and an orderly close", got, err)
+	}
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -58,9 +58,12 @@
 	server *http.Server
 	// open is the listener that the server accepts from.
 	open net.Listener
+	// stopping is set once no connection is to be kept.
+	stopping bool
 	// busy holds the connections that may carry a request.
 	busy map[net.Conn]http.ConnState
-	// idle holds the timers that close connections without request.
+	// idle holds the connections without request, with the timers that close
+	// them; a timer is nil where net/http does that.
 	idle map[net.Conn]*time.Timer
 }
 
@@ -136,15 +139,35 @@
 // limit is asked each time, since configurations change it. It must be called
 // with the mutex held.
 func (s *Server) timeIdle(conn net.Conn, state http.ConnState) {
-	if timer, ok := s.idle[conn]; ok {
+	if timer := s.idle[conn]; timer != nil {
 		timer.Stop()
-		delete(s.idle, conn)
 	}
-	if state == http.StateIdle && s.config.Idle != nil {
+	delete(s.idle, conn)
+	if state != http.StateIdle {
+		return
+	}
+	if s.stopping {
+		// The answer may have begun before the stop, without word of the close.
+		_ = conn.Close()
+		return
+	}
+	s.idle[conn] = nil
+	if s.config.Idle != nil {
 		s.idle[conn] = time.AfterFunc(s.config.Idle(), func() { _ = conn.Close() })
 	}
 }
 
+// closeIdle closes the connections that carry no request, and from now on each
+// that becomes idle, so that no further request comes on them.
+func (s *Server) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for conn := range s.idle {
+		_ = conn.Close()
+	}
+}
+
 // StopAccepting closes the listener for good and waits until no connection
 // carries a request or ctx ends. http.Server.Shutdown comes last: it drops
 // requests whose headers arrive while it runs.
@@ -157,6 +180,7 @@
 		return
 	}
 	_ = listener.Close()
+	s.closeIdle()
 	quiet := time.Now().Add(newConnGrace)
 	for s.mayCarryRequest(time.Now().Before(quiet)) && retry.Sleep(ctx, idlePollInterval) {
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -67,7 +67,7 @@
 	It("has one holder, and passes to another only after it lapsed unchanged", func() {
 		step(a)
 		step(b)
-		Expect(a.Holding()).To(Equal(lease.Holding{Held: true, Term: 1, Holder: "a"}))
+		Expect(a.Holding()).To(Equal(lease.Holding{Held: true, Term: 1, Holder: "a", Version: 1, Until: now.Add(10 * time.Second)}))
 		Expect(b.Holding().Held).To(BeFalse())
 		for range 5 {
 			now = now.Add(6 * time.Second)
@@ -81,9 +81,10 @@
 		now = now.Add(2 * time.Second)
 		Expect(a.Holding().Held).To(BeFalse(), "a counts from before its last renewal")
 		step(b)
-		Expect(b.Holding()).To(Equal(lease.Holding{Held: true, Term: 2, Holder: "b"}))
+		// a wrote six times: the creation and five renewals.
+		Expect(b.Holding()).To(Equal(lease.Holding{Held: true, Term: 2, Holder: "b", Version: 7, Until: now.Add(10 * time.Second)}))
 		step(a)
-		Expect(a.Holding()).To(Equal(lease.Holding{Term: 2, Holder: "b"}))
+		Expect(a.Holding()).To(Equal(lease.Holding{Term: 2, Holder: "b", Version: 7}))
 	})
 
 	It("settles a write whose answer was lost", func() {
@@ -103,6 +104,21 @@
 		cancel()
 		Eventually(done).Should(Receive(MatchError(context.Canceled)))
 		step(b)
-		Expect(b.Holding()).To(Equal(lease.Holding{Held: true, Term: 2, Holder: "b"}))
+		// a created and released it.
+		Expect(b.Holding()).To(Equal(lease.Holding{Held: true, Term: 2, Holder: "b", Version: 3, Until: now.Add(10 * time.Second)}))
+	})
+
+	It("is not read while another holder is known to be well", func() {
+		step(a)
+		quiet := true
+		c := lease.New(lease.Config{
+			Store: store, Name: "placement-z1", Host: "c", Incarnation: "c", Duration: 10 * time.Second,
+			Now: func() time.Time { return now }, Quiet: func() bool { return quiet },
+		})
+		step(c)
+		Expect(c.Holding().Holder).To(BeEmpty())
+		quiet = false
+		step(c)
+		Expect(c.Holding().Holder).To(Equal("a"))
 	})
 })
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,11 +46,60 @@
 		NextBackOff() time.Duration
 		Reset()
 	}
+	refresh chan struct{}
+	onGone  func()
+
+	mu      sync.Mutex
+	reading Reading
+}
+
+// Reading is how far a mirror has read its kind.
+type Reading struct {
+	// Changed is the version of the newest change seen.
+	Changed objectstore.Version
+	// Covered is the version up to which all changes were seen.
+	Covered objectstore.Version
+	// At is when the store last answered.
+	At time.Time
+}
+
+// Reading returns how far the mirror has read.
+func (m *Mirror) Reading() Reading {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reading
+}
+
+// Kind returns the kind that is followed.
+func (m *Mirror) Kind() objectstore.Kind { return m.kind }
+
+func (m *Mirror) read(covered, changed objectstore.Version) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reading.Covered = max(m.reading.Covered, covered, changed)
+	m.reading.Changed = max(m.reading.Changed, changed)
+	m.reading.At = time.Now()
 }
 
 // New returns a mirror of a kind; Serve runs it.
 func New(store objectstore.Store, kind objectstore.Kind, handler Handler) *Mirror {
-	return &Mirror{store: store, kind: kind, handler: handler, pause: retry.NewBackOff(firstPause, longestPause)}
+	return &Mirror{
+		store: store, kind: kind, handler: handler, pause: retry.NewBackOff(firstPause, longestPause),
+		refresh: make(chan struct{}, 1),
+	}
+}
+
+// OnGone sets what is told when the store has dropped its history, which
+// concerns all kinds. It must be called before Serve.
+func (m *Mirror) OnGone(tell func()) { m.onGone = tell }
+
+// Refresh makes the mirror list its kind at once, since there is word of a
+// change that the watch has not shown.
+func (m *Mirror) Refresh() {
+	select {
+	case m.refresh <- struct{}{}:
+	default: // one is due already
+	}
 }
 
 // String names the service in logs.
@@ -65,22 +115,40 @@
 		}
 		m.answered()
 		m.handler.Replace(listing)
+		m.read(listing.Version, newest(listing))
 		m.follow(ctx, listing.Version)
 	}
 	return ctx.Err()
 }
 
-// follow watches from a version until its history is gone or ctx ends.
+// newest returns the version of a listing's last change.
+func newest(listing objectstore.Listing) objectstore.Version {
+	var version objectstore.Version
+	for _, item := range listing.Items {
+		version = max(version, item.Version)
+	}
+	return version
+}
+
+// follow watches from a version until its history is gone, a refresh is due
+// or ctx ends.
 func (m *Mirror) follow(ctx context.Context, version objectstore.Version) {
 	for ctx.Err() == nil {
 		watch, err := m.store.Watch(ctx, m.kind, version)
 		if err == nil {
-			version = m.consume(watch, version)
+			var refresh bool
+			if version, refresh = m.consume(watch, version); refresh {
+				logrus.WithFields(logrus.Fields{"kind": m.kind, "version": version}).Info("word of a change; listing again")
+				return
+			}
 			err = watch.Err()
 		}
 		var gone *objectstore.GoneError
 		if errors.As(err, &gone) {
 			logrus.WithFields(logrus.Fields{"kind": m.kind, "version": version}).Info("history of the store is gone; listing again")
+			if m.onGone != nil {
+				m.onGone()
+			}
 			return
 		}
 		if err != nil {
@@ -89,17 +157,28 @@
 	}
 }
 
-// consume takes the events of one watch and returns the version reached.
-func (m *Mirror) consume(watch objectstore.Watch, version objectstore.Version) objectstore.Version {
+// consume takes the events of one watch and returns the version reached, and
+// whether a refresh ended it.
+func (m *Mirror) consume(watch objectstore.Watch, version objectstore.Version) (objectstore.Version, bool) {
 	defer watch.Stop()
-	for event := range watch.Events() {
-		m.answered()
-		if event.Type != objectstore.EventBookmark {
-			m.handler.Apply(event)
+	for {
+		select {
+		case <-m.refresh:
+			return version, true
+		case event, open := <-watch.Events():
+			if !open {
+				return version, false
+			}
+			m.answered()
+			if event.Type == objectstore.EventBookmark {
+				m.read(event.Version, 0)
+			} else {
+				m.handler.Apply(event)
+				m.read(0, event.Version)
+			}
+			version = max(version, event.Version)
 		}
-		version = max(version, event.Version)
 	}
-	return version
 }
 
 func (m *Mirror) answered() {
--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -93,7 +93,8 @@
 	if !s.makeRoom(ctx, v, of, engine) {
 		return &fleetv1.AdapterResponse{}
 	}
-	if err := s.order(ctx, v, Order{Action: Load, Model: of.model, Adapter: of.adapter}); err != nil {
+	fits := func() bool { return v.roomFor(of, engine) }
+	if err := s.order(ctx, v, Order{Action: Load, Model: of.model, Adapter: of.adapter}, fits); err != nil {
 		logrus.WithError(err).WithField("endpoint", id).Info("adapter not loaded")
 		return &fleetv1.AdapterResponse{}
 	}
@@ -150,9 +151,13 @@
 // more. The caller holds the engine's lock.
 func (s *Service) makeRoom(ctx context.Context, v *view, of subject, engine *traffic.Engine) bool {
 	for {
+		if err := s.makeSure(ctx, v); err != nil {
+			logrus.WithError(err).WithField("endpoint", v.endpoint.ID).Info("adapter not loaded")
+			return false
+		}
 		s.mu.Lock()
 		_, present := v.models[of.model]
-		room := v.adapters() < engine.AdapterSlots && v.freeMB(engine) >= engine.Model(of.model).AdapterMB
+		room := v.roomFor(of, engine)
 		key, found := v.idlest(time.Now())
 		if room {
 			v.used[adapterKey{of.model, of.adapter}] = time.Now()
@@ -165,12 +170,20 @@
 			return false
 		}
 		s.announce(v.endpoint.ID, key.model, key.adapter, false)
-		if err := s.order(ctx, v, Order{Action: Unload, Model: key.model, Adapter: key.adapter}); err != nil {
+		if err := s.order(ctx, v, Order{Action: Unload, Model: key.model, Adapter: key.adapter}, nil); err != nil {
 			return false
 		}
 	}
 }
 
+// roomFor reports whether the engine holds the adapter's model and has a slot
+// and memory for it.
+func (v *view) roomFor(of subject, engine *traffic.Engine) bool {
+	model := engine.Model(of.model)
+	_, present := v.models[of.model]
+	return model != nil && present && !v.busy && v.adapters() < engine.AdapterSlots && v.freeMB(engine) >= model.AdapterMB
+}
+
 // freeMB returns the memory that is left on an engine. What is not
 // configured any more counts as everything.
 func (v *view) freeMB(engine *traffic.Engine) float64 {
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -107,10 +107,13 @@
 	l := s.lock(c.engine)
 	l.Lock()
 	defer l.Unlock()
+	if err := s.makeSure(ctx, v); err != nil {
+		return err
+	}
 	s.setBusy(v)
 	for _, victim := range c.victims {
 		s.announce(c.engine, victim, "", false)
-		if err := s.order(ctx, v, Order{Action: Unload, Model: victim}); err != nil {
+		if err := s.order(ctx, v, Order{Action: Unload, Model: victim}, nil); err != nil {
 			return err
 		}
 		if err := s.await(ctx, v, victim, false, unloadWait); err != nil {
@@ -118,13 +121,11 @@
 		}
 	}
 	model := service.Engine.Model(c.model)
-	s.mu.Lock()
-	fits := model != nil && v.freeMB(service.Engine) >= model.MemoryMB
-	s.mu.Unlock()
-	if !fits {
-		return errors.New("no memory for the model after all")
+	if model == nil {
+		return errors.Newf("model %s is not configured any more", c.model)
 	}
-	if err := s.order(ctx, v, Order{Action: Load, Model: c.model}); err != nil {
+	fits := func() bool { return v.freeMB(service.Engine) >= model.MemoryMB }
+	if err := s.order(ctx, v, Order{Action: Load, Model: c.model}, fits); err != nil {
 		return err
 	}
 	if err := s.await(ctx, v, c.model, true, loadWait*model.LoadTime); err != nil {
@@ -149,7 +150,7 @@
 		if !held { // hosts keep away until the engine's own description says so
 			s.announce(v.endpoint.ID, model, "", false)
 		}
-		if err := s.readReport(ctx, v); err != nil {
+		if _, err := s.readReport(ctx, v); err != nil {
 			logrus.WithError(err).WithField("endpoint", v.endpoint.ID).Info("no report")
 			continue
 		}
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -25,19 +25,24 @@
 // errNotDone reports an order that the engine did not take.
 var errNotDone = errors.New("the engine did not take the order; the next plan decides anew")
 
+// errNoRoom reports that the engine has no memory or slot for a load.
+var errNoRoom = errors.New("the engine has no room after all; the next plan decides anew")
+
 // order gives one order under the engine's lock, which the caller holds, and
-// keeps the view up to date. An order without answer is given again under the
-// same condition, so that it takes effect once at most.
-func (s *Service) order(ctx context.Context, v *view, o Order) error {
+// keeps the view up to date. Fits, for loads, is asked whenever the view has
+// changed. An order without answer is given again under the condition that
+// no other was accepted meanwhile, so that it takes effect once at most.
+func (s *Service) order(ctx context.Context, v *view, o Order, fits func() bool) error {
 	o.Holder = s.config.Host
 	for range maxTries {
-		if v.unsure {
-			if err := s.readReport(ctx, v); err != nil {
-				return err
-			}
-			if s.done(v, o) {
-				return nil
-			}
+		if err := s.makeSure(ctx, v); err != nil {
+			return err
+		}
+		if s.done(v, o) {
+			return nil
+		}
+		if fits != nil && !s.locked(fits) {
+			return errNoRoom
 		}
 		if !s.mayOrder() {
 			return errNotHolder
@@ -56,7 +61,7 @@
 			return nil
 		case result == Holds:
 			s.apply(v, o)
-			v.unsure = true // whether it was counted is read with the next one
+			v.unsure = true // whether it was counted is read before the next one
 			return nil
 		case result == Conflict:
 			v.unsure = true
@@ -86,20 +91,45 @@
 	entry.Info("order given")
 }
 
-// readReport asks the engine what it holds.
-func (s *Service) readReport(ctx context.Context, v *view) error {
+// locked asks a question about views under the mutex.
+func (s *Service) locked(question func() bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return question()
+}
+
+// makeSure reads the engine's report where the view is not certain. While an
+// order of another holder is under way there, its end can't be told.
+func (s *Service) makeSure(ctx context.Context, v *view) error {
+	if !s.locked(func() bool { return v.unsure }) {
+		return nil
+	}
+	busy, err := s.readReport(ctx, v)
+	if err != nil {
+		return err
+	}
+	if busy && !s.locked(func() bool { return v.busy }) {
+		return errors.Newf("engine %s carries out another order; the next plan decides anew", v.endpoint.ID)
+	}
+	return nil
+}
+
+// readReport asks the engine what it holds, and whether an order for a model
+// is under way.
+func (s *Service) readReport(ctx context.Context, v *view) (busy bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	state, err := s.config.Engines.Report(ctx, v.endpoint)
 	if err != nil {
-		return errors.Wrapf(err, "report of %s", v.endpoint.ID)
+		return false, errors.Wrapf(err, "report of %s", v.endpoint.ID)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state.Orders >= v.orders {
 		v.report(state)
+		v.unsure = state.Busy && !v.busy
 	}
-	return nil
+	return state.Busy, nil
 }
 
 // done reports whether the view shows what an order asks for.
