Count rates by a sliding window, hand the lease over sooner, drop requests that cross a close

Change: a window of 32 slots with a level that spreads it; followers hear the lease's version from its holder and count from there; a request that crossed the close is not handled (test fails without it); victims without demand are those with most replicas.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -115,7 +115,7 @@
 	s := h.settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	h.endpoints = fleet.NewRegistry(fleet.Config{Zone: s.Host.Zone})
-	h.quota = quota.NewService(s.FirstStart)
+	h.quota = quota.NewService(s.Bounds.QuotaWindow.Std(), s.FirstStart)
 	source, configMirror := h.adapter.Configuration(func(c *traffic.Config) { h.quota.Configure(c) })
 	h.source = source
 	h.exchange = exchange.New(exchange.Config{
@@ -151,7 +151,7 @@
 const placementLease = "placement"
 
 // renewals is how often a lease is renewed within its duration.
-const renewals = 3
+const renewals = 4
 
 func (h *host) buildOrders(pool *upstream.Pool) {
 	s := h.settings
@@ -159,7 +159,7 @@
 	h.lease = lease.New(lease.Config{
 		// A host that restarts is the same holder as before.
 		Store: h.adapter.Store(), Name: placementLease, Host: s.Host.Name, Incarnation: s.Host.Name,
-		Duration: duration, Renewal: duration / renewals, Now: clock.Boot, Quiet: h.exchange.LeaderHeard,
+		Duration: duration, Renewal: duration / renewals, Now: clock.Boot,
 	})
 	h.orders = orders.New(orders.Config{
 		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -291,13 +291,6 @@
 	return s.peerClient(leader.address).RequestAdapter(ctx, request)
 }
 
-// LeaderHeard reports whether a peer says that it holds the placement lease.
-func (s *Service) LeaderHeard() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.roster.leader(time.Now()) != nil
-}
-
 // Hosts returns how many hosts may be serving, this one included.
 func (s *Service) Hosts() int {
 	s.mu.Lock()
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -74,7 +74,7 @@
 	if asked.After(p.heard) {
 		p.heard = asked
 		p.report = report
-		p.leader = asked.Add(time.Duration(report.GetLeaseMillis()) * time.Millisecond)
+		p.leader = asked.Add(time.Duration(report.GetLease().GetLeftMillis()) * time.Millisecond)
 	}
 	return p
 }
--- a/internal/httpserver/idle_test.go
+++ b/internal/httpserver/idle_test.go
@@ -83,3 +83,25 @@
 		t.Fatalf("read %q, error %v; want an answer and an orderly close", got, err)
 	}
 }
+
+// TestRequestThatCrossesTheCloseIsNotHandled has the server close an idle
+// connection whose next request it has read already.
+func TestRequestThatCrossesTheCloseIsNotHandled(t *testing.T) {
+	handled := false
+	server := New(Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled = true })})
+	server.idle, server.closed = make(map[net.Conn]*time.Timer), make(map[net.Conn]bool)
+	near, far := net.Pipe()
+	defer far.Close()
+	server.idle[near] = nil
+	server.closeIdle()
+	request, err := http.NewRequestWithContext(context.WithValue(context.Background(), connKey{}, near), http.MethodPost, "/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if recover() != http.ErrAbortHandler || handled {
+			t.Fatalf("handled: %t; want the request dropped without an answer", handled)
+		}
+	}()
+	server.closing(server.config.Handler).ServeHTTP(nil, request)
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -60,6 +60,9 @@
 	open net.Listener
 	// stopping is set once no connection is to be kept.
 	stopping bool
+	// closed holds the connections that this server closed while they carried
+	// no request.
+	closed map[net.Conn]bool
 	// busy holds the connections that may carry a request.
 	busy map[net.Conn]http.ConnState
 	// idle holds the connections without request, with the timers that close
@@ -83,6 +86,9 @@
 	server := &http.Server{
 		Handler:           s.closing(s.config.Handler),
 		ConnState:         s.track,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
@@ -113,9 +119,17 @@
 // not send on one that is about to be closed.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
 // closing adds to the answers of a draining server that the connection closes.
+// A request that crossed the close of its connection is not handled: its
+// caller will never get the answer and is free to send it again.
 func (s *Server) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && s.wasClosed(conn) {
+			panic(http.ErrAbortHandler)
+		}
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -123,6 +137,29 @@
 	})
 }
 
+func (s *Server) wasClosed(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed[conn]
+}
+
+// close closes a connection that carries no request. It must be called with
+// the mutex held.
+func (s *Server) close(conn net.Conn) {
+	s.closed[conn] = true
+	_ = conn.Close()
+}
+
+// expire closes a connection whose time without request is over, unless a
+// request has begun meanwhile.
+func (s *Server) expire(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.idle[conn]; ok {
+		s.close(conn)
+	}
+}
+
 // track follows which connections may carry a request.
 func (s *Server) track(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
@@ -133,6 +170,9 @@
 		return
 	}
 	delete(s.busy, conn)
+	if state == http.StateClosed {
+		delete(s.closed, conn)
+	}
 }
 
 // timeIdle closes a connection that stays without request for too long. The
@@ -148,12 +188,12 @@
 	}
 	if s.stopping {
 		// The answer may have begun before the stop, without word of the close.
-		_ = conn.Close()
+		s.close(conn)
 		return
 	}
 	s.idle[conn] = nil
 	if s.config.Idle != nil {
-		s.idle[conn] = time.AfterFunc(s.config.Idle(), func() { _ = conn.Close() })
+		s.idle[conn] = time.AfterFunc(s.config.Idle(), func() { s.expire(conn) })
 	}
 }
 
@@ -164,7 +204,7 @@
 	defer s.mu.Unlock()
 	s.stopping = true
 	for conn := range s.idle {
-		_ = conn.Close()
+		s.close(conn)
 	}
 }
 
@@ -209,6 +249,7 @@
 	s.open = listener
 	s.busy = make(map[net.Conn]http.ConnState)
 	s.idle = make(map[net.Conn]*time.Timer)
+	s.closed = make(map[net.Conn]bool)
 	s.mu.Unlock()
 	if s.config.TLS == nil {
 		return server.Serve(listener)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -67,7 +67,7 @@
 	It("has one holder, and passes to another only after it lapsed unchanged", func() {
 		step(a)
 		step(b)
-		Expect(a.Holding()).To(Equal(lease.Holding{Held: true, Term: 1, Holder: "a", Version: 1, Until: now.Add(10 * time.Second)}))
+		Expect(a.Holding()).To(Equal(lease.Holding{Held: true, Term: 1, Holder: "a", Incarnation: "1", Version: 1, Until: now.Add(10 * time.Second)}))
 		Expect(b.Holding().Held).To(BeFalse())
 		for range 5 {
 			now = now.Add(6 * time.Second)
@@ -82,9 +82,12 @@
 		Expect(a.Holding().Held).To(BeFalse(), "a counts from before its last renewal")
 		step(b)
 		// a wrote six times: the creation and five renewals.
-		Expect(b.Holding()).To(Equal(lease.Holding{Held: true, Term: 2, Holder: "b", Version: 7, Until: now.Add(10 * time.Second)}))
+		Expect(b.Holding()).To(Equal(lease.Holding{
+			Held: true, Term: 2, Holder: "b", Incarnation: "1", Version: 7,
+			Until: now.Add(10 * time.Second), ForeignUntil: now.Add(-time.Second),
+		}))
 		step(a)
-		Expect(a.Holding()).To(Equal(lease.Holding{Term: 2, Holder: "b", Version: 7}))
+		Expect(a.Holding()).To(Equal(lease.Holding{Term: 2, Holder: "b", Incarnation: "1", Version: 7}))
 	})
 
 	It("settles a write whose answer was lost", func() {
@@ -105,20 +108,34 @@
 		Eventually(done).Should(Receive(MatchError(context.Canceled)))
 		step(b)
 		// a created and released it.
-		Expect(b.Holding()).To(Equal(lease.Holding{Held: true, Term: 2, Holder: "b", Version: 3, Until: now.Add(10 * time.Second)}))
+		Expect(b.Holding()).To(Equal(lease.Holding{
+			Held: true, Term: 2, Holder: "b", Incarnation: "1", Version: 3,
+			Until: now.Add(10 * time.Second), ForeignUntil: now,
+		}))
 	})
 
-	It("is not read while another holder is known to be well", func() {
+	It("is taken over without reading by one that heard of it, no sooner than it lapsed", func() {
 		step(a)
-		quiet := true
-		c := lease.New(lease.Config{
-			Store: store, Name: "placement-z1", Host: "c", Incarnation: "c", Duration: 10 * time.Second,
-			Now: func() time.Time { return now }, Quiet: func() bool { return quiet },
-		})
-		step(c)
-		Expect(c.Holding().Holder).To(BeEmpty())
-		quiet = false
-		step(c)
-		Expect(c.Holding().Holder).To(Equal("a"))
+		heard := a.Holding()
+		b.Hear(lease.Value{Holder: heard.Holder, Incarnation: heard.Incarnation, Term: heard.Term}, heard.Version)
+		now = now.Add(9 * time.Second)
+		step(b)
+		Expect(b.Holding().Held).To(BeFalse())
+		now = now.Add(2 * time.Second)
+		step(b)
+		Expect(b.Holding().Held).To(BeTrue())
+		Expect(b.Holding().ForeignUntil).To(Equal(now.Add(-time.Second)), "a may have acted for the whole duration")
+	})
+
+	It("is not taken over by one that heard of an earlier version", func() {
+		step(a)
+		heard := a.Holding()
+		b.Hear(lease.Value{Holder: heard.Holder, Incarnation: heard.Incarnation, Term: heard.Term}, heard.Version)
+		now = now.Add(6 * time.Second)
+		step(a)
+		now = now.Add(5 * time.Second)
+		step(b)
+		Expect(b.Holding().Held).To(BeFalse())
+		Expect(a.Holding().Held).To(BeTrue())
 	})
 })
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -38,9 +38,6 @@
 	Renewal time.Duration
 	// Now is the clock. Nil means time.Now.
 	Now func() time.Time
-	// Quiet, if set, reports that another holder is known to be well; the
-	// lease is not read then, which saves calls to the store.
-	Quiet func() bool
 }
 
 // Holding tells whether this candidate holds the lease.
@@ -55,6 +52,11 @@
 	Version objectstore.Version
 	// Until is up to when the lease is held; zero where it is not.
 	Until time.Time
+	// Incarnation is the process that was last read to hold it.
+	Incarnation string
+	// ForeignUntil is up to when another holder may have taken itself for the
+	// holder. It is zero where this candidate has held the lease all along.
+	ForeignUntil time.Time
 }
 
 // Lease is a candidate for a lease. The zero value is not usable; call New.
@@ -66,6 +68,10 @@
 	view    view
 	minTerm int64
 	changed chan struct{}
+	// foreignUntil is Holding.ForeignUntil.
+	foreignUntil time.Time
+	// heard is when a peer last told of the lease as it stands.
+	heard time.Time
 }
 
 // New returns a candidate. Run its Serve to compete.
@@ -94,10 +100,11 @@
 		Held:    l.view.held(l.self, l.cfg.Now(), l.cfg.Duration),
 		Term:    l.view.value.Term,
 		Holder:  l.view.value.Holder,
-		Version: l.view.object.Version,
+		Version: l.view.object.Version, Incarnation: l.view.value.Incarnation,
 	}
 	if holding.Held {
 		holding.Until = l.view.validFrom.Add(l.cfg.Duration)
+		holding.ForeignUntil = l.foreignUntil
 	}
 	return holding
 }
@@ -137,10 +144,7 @@
 
 // Step reads the lease, and takes or renews it where that is due.
 func (l *Lease) Step(ctx context.Context) error {
-	if !l.mineByView() {
-		if l.cfg.Quiet != nil && l.cfg.Quiet() {
-			return nil
-		}
+	if !l.mineByView() && !l.recentlyHeard() {
 		if err := l.read(ctx); err != nil {
 			return err
 		}
@@ -153,12 +157,48 @@
 	case actionRenew:
 		return l.write(ctx, current, max(current.value.Term, minTerm), begun)
 	case actionTake:
+		l.noteForeign(current, begun)
 		return l.write(ctx, current, max(current.value.Term+1, minTerm), begun)
 	default:
 		return nil
 	}
 }
 
+// Hear takes word of a peer that holds the lease, which saves reading it. A
+// takeover depends on the version that was heard, so that wrong word only
+// delays it.
+func (l *Lease) Hear(value Value, version objectstore.Version) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.cfg.Now()
+	if version < l.view.object.Version {
+		return
+	}
+	l.heard = now
+	if version == l.view.object.Version {
+		return
+	}
+	l.view = view{
+		object: objectstore.Object{Kind: objectstore.KindLease, Name: l.cfg.Name, Version: version},
+		value:  value, exists: true, since: now,
+	}
+	l.notify()
+}
+
+// recentlyHeard reports whether the view was told by a peer and not yet long
+// enough ago for the lease to have lapsed unchanged for two durations.
+func (l *Lease) recentlyHeard() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.heard.IsZero() && l.cfg.Now().Sub(l.heard) < 2*l.cfg.Duration
+}
+
+// notify must be called with the mutex held.
+func (l *Lease) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 func (l *Lease) mineByView() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -193,12 +233,27 @@
 		l.view.validFrom = time.Time{}
 	}
 	if l.view.value.Holder != before.Holder || l.view.value.Incarnation != before.Incarnation {
-		close(l.changed)
-		l.changed = make(chan struct{})
+		l.notify()
 	}
 	return nil
 }
 
+// noteForeign notes until when the holder before may have acted. One that
+// released the lease acted until then at most; a lease that never existed had
+// no holder.
+func (l *Lease) noteForeign(current view, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !current.exists && current.value.Term == 0:
+		l.foreignUntil = time.Time{}
+	case current.value.Holder == "":
+		l.foreignUntil = now
+	default:
+		l.foreignUntil = current.since.Add(l.cfg.Duration)
+	}
+}
+
 func (l *Lease) write(ctx context.Context, current view, term int64, begun time.Time) error {
 	value := l.self
 	value.Term = term
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -134,7 +134,10 @@
 	loss := 0.0
 	free := e.freeMB
 	candidates := slices.Clone(e.models)
-	slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(p.loss(a), p.loss(b)) })
+	slices.SortFunc(candidates, func(a, b string) int {
+		// Without demand, the number of replicas tells what was busy.
+		return cmp.Or(cmp.Compare(p.loss(a), p.loss(b)), cmp.Compare(p.replicas[b], p.replicas[a]))
+	})
 	for _, name := range candidates {
 		if free >= needed {
 			break
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -15,6 +15,7 @@
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/forward"
 	"bilberryslip.example/bilberryslip/internal/lease"
+	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/retry"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 )
@@ -36,6 +37,7 @@
 // Leadership is the standing in the placement lease.
 type Leadership interface {
 	Holding() lease.Holding
+	Hear(value lease.Value, version objectstore.Version)
 }
 
 // Peers asks other hosts.
@@ -137,9 +139,9 @@
 	}
 	if !s.held {
 		s.held = true
-		s.actsFrom = now.Add(s.config.LeaseTime + settleMargin)
-		if holding.Term == 1 {
-			s.actsFrom = now // nobody gave orders before
+		s.actsFrom = now
+		if !holding.ForeignUntil.IsZero() {
+			s.actsFrom = holding.ForeignUntil.Add(s.config.LeaseTime + settleMargin)
 		}
 		s.views = make(map[string]*view)
 		logrus.WithFields(logrus.Fields{"term": holding.Term, "version": holding.Version, "acts_in_ms": s.actsFrom.Sub(now).Milliseconds()}).
@@ -169,7 +171,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if holding.Held {
-		report.LeaseMillis = holding.Until.Sub(clock.Boot()).Milliseconds()
+		report.Lease = &fleetv1.Lease{
+			Holder: holding.Holder, Incarnation: holding.Incarnation, Term: holding.Term, Version: int64(holding.Version),
+			LeftMillis: holding.Until.Sub(clock.Boot()).Milliseconds(),
+		}
 	}
 	for of, tokens := range s.asked {
 		report.Demand = append(report.Demand, &fleetv1.Demand{Service: of.service, Model: of.model, Adapter: of.adapter, Tokens: tokens})
@@ -190,6 +195,9 @@
 	s.mu.Lock()
 	s.demand.report(time.Now(), report.GetHost()+"/"+report.GetIncarnation(), totals)
 	s.mu.Unlock()
+	if l := report.GetLease(); l != nil {
+		s.config.Lease.Hear(lease.Value{Holder: l.GetHolder(), Incarnation: l.GetIncarnation(), Term: l.GetTerm()}, objectstore.Version(l.GetVersion()))
+	}
 	for _, h := range report.GetHoldings() {
 		s.config.Registry.Learn(h.GetEndpoint(), h.GetModel(), h.GetAdapter(), h.GetHeld())
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,8 +1,9 @@
-// Package quota holds organisations to one rate over all hosts together. Each
-// host keeps its own copy of each organisation's token bucket and charges it
-// with what it takes itself and with what the other hosts report. While some
-// hosts are out of reach it uses only the part of the rate that falls to the
-// hosts in reach. It does no I/O and reads no clock.
+// Package quota holds organisations to one limit over all hosts together. The
+// limit is the tokens that may run in a sliding window: the rate over the
+// window and the burst. Each host keeps its own copy of each organisation's
+// account and charges it with what it takes itself and with what the other
+// hosts report. While some hosts are out of reach it uses only the part of the
+// limit that falls to the hosts in reach. It does no I/O and reads no clock.
 package quota
 
 import (
@@ -11,11 +12,13 @@
 )
 
 const (
-	// firstLevel is the part of the burst that a process begins with that
-	// starts into a running fleet, where others may have used it already.
-	firstLevel = 0.25
-	// debtLimit bounds the debt of a bucket, in bursts.
-	debtLimit = 1
+	// slots divides the window; use is forgotten by whole slots.
+	slots = 32
+	// assumedUse is the part of the limit that a process takes to be used,
+	// evenly over the window, when it starts into a running fleet and has
+	// heard from no other host. More would refuse organisations that stay
+	// within their rates.
+	assumedUse = 0.85
 	// shortestPause and longestPause bound the advice when to come back.
 	shortestPause = 50 * time.Millisecond
 	longestPause  = 2 * time.Second
@@ -27,101 +30,117 @@
 	Rate, Burst float64
 }
 
-// bucket is one organisation's tokens over all hosts, as this host sees them.
-type bucket struct {
-	policy  Policy
+// account is one organisation's use over all hosts, as this host sees it.
+type account struct {
+	policy Policy
+	window window
+	// level spreads the limit over the window: it fills at the limit's mean
+	// rate, up to the burst, so that a busy organisation is served evenly.
 	level   float64
 	updated time.Time
 	// taken is what this host has taken since it started.
 	taken float64
 }
 
-// Usage is a host's use of one organisation's rate.
+// Usage is a host's use of one organisation's limit.
 type Usage struct {
 	// Taken is since the host's process started.
 	Taken float64
-	// Level is what the host takes to be left.
-	Level float64
+	// Used is what all hosts have taken in the window, as the host sees it.
+	Used float64
 }
 
 // Limiter decides what one host may grant. It is not safe for concurrent use.
 type Limiter struct {
-	// full tells that the buckets begin full, since the whole fleet starts.
-	full    bool
-	reach   float64
-	buckets map[string]*bucket
+	length time.Duration
+	// first tells that the whole fleet starts and nothing was used before.
+	first    bool
+	reach    float64
+	accounts map[string]*account
 	// seen is what each process has reported, by organisation.
 	seen map[string]map[string]float64
 }
 
-// NewLimiter returns a limiter without policies. Full buckets are for the
-// first start of a whole fleet.
-func NewLimiter(full bool) *Limiter {
-	return &Limiter{full: full, reach: 1, buckets: make(map[string]*bucket), seen: make(map[string]map[string]float64)}
+// NewLimiter returns a limiter without policies, for windows of a length.
+// First is for the first start of a whole fleet.
+func NewLimiter(length time.Duration, first bool) *Limiter {
+	return &Limiter{
+		length: length, first: first, reach: 1,
+		accounts: make(map[string]*account), seen: make(map[string]map[string]float64),
+	}
 }
 
+// limit returns the most tokens in a window.
+func (l *Limiter) limit(p Policy) float64 { return p.Rate*l.length.Seconds() + p.Burst }
+
 // SetPolicies replaces the policies.
 func (l *Limiter) SetPolicies(now time.Time, policies map[string]Policy) {
-	for name := range l.buckets {
+	for name := range l.accounts {
 		if _, ok := policies[name]; !ok {
-			delete(l.buckets, name)
+			delete(l.accounts, name)
 		}
 	}
 	for name, policy := range policies {
-		b, ok := l.buckets[name]
+		a, ok := l.accounts[name]
 		if !ok {
-			b = &bucket{level: policy.Burst, updated: now}
-			if !l.full {
-				b.level *= firstLevel
+			a = &account{window: newWindow(l.length), level: policy.Burst, updated: now}
+			if !l.first {
+				a.window.fill(now, assumedUse*l.limit(policy))
+				a.level *= 1 - assumedUse
 			}
-			l.buckets[name] = b
+			l.accounts[name] = a
 		}
-		b.advance(now, l.reach)
-		b.policy = policy
-		b.level = min(b.level, policy.Burst)
+		l.advance(now, a)
+		a.policy = policy
+		a.level = min(a.level, policy.Burst)
 	}
 }
 
 // SetReach sets the part of the hosts, 0 to 1, whose use this host hears of,
 // itself included.
 func (l *Limiter) SetReach(now time.Time, reach float64) {
-	for _, b := range l.buckets {
-		b.advance(now, l.reach)
-		if reach < l.reach && b.level > 0 {
+	for _, a := range l.accounts {
+		l.advance(now, a)
+		if reach < l.reach && a.level > 0 {
 			// The others may use their part of what is left.
-			b.level *= reach / l.reach
+			a.level *= reach / l.reach
 		}
 	}
 	l.reach = reach
 }
 
-func (b *bucket) advance(now time.Time, reach float64) {
-	elapsed := now.Sub(b.updated).Seconds()
+func (l *Limiter) advance(now time.Time, a *account) {
+	elapsed := now.Sub(a.updated).Seconds()
 	if elapsed <= 0 {
 		return
 	}
-	b.updated = now
-	b.level = min(b.level+reach*b.policy.Rate*elapsed, b.policy.Burst)
+	a.updated = now
+	a.level = min(a.level+elapsed*l.meanRate(a.policy), a.policy.Burst)
 }
 
-func (b *bucket) charge(tokens float64) {
-	b.level = max(b.level-tokens, -debtLimit*b.policy.Burst)
+// meanRate is the limit spread over the window, for the hosts in reach.
+func (l *Limiter) meanRate(p Policy) float64 { return l.reach * l.limit(p) / l.length.Seconds() }
+
+func (l *Limiter) charge(now time.Time, a *account, tokens float64) {
+	a.window.add(now, tokens)
+	a.level = max(a.level-tokens, -a.policy.Burst)
 }
 
-// Take takes tokens, or tells when as many are expected. A request that is
-// larger than the burst is let in by a full bucket.
+// Take takes tokens, or tells when as many are expected to be free. A request
+// that is larger than the burst is let in where the whole burst is free.
 func (l *Limiter) Take(now time.Time, organisation string, tokens float64) (time.Duration, bool) {
-	b, ok := l.buckets[organisation]
+	a, ok := l.accounts[organisation]
 	if !ok {
 		return 0, true // without a limit
 	}
-	b.advance(now, l.reach)
-	needed := min(tokens, b.policy.Burst*l.reach)
-	if b.level < needed {
-		return pause((needed - b.level) / (b.policy.Rate * l.reach)), false
+	l.advance(now, a)
+	missing := min(tokens, a.policy.Burst*l.reach) - a.level
+	missing = max(missing, a.window.sum(now)+tokens-l.reach*l.limit(a.policy))
+	if missing > 0 {
+		return pause(missing / l.meanRate(a.policy)), false
 	}
-	b.charge(tokens)
-	b.taken += tokens
+	l.charge(now, a, tokens)
+	a.taken += tokens
 	return 0, true
 }
 
@@ -133,44 +152,45 @@
 }
 
 // GiveBack returns tokens of a request that did not run.
-func (l *Limiter) GiveBack(organisation string, tokens float64) {
-	if b, ok := l.buckets[organisation]; ok {
-		b.taken -= tokens
-		b.level = min(b.level+tokens, b.policy.Burst)
+func (l *Limiter) GiveBack(now time.Time, organisation string, tokens float64) {
+	if a, ok := l.accounts[organisation]; ok {
+		a.taken -= tokens
+		a.window.add(now, -tokens)
+		a.level = min(a.level+tokens, a.policy.Burst)
 	}
 }
 
 // Usage returns this host's own use, for the others.
 func (l *Limiter) Usage(now time.Time) map[string]Usage {
-	usage := make(map[string]Usage, len(l.buckets))
-	for name, b := range l.buckets {
-		b.advance(now, l.reach)
-		usage[name] = Usage{Taken: b.taken, Level: b.level}
+	usage := make(map[string]Usage, len(l.accounts))
+	for name, a := range l.accounts {
+		usage[name] = Usage{Taken: a.taken, Used: a.window.sum(now)}
 	}
 	return usage
 }
 
 // Heard charges what another process has used since its last report. Joining
-// tells that this process has just started: it takes over the level then, in
-// which earlier use is counted already.
+// tells that this process has just started: what the other saw used in the
+// window takes the place of what was assumed.
 func (l *Limiter) Heard(now time.Time, process string, usage map[string]Usage, joining bool) {
 	before, known := l.seen[process]
-	if before == nil {
+	if !known {
 		before = make(map[string]float64)
 		l.seen[process] = before
 	}
 	for name, u := range usage {
-		b, ok := l.buckets[name]
+		a, ok := l.accounts[name]
 		if !ok {
 			continue
 		}
-		b.advance(now, l.reach)
+		l.advance(now, a)
 		last, reported := before[name]
-		if !known && joining || !reported && joining {
-			b.level = min(b.level, u.Level)
-		} else {
-			b.charge(u.Taken - last)
-			b.level = min(b.level, b.policy.Burst)
+		switch {
+		case reported || !joining:
+			l.charge(now, a, u.Taken-last)
+			a.level = min(a.level, a.policy.Burst)
+		case !l.first && a.taken == 0:
+			a.window.fill(now, u.Used)
 		}
 		before[name] = u.Taken
 	}
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 )
 
@@ -15,9 +16,11 @@
 	limiter *Limiter
 }
 
-// NewService returns a service without policies. Full buckets are for the
-// first start of a whole fleet.
-func NewService(full bool) *Service { return &Service{limiter: NewLimiter(full)} }
+// NewService returns a service without policies, for windows of a length.
+// First is for the first start of a whole fleet.
+func NewService(length time.Duration, first bool) *Service {
+	return &Service{limiter: NewLimiter(length, first)}
+}
 
 // Configure takes over the policies of a configuration.
 func (s *Service) Configure(config *traffic.Config) {
@@ -29,29 +32,29 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limiter.SetPolicies(time.Now(), policies)
+	s.limiter.SetPolicies(clock.Boot(), policies)
 }
 
 // Take implements forward.Quota.
 func (s *Service) Take(organisation string, tokens float64) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limiter.Take(time.Now(), organisation, tokens)
+	return s.limiter.Take(clock.Boot(), organisation, tokens)
 }
 
 // GiveBack implements forward.Quota.
 func (s *Service) GiveBack(organisation string, tokens float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limiter.GiveBack(organisation, tokens)
+	s.limiter.GiveBack(clock.Boot(), organisation, tokens)
 }
 
 // Contribute implements exchange.Part.
 func (s *Service) Contribute(report *fleetv1.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for name, u := range s.limiter.Usage(time.Now()) {
-		report.Usage = append(report.Usage, &fleetv1.Usage{Organisation: name, Tokens: u.Taken, Level: u.Level})
+	for name, u := range s.limiter.Usage(clock.Boot()) {
+		report.Usage = append(report.Usage, &fleetv1.Usage{Organisation: name, Tokens: u.Taken, Used: u.Used})
 	}
 }
 
@@ -59,23 +62,23 @@
 func (s *Service) Hear(report *fleetv1.Report, joining bool) {
 	usage := make(map[string]Usage, len(report.GetUsage()))
 	for _, u := range report.GetUsage() {
-		usage[u.GetOrganisation()] = Usage{Taken: u.GetTokens(), Level: u.GetLevel()}
+		usage[u.GetOrganisation()] = Usage{Taken: u.GetTokens(), Used: u.GetUsed()}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limiter.Heard(time.Now(), report.GetHost()+"/"+report.GetIncarnation(), usage, joining)
+	s.limiter.Heard(clock.Boot(), report.GetHost()+"/"+report.GetIncarnation(), usage, joining)
 }
 
 // Reach implements exchange.Part.
 func (s *Service) Reach(reach float64, _ int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limiter.SetReach(time.Now(), reach)
+	s.limiter.SetReach(clock.Boot(), reach)
 }
 
 // DumpState returns the buckets for the state dump.
 func (s *Service) DumpState() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limiter.Usage(time.Now())
+	return s.limiter.Usage(clock.Boot())
 }
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -47,6 +47,8 @@
 	RetryRatio   float64  `json:"retry_ratio"`
 	RetryReserve float64  `json:"retry_reserve"`
 	RetryWindow  Duration `json:"retry_window"`
+	// QuotaWindow is the length over which organisations' rates are counted.
+	QuotaWindow Duration `json:"quota_window"`
 	// Lease is how long after one holder's orders another's may follow.
 	Lease Duration `json:"lease"`
 	// LoadWindow and LoadOverage bound the loads from the weight store.
@@ -84,7 +86,7 @@
 		MemoryMB: 256,
 		Bounds: Bounds{
 			Grace: Duration(8 * time.Second), RetryRatio: 0.2, RetryReserve: 50, RetryWindow: Duration(10 * time.Second),
-			Lease: Duration(3 * time.Second), LoadWindow: Duration(5 * time.Second), LoadOverage: 1,
+			QuotaWindow: Duration(8 * time.Second), Lease: Duration(3 * time.Second), LoadWindow: Duration(5 * time.Second), LoadOverage: 1,
 		},
 	}
 }
@@ -117,6 +119,7 @@
 	}{
 		{"bounds.grace", b.Grace},
 		{"bounds.retry_window", b.RetryWindow},
+		{"bounds.quota_window", b.QuotaWindow},
 		{"bounds.lease", b.Lease},
 		{"bounds.load_window", b.LoadWindow},
 	} {
