Place models from copies, let idle ones make room, wait for loads that are near

Change: engines with a copy come first and cheap; an idle model may leave its last engine while a copy is kept, and is brought back when asked for, for which requests wait up to 1.6 s; the weight store's ceiling counts cold loads only.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -167,7 +167,7 @@
 		LoadWindow: s.Bounds.LoadWindow.Std(), LoadOverage: s.Bounds.LoadOverage,
 	})
 	h.exchange.AddPart(h.orders)
-	h.exchange.ServeAdapters(h.orders.PlaceAdapter)
+	h.exchange.ServePlacement(h.orders.Place)
 }
 
 // retryBudget returns this host's part of the fleet's budget.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -70,8 +70,8 @@
 	started time.Time
 	client  *http.Client
 	parts   []Part
-	// adapters answers requests for adapters; nil refuses them.
-	adapters func(ctx context.Context, request *fleetv1.AdapterRequest) *fleetv1.AdapterResponse
+	// place answers requests for models and adapters; nil refuses them.
+	place func(ctx context.Context, request *fleetv1.PlaceRequest) *fleetv1.PlaceResponse
 
 	mu      sync.Mutex
 	roster  *roster
@@ -92,10 +92,10 @@
 // AddPart adds a part; it must be called before Serve.
 func (s *Service) AddPart(p Part) { s.parts = append(s.parts, p) }
 
-// ServeAdapters sets what answers requests for adapters; it must be called
+// ServePlacement sets what answers requests for models and adapters; it must be called
 // before Serve.
-func (s *Service) ServeAdapters(answer func(context.Context, *fleetv1.AdapterRequest) *fleetv1.AdapterResponse) {
-	s.adapters = answer
+func (s *Service) ServePlacement(answer func(context.Context, *fleetv1.PlaceRequest) *fleetv1.PlaceResponse) {
+	s.place = answer
 }
 
 // Handler serves the other hosts.
@@ -269,17 +269,17 @@
 	return s.report(), nil
 }
 
-// RequestAdapter implements fleetv1.Fleet.
-func (s *Service) RequestAdapter(ctx context.Context, request *fleetv1.AdapterRequest) (*fleetv1.AdapterResponse, error) {
-	if s.adapters == nil {
-		return &fleetv1.AdapterResponse{}, nil
+// Place implements fleetv1.Fleet.
+func (s *Service) Place(ctx context.Context, request *fleetv1.PlaceRequest) (*fleetv1.PlaceResponse, error) {
+	if s.place == nil {
+		return &fleetv1.PlaceResponse{}, nil
 	}
-	return s.adapters(ctx, request), nil
+	return s.place(ctx, request), nil
 }
 
-// AskLeader asks the holder of the placement lease for an adapter. It returns
+// AskLeader asks the holder of the placement lease for a model or an adapter. It returns
 // an error where none is in reach.
-func (s *Service) AskLeader(ctx context.Context, request *fleetv1.AdapterRequest) (*fleetv1.AdapterResponse, error) {
+func (s *Service) AskLeader(ctx context.Context, request *fleetv1.PlaceRequest) (*fleetv1.PlaceResponse, error) {
 	s.mu.Lock()
 	leader := s.roster.leader(time.Now())
 	s.mu.Unlock()
@@ -288,7 +288,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.peerClient(leader.address).RequestAdapter(ctx, request)
+	return s.peerClient(leader.address).Place(ctx, request)
 }
 
 // Hosts returns how many hosts may be serving, this one included.
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -22,6 +22,9 @@
 	Leaving bool
 	// Models are the models held, each with its adapters.
 	Models map[string]Adapters
+	// Copies are the models whose weights the endpoint keeps beside, from
+	// where they load fast.
+	Copies map[string]bool
 }
 
 // Adapters is a set of adapter names.
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -197,14 +197,15 @@
 	if model == "" {
 		return true
 	}
-	if c, ok := m.claims[item{model, ""}]; ok && now.Before(c.until) && !c.held {
-		return false
+	held := m.Holds(model, "")
+	if c, ok := m.claims[item{model, ""}]; ok && now.Before(c.until) {
+		held = c.held
 	}
-	if adapter == "" {
-		return m.Holds(model, "")
+	if !held || adapter == "" {
+		return held
 	}
 	if c, ok := m.claims[item{model, adapter}]; ok && now.Before(c.until) {
-		return c.held && m.Holds(model, "")
+		return c.held
 	}
 	return m.Holds(model, adapter)
 }
@@ -219,6 +220,19 @@
 	}
 }
 
+// Held reports whether an endpoint that takes work holds a model.
+func (r *Registry) Held(service, model string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Clock()
+	for _, m := range r.members {
+		if m.Service == service && r.usable(m, now) && m.holds(now, model, "") {
+			return true
+		}
+	}
+	return false
+}
+
 // Start chooses an endpoint for the work and enters the work in its accounts.
 func (r *Registry) Start(work Work) (*Attempt, Reason) {
 	r.mu.Lock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/quota"
 	"bilberryslip.example/bilberryslip/internal/routing"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
@@ -78,7 +79,7 @@
 // Quota holds organisations to their rates over all hosts.
 type Quota interface {
 	// Take takes tokens, or tells when to come back.
-	Take(organisation string, tokens float64) (retryAfter time.Duration, ok bool)
+	Take(organisation string, tokens float64) quota.Decision
 	// GiveBack returns tokens of a request that did not run.
 	GiveBack(organisation string, tokens float64)
 }
@@ -87,9 +88,9 @@
 type Holdings interface {
 	// Demand notes a request's work for a model and adapter.
 	Demand(service, model, adapter string, tokens int)
-	// WaitAdapter asks for an adapter and waits until an endpoint holds it;
-	// false where that can't be had in time.
-	WaitAdapter(ctx context.Context, service, model, adapter string) bool
+	// WaitHeld asks for a model, or an adapter of it, and waits until an
+	// endpoint may hold it; false where that can't be had in time.
+	WaitHeld(ctx context.Context, service, model, adapter string) bool
 }
 
 // Config sets a Forwarder.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -102,11 +102,15 @@
 		return func() {}, nil
 	}
 	tokens := x.call.Tokens(x.organisation.PlainTokens)
-	quota := x.forwarder.config.Quota
-	if wait, ok := quota.Take(x.organisation.Name, tokens); !ok {
-		return nil, refuse(ReasonOverRate, wait)
-	}
-	return func() { quota.GiveBack(x.organisation.Name, tokens) }, nil
+	quotas := x.forwarder.config.Quota
+	if d := quotas.Take(x.organisation.Name, tokens); !d.Granted {
+		x.log().WithFields(logrus.Fields{
+			"organisation": x.organisation.Name, "tokens": tokens, "used": int64(d.Used), "limit": int64(d.Limit),
+			"level": int64(d.Level), "reach": d.Reach,
+		}).Info("over the rate")
+		return nil, refuse(ReasonOverRate, d.RetryAfter)
+	}
+	return func() { quotas.GiveBack(x.organisation.Name, tokens) }, nil
 }
 
 func (x *run) noteDemand() {
@@ -122,11 +126,13 @@
 	}
 }
 
-// choose finds an endpoint, bringing an adapter to one where that is needed.
+// choose finds an endpoint, bringing the model or adapter to one where that is
+// needed.
 func (x *run) choose() (*fleet.Attempt, error) {
 	attempt, reason := x.forwarder.config.Endpoints.Start(x.work())
-	if reason == fleet.ReasonAdapterNotHeld && x.forwarder.config.Holdings != nil {
-		if x.forwarder.config.Holdings.WaitAdapter(x.ctx, x.service, x.call.Model, x.call.Adapter) {
+	// A model comes first, its adapter after it.
+	for _, missing := range []fleet.Reason{fleet.ReasonModelNotHeld, fleet.ReasonAdapterNotHeld} {
+		if reason == missing && x.bring(missing) {
 			attempt, reason = x.forwarder.config.Endpoints.Start(x.work())
 		}
 	}
@@ -147,6 +153,19 @@
 	}
 }
 
+// bring waits for the model or the adapter that no endpoint holds.
+func (x *run) bring(missing fleet.Reason) bool {
+	holdings := x.forwarder.config.Holdings
+	if holdings == nil {
+		return false
+	}
+	adapter := x.call.Adapter
+	if missing == fleet.ReasonModelNotHeld {
+		adapter = ""
+	}
+	return holdings.WaitHeld(x.ctx, x.service, x.call.Model, adapter)
+}
+
 // verdict is how a send ended.
 type verdict int
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -84,8 +84,8 @@
 // Serve implements suture.Service.
 func (s *Server) Serve(ctx context.Context) error {
 	server := &http.Server{
-		Handler:           s.closing(s.config.Handler),
-		ConnState:         s.track,
+		Handler:   s.closing(s.config.Handler),
+		ConnState: s.track,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
 		},
--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -18,16 +18,21 @@
 	// adapterWait bounds the wait for an adapter; later the caller is better
 	// served by coming back.
 	adapterWait = 400 * time.Millisecond
+	// modelWait bounds the wait for a model: engines that keep a copy load it
+	// within a second, and callers of streams leave after two.
+	modelWait = 1600 * time.Millisecond
+	// modelPoll is the time between two looks for a model.
+	modelPoll = 40 * time.Millisecond
 	// adapterRest is how long an adapter stays after its last request before
 	// another may take its place.
 	adapterRest = 1500 * time.Millisecond
 )
 
-// WaitAdapter implements forward.Holdings. Requests for the same adapter wait
-// for one order.
-func (s *Service) WaitAdapter(ctx context.Context, service, model, adapter string) bool {
+// WaitHeld implements forward.Holdings. Requests for the same model or adapter
+// wait for one order.
+func (s *Service) WaitHeld(ctx context.Context, service, model, adapter string) bool {
 	of := subject{service, model, adapter}
-	ctx, cancel := context.WithTimeout(ctx, adapterWait)
+	ctx, cancel := context.WithTimeout(ctx, of.wait())
 	defer cancel()
 	s.mu.Lock()
 	done, running := s.waiting[of]
@@ -45,24 +50,34 @@
 	}
 }
 
-// fetch brings an adapter to an engine and tells those that wait.
+// wait bounds the wait for a model or adapter.
+func (of subject) wait() time.Duration {
+	if of.adapter == "" {
+		return modelWait
+	}
+	return adapterWait
+}
+
+// fetch brings a model or adapter to an engine and tells those that wait.
 func (s *Service) fetch(of subject, done chan struct{}) {
-	ctx, cancel := context.WithTimeout(context.Background(), adapterWait)
+	ctx, cancel := context.WithTimeout(context.Background(), of.wait())
 	defer cancel()
-	request := &fleetv1.AdapterRequest{Service: of.service, Model: of.model, Adapter: of.adapter}
-	var answer *fleetv1.AdapterResponse
+	request := &fleetv1.PlaceRequest{Service: of.service, Model: of.model, Adapter: of.adapter}
+	var answer *fleetv1.PlaceResponse
 	var err error
 	if s.mayOrder() {
-		answer = s.PlaceAdapter(ctx, request)
+		answer = s.Place(ctx, request)
 	} else {
 		answer, err = s.config.Peers.AskLeader(ctx, request)
 	}
 	switch {
 	case err != nil:
-		logrus.WithError(err).WithFields(logrus.Fields{"model": of.model, "adapter": of.adapter}).Info("adapter not had")
+		logrus.WithError(err).WithFields(logrus.Fields{"model": of.model, "adapter": of.adapter}).Info("model or adapter not had")
 	case answer.GetEndpoint() != "":
 		retry.Sleep(ctx, time.Duration(answer.GetReadyMillis())*time.Millisecond)
 		s.config.Registry.Learn(answer.GetEndpoint(), of.model, of.adapter, true)
+	case of.adapter == "":
+		s.awaitModel(ctx, of)
 	}
 	s.mu.Lock()
 	delete(s.waiting, of)
@@ -70,36 +85,52 @@
 	close(done)
 }
 
-// PlaceAdapter brings an adapter to an engine that holds its model. It
-// answers other hosts, and is empty where no engine can take it now.
-func (s *Service) PlaceAdapter(ctx context.Context, request *fleetv1.AdapterRequest) *fleetv1.AdapterResponse {
+// awaitModel waits until an engine is known to hold a model.
+func (s *Service) awaitModel(ctx context.Context, of subject) {
+	for !s.config.Registry.Held(of.service, of.model) && retry.Sleep(ctx, modelPoll) {
+	}
+}
+
+// Place answers other hosts that ask the holder of the lease for a model or an
+// adapter. The answer names no endpoint where none can take it now, and for
+// models, whose loads take longer than a call.
+func (s *Service) Place(ctx context.Context, request *fleetv1.PlaceRequest) *fleetv1.PlaceResponse {
 	of := subject{request.GetService(), request.GetModel(), request.GetAdapter()}
 	engine := s.engineOf(of.service)
 	if engine == nil || engine.Model(of.model) == nil || !s.mayOrder() {
-		return &fleetv1.AdapterResponse{}
+		return &fleetv1.PlaceResponse{}
+	}
+	if of.adapter == "" {
+		s.bring(of)
+		return &fleetv1.PlaceResponse{}
 	}
+	return s.placeAdapter(ctx, of, engine)
+}
+
+// placeAdapter brings an adapter to an engine that holds its model.
+func (s *Service) placeAdapter(ctx context.Context, of subject, engine *traffic.Engine) *fleetv1.PlaceResponse {
 	v, held := s.engineFor(of, engine)
 	if v == nil {
 		logrus.WithFields(logrus.Fields{"model": of.model, "adapter": of.adapter}).Info("no engine takes the adapter now")
-		return &fleetv1.AdapterResponse{}
+		return &fleetv1.PlaceResponse{}
 	}
 	id := v.endpoint.ID
 	if held {
-		return &fleetv1.AdapterResponse{Endpoint: id, ReadyMillis: adapterTime.Milliseconds()}
+		return &fleetv1.PlaceResponse{Endpoint: id, ReadyMillis: adapterTime.Milliseconds()}
 	}
 	l := s.lock(id)
 	l.Lock()
 	defer l.Unlock()
 	if !s.makeRoom(ctx, v, of, engine) {
-		return &fleetv1.AdapterResponse{}
+		return &fleetv1.PlaceResponse{}
 	}
 	fits := func() bool { return v.roomFor(of, engine) }
 	if err := s.order(ctx, v, Order{Action: Load, Model: of.model, Adapter: of.adapter}, fits); err != nil {
 		logrus.WithError(err).WithField("endpoint", id).Info("adapter not loaded")
-		return &fleetv1.AdapterResponse{}
+		return &fleetv1.PlaceResponse{}
 	}
 	time.AfterFunc(adapterTime, func() { s.announce(id, of.model, of.adapter, true) })
-	return &fleetv1.AdapterResponse{Endpoint: id, ReadyMillis: adapterTime.Milliseconds()}
+	return &fleetv1.PlaceResponse{Endpoint: id, ReadyMillis: adapterTime.Milliseconds()}
 }
 
 // engineFor returns the engine that holds the adapter, or else the one with
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -15,7 +15,7 @@
 
 const (
 	// reportPause is the time between two reports while an order is awaited.
-	reportPause = 300 * time.Millisecond
+	reportPause = 200 * time.Millisecond
 	// unloadWait bounds the wait for the runs of a model that is unloaded.
 	unloadWait = 10 * time.Second
 	// loadWait is how many times a load's usual duration is waited for.
@@ -33,24 +33,44 @@
 		if service.Engine == nil {
 			continue
 		}
-		for s.mayLoad(service.Engine) {
+		for s.underWay() < loadsUnderWay {
 			c, ok := nextChange(s.planInput(service))
-			if !ok {
+			if !ok || !s.start(ctx, service, c) {
 				break
 			}
-			s.start(ctx, service, c)
 		}
 	}
 }
 
-// mayLoad reports whether the ceiling allows another load now.
-func (s *Service) mayLoad(engine *traffic.Engine) bool {
+// Bring makes a model reachable that no engine holds, as far as its load may
+// begin now.
+func (s *Service) bring(of subject) {
+	config := s.config.Source.Current()
+	if config == nil {
+		return
+	}
+	service := config.Service(of.service)
+	if service == nil || service.Engine == nil {
+		return
+	}
+	if c, ok := bring(s.planInput(service), of.model); ok {
+		s.start(context.Background(), service, c)
+	}
+}
+
+func (s *Service) underWay() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return len(s.moving)
+}
+
+// mayLoadCold reports whether the weight store's ceiling allows another load
+// now. It must be called with the mutex held.
+func (s *Service) mayLoadCold(engine *traffic.Engine) bool {
 	now := clock.Boot()
 	s.loads = slices.DeleteFunc(s.loads, func(at time.Time) bool { return now.Sub(at) > s.config.LoadWindow })
 	allowed := ceilingShare * engine.LoadsPerSecond * s.config.LoadWindow.Seconds() * s.config.LoadOverage
-	return float64(len(s.loads)+1) <= allowed && len(s.moving) < loadsUnderWay
+	return float64(len(s.loads)+1) <= allowed
 }
 
 func (s *Service) planInput(service *traffic.Service) planInput {
@@ -65,7 +85,7 @@
 	}
 	for _, v := range s.refresh(service.Name) {
 		coming, moving := s.moving[v.endpoint.ID]
-		e := planEngine{id: v.endpoint.ID, freeMB: v.freeMB(service.Engine), closed: moving}
+		e := planEngine{id: v.endpoint.ID, freeMB: v.freeMB(service.Engine), copies: v.endpoint.Copies, closed: moving}
 		if v.endpoint.Leaving {
 			continue
 		}
@@ -81,15 +101,21 @@
 	return in
 }
 
-// start begins a change beside the plan.
-func (s *Service) start(ctx context.Context, service *traffic.Service, c change) {
+// start begins a change beside the plan, or reports that it may not begin now.
+func (s *Service) start(ctx context.Context, service *traffic.Service, c change) bool {
 	s.mu.Lock()
+	if _, busy := s.moving[c.engine]; busy || c.cold && !s.mayLoadCold(service.Engine) {
+		s.mu.Unlock()
+		return false
+	}
 	s.moving[c.engine] = c.model
-	s.loads = append(s.loads, clock.Boot())
+	if c.cold {
+		s.loads = append(s.loads, clock.Boot())
+	}
 	v := s.views[c.engine]
 	s.mu.Unlock()
 	logrus.WithFields(logrus.Fields{
-		"endpoint": c.engine, "model": c.model, "victims": c.victims, "unreachable": c.unreachable,
+		"endpoint": c.engine, "model": c.model, "victims": c.victims, "cold": c.cold, "unreachable": c.unreachable,
 	}).Info("model placed")
 	go func() {
 		if err := s.carryOut(ctx, service, v, c); err != nil {
@@ -100,6 +126,7 @@
 		delete(s.moving, c.engine)
 		v.busy = false
 	}()
+	return true
 }
 
 // carryOut unloads the victims and loads the model.
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -5,13 +5,21 @@
 	"slices"
 )
 
+// Demands are in tokens per second.
 const (
-	// worthwhile is the demand on each replica, in tokens per second, below
-	// which no replica is added: a load costs more than it brings.
-	worthwhile = 6000
+	// worthwhile is the demand on each replica below which no replica is
+	// added, where the engine keeps a copy of the weights; worthwhileCold
+	// where they come from the weight store, whose loads are slow and few.
+	worthwhile     = 3500
+	worthwhileCold = 9000
 	// relief is what a change must leave at most of the demand on the most
 	// loaded replica, so that small swings cause no loads.
 	relief = 0.75
+	// idleDemand is the demand below which a model may leave its last engine,
+	// as long as an engine keeps a copy. It comes back within a second.
+	idleDemand = 60
+	// idleLoss is what the removal of an idle model's last replica counts.
+	idleLoss = 1500
 )
 
 // planModel is a model as the plan sees it.
@@ -28,7 +36,9 @@
 	freeMB float64
 	// models are those held or on their way.
 	models []string
-	// closed engines take no order now: they are leaving or busy.
+	// copies are the models whose weights the engine keeps.
+	copies map[string]bool
+	// closed engines take no order now.
 	closed bool
 }
 
@@ -44,6 +54,8 @@
 	engine  string
 	victims []string
 	model   string
+	// cold loads come from the weight store.
+	cold bool
 	// unreachable tells that no engine holds the model.
 	unreachable bool
 }
@@ -52,12 +64,14 @@
 	planInput
 	byName   map[string]*planModel
 	replicas map[string]int
+	// copied are the models of which some engine keeps a copy.
+	copied map[string]bool
 }
 
-// nextChange returns the most useful change, or false where none is worth
-// its load.
-func nextChange(in planInput) (change, bool) {
-	p := planner{planInput: in, byName: make(map[string]*planModel), replicas: make(map[string]int)}
+func newPlanner(in planInput) *planner {
+	p := &planner{
+		planInput: in, byName: make(map[string]*planModel), replicas: make(map[string]int), copied: make(map[string]bool),
+	}
 	for i := range in.models {
 		p.byName[in.models[i].name] = &in.models[i]
 	}
@@ -65,19 +79,44 @@
 		for _, name := range e.models {
 			p.replicas[name]++
 		}
+		for name := range e.copies {
+			p.copied[name] = true
+		}
 	}
+	return p
+}
+
+// nextChange returns the most useful change, or false where none is worth
+// its load.
+func nextChange(in planInput) (change, bool) {
+	p := newPlanner(in)
 	if c, ok := p.reach(); ok {
 		return c, true
 	}
 	return p.relieve()
 }
 
+// bring returns the change that makes one model reachable.
+func bring(in planInput, model string) (change, bool) {
+	p := newPlanner(in)
+	m, known := p.byName[model]
+	if !known || p.replicas[model] > 0 {
+		return change{}, false
+	}
+	c, _, ok := p.place(m)
+	c.unreachable = true
+	return c, ok
+}
+
 // perReplica returns the demand on each of a number of replicas.
 func perReplica(m *planModel, replicas int) float64 { return m.demand / float64(max(1, replicas)) }
 
-// reach loads the most wanted model that no engine holds.
+// reach loads the most wanted model that no engine holds. Models that nobody
+// asks for wait as long as a copy can be loaded fast.
 func (p *planner) reach() (change, bool) {
-	missing := slices.DeleteFunc(slices.Clone(p.models), func(m planModel) bool { return p.replicas[m.name] > 0 })
+	missing := slices.DeleteFunc(slices.Clone(p.models), func(m planModel) bool {
+		return p.replicas[m.name] > 0 || m.demand < idleDemand && p.copied[m.name]
+	})
 	slices.SortStableFunc(missing, func(a, b planModel) int { return cmp.Compare(b.demand, a.demand) })
 	for i := range missing {
 		if c, _, ok := p.place(&missing[i]); ok {
@@ -101,8 +140,10 @@
 			break
 		}
 		c, loss, ok := p.place(m)
-		after := max(perReplica(m, p.replicas[m.name]+1), loss)
-		if ok && after <= relief*before {
+		if !ok || c.cold && before < worthwhileCold {
+			continue
+		}
+		if max(perReplica(m, p.replicas[m.name]+1), loss) <= relief*before {
 			return c, true
 		}
 	}
@@ -113,22 +154,29 @@
 // demand on a replica of a victim afterwards.
 func (p *planner) place(m *planModel) (change, float64, bool) {
 	best, found := change{}, false
-	lowest := 0.0
+	lowest, lowestLoss := 0.0, 0.0
 	for _, e := range p.engines {
 		if e.closed || slices.Contains(e.models, m.name) {
 			continue
 		}
 		victims, loss, ok := p.victims(e, m.mb)
-		if ok && (!found || loss < lowest || loss == lowest && len(victims) < len(best.victims)) {
-			best, lowest, found = change{engine: e.id, victims: victims, model: m.name}, loss, true
+		if !ok {
+			continue
+		}
+		cold := !e.copies[m.name]
+		cost := loss
+		if cold {
+			cost += worthwhileCold
+		}
+		if !found || cost < lowest || cost == lowest && len(victims) < len(best.victims) {
+			best, lowest, lowestLoss, found = change{engine: e.id, victims: victims, model: m.name, cold: cold}, cost, loss, true
 		}
 	}
-	return best, lowest, found
+	return best, lowestLoss, found
 }
 
-// victims returns the models that make room on an engine: those with other
-// replicas whose demand suffers least. A model that is not configured any
-// more goes first.
+// victims returns the models that make room on an engine: those whose demand
+// suffers least. A model that is not configured any more goes first.
 func (p *planner) victims(e planEngine, needed float64) ([]string, float64, bool) {
 	var victims []string
 	loss := 0.0
@@ -143,7 +191,7 @@
 			break
 		}
 		m, known := p.byName[name]
-		if known && p.replicas[name] < 2 {
+		if known && !p.spare(m) {
 			continue
 		}
 		victims = append(victims, name)
@@ -155,11 +203,20 @@
 	return victims, loss, free >= needed
 }
 
+// spare reports whether a replica of a model may go.
+func (p *planner) spare(m *planModel) bool {
+	return p.replicas[m.name] > 1 || m.demand < idleDemand && p.copied[m.name]
+}
+
 // loss returns the demand on each replica of a model after one goes.
 func (p *planner) loss(name string) float64 {
 	m, known := p.byName[name]
-	if !known {
+	switch {
+	case !known:
 		return 0
+	case p.replicas[name] < 2:
+		return max(idleLoss, m.demand)
+	default:
+		return perReplica(m, p.replicas[name]-1)
 	}
-	return perReplica(m, p.replicas[name]-1)
 }
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -42,8 +42,8 @@
 
 // Peers asks other hosts.
 type Peers interface {
-	// AskLeader asks the holder of the placement lease for an adapter.
-	AskLeader(ctx context.Context, request *fleetv1.AdapterRequest) (*fleetv1.AdapterResponse, error)
+	// AskLeader asks the holder of the placement lease for a model or an adapter.
+	AskLeader(ctx context.Context, request *fleetv1.PlaceRequest) (*fleetv1.PlaceResponse, error)
 }
 
 // Config sets a Service.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -126,22 +126,36 @@
 	a.level = max(a.level-tokens, -a.policy.Burst)
 }
 
-// Take takes tokens, or tells when as many are expected to be free. A request
-// that is larger than the burst is let in where the whole burst is free.
-func (l *Limiter) Take(now time.Time, organisation string, tokens float64) (time.Duration, bool) {
+// Decision is the answer to a request for tokens with what it depended on.
+type Decision struct {
+	Granted bool
+	// RetryAfter is when as many tokens are expected to be free.
+	RetryAfter time.Duration
+	// Used is what all hosts have taken in the window, Limit what the hosts in
+	// reach may take, Level what is left of the burst.
+	Used, Limit, Level float64
+	// Reach is the part of the hosts in reach.
+	Reach float64
+}
+
+// Take takes tokens. A request that is larger than the burst is let in where
+// the whole burst is free.
+func (l *Limiter) Take(now time.Time, organisation string, tokens float64) Decision {
 	a, ok := l.accounts[organisation]
 	if !ok {
-		return 0, true // without a limit
+		return Decision{Granted: true, Reach: l.reach} // without a limit
 	}
 	l.advance(now, a)
-	missing := min(tokens, a.policy.Burst*l.reach) - a.level
-	missing = max(missing, a.window.sum(now)+tokens-l.reach*l.limit(a.policy))
+	d := Decision{Used: a.window.sum(now), Limit: l.reach * l.limit(a.policy), Level: a.level, Reach: l.reach}
+	missing := max(min(tokens, a.policy.Burst*l.reach)-d.Level, d.Used+tokens-d.Limit)
 	if missing > 0 {
-		return pause(missing / l.meanRate(a.policy)), false
+		d.RetryAfter = pause(missing / l.meanRate(a.policy))
+		return d
 	}
+	d.Granted = true
 	l.charge(now, a, tokens)
 	a.taken += tokens
-	return 0, true
+	return d
 }
 
 func pause(seconds float64) time.Duration {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -36,7 +36,7 @@
 }
 
 // Take implements forward.Quota.
-func (s *Service) Take(organisation string, tokens float64) (time.Duration, bool) {
+func (s *Service) Take(organisation string, tokens float64) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.limiter.Take(clock.Boot(), organisation, tokens)
