--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,8 @@
 // its endpoints.
 type Adapter interface {
 	Store() objectstore.Store
+	// Collectors returns the adapter's own metrics.
+	Collectors() []prometheus.Collector
 	// SetWatchWait sets how long the store holds a watch without events.
 	SetWatchWait(wait time.Duration)
 	Codec() forward.Codec
@@ -222,6 +224,7 @@
 func (h *host) registry() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
+	registry.MustRegister(h.adapter.Collectors()...)
 	registry.MustRegister(h.forwarder.Collectors()...)
 	registry.MustRegister(h.orders.Collectors()...)
 	return registry
--- a/internal/edge/freshness.go
+++ b/internal/edge/freshness.go
@@ -54,6 +54,7 @@
 		f.mirrors[m.Kind()] = m
 		m.OnGone(func() { f.refresh(m) })
 	}
+	h.adapter.SetWatchWait(lookoutWait)
 	return f
 }
 
--- a/internal/objectstore/call.go
+++ b/internal/objectstore/call.go
@@ -80,7 +80,7 @@
 func (c *Client) do(ctx context.Context, cl call, answer any) error {
 	started := c.config.Clock()
 	err := c.tryAddresses(ctx, cl, answer)
-	c.metrics.observe(cl.name, cl.kind, err, c.config.Clock().Sub(started))
+	c.metrics.Observe(cl.name, cl.kind, err, c.config.Clock().Sub(started))
 	return err
 }
 
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -59,7 +59,7 @@
 	preferred atomic.Int64
 	available atomic.Bool
 	answered  atomic.Pointer[time.Time]
-	metrics   *clientMetrics
+	metrics   *Metrics
 }
 
 var (
@@ -82,7 +82,7 @@
 		calls:     &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 		watches:   &http.Client{Transport: watchTransport, CheckRedirect: refuseRedirect},
 		transport: transport,
-		metrics:   newClientMetrics(),
+		metrics:   NewMetrics(),
 	}
 }
 
--- a/internal/objectstore/metrics.go
+++ b/internal/objectstore/metrics.go
@@ -7,14 +7,16 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-type clientMetrics struct {
+// Metrics count the calls of a client of the platform's object API.
+type Metrics struct {
 	calls   *prometheus.CounterVec
 	seconds *prometheus.HistogramVec
 	watches prometheus.Gauge
 }
 
-func newClientMetrics() *clientMetrics {
-	return &clientMetrics{
+// NewMetrics returns metrics that are not registered yet.
+func NewMetrics() *Metrics {
+	return &Metrics{
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bilberryslip_platform_calls_total",
 			Help: "Calls to the platform's object API, by call, kind of object and result.",
@@ -31,7 +33,8 @@
 	}
 }
 
-func (m *clientMetrics) observe(name string, kind Kind, err error, took time.Duration) {
+// Observe counts one call.
+func (m *Metrics) Observe(name string, kind Kind, err error, took time.Duration) {
 	m.calls.WithLabelValues(name, string(kind), resultOf(err)).Inc()
 	m.seconds.WithLabelValues(name).Observe(took.Seconds())
 }
@@ -61,7 +64,10 @@
 	}
 }
 
-// Collectors returns the client's metrics, for registration.
-func (c *Client) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{c.metrics.calls, c.metrics.seconds, c.metrics.watches}
+// Collectors returns the metrics, for registration.
+func (m *Metrics) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{m.calls, m.seconds, m.watches}
 }
+
+// Collectors returns the client's metrics, for registration.
+func (c *Client) Collectors() []prometheus.Collector { return c.metrics.Collectors() }
--- a/internal/objectstore/watch.go
+++ b/internal/objectstore/watch.go
@@ -33,7 +33,7 @@
 func (c *Client) Watch(ctx context.Context, kind Kind, after Version) (Watch, error) {
 	started := c.config.Clock()
 	w, err := c.openWatch(ctx, kind, after)
-	c.metrics.observe(callWatch, kind, err, c.config.Clock().Sub(started))
+	c.metrics.Observe(callWatch, kind, err, c.config.Clock().Sub(started))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -6,10 +6,7 @@
 // limit that falls to the hosts in reach. It does no I/O and reads no clock.
 package quota
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// slots divides the window; use is forgotten by whole slots.
@@ -19,9 +16,11 @@
 	// heard from no other host. More would refuse organisations that stay
 	// within their rates.
 	assumedUse = 0.85
+	// levelShare is the part of the limit that may be used at once.
+	levelShare = 0.5
 	// shortestPause and longestPause bound the advice when to come back.
 	shortestPause = 50 * time.Millisecond
-	longestPause  = 2 * time.Second
+	longestPause  = 8 * time.Second
 )
 
 // Policy is an organisation's limit over all hosts.
@@ -34,8 +33,9 @@
 type account struct {
 	policy Policy
 	window window
-	// level spreads the limit over the window: it fills at the limit's mean
-	// rate, up to the burst, so that a busy organisation is served evenly.
+	// level spreads what a busy organisation uses over the window, so that the
+	// limit isn't used twice around a restart of all hosts. It fills at the
+	// limit's mean rate, up to a part of the limit.
 	level   float64
 	updated time.Time
 	// taken is what this host has taken since it started.
@@ -83,7 +83,7 @@
 	for name, policy := range policies {
 		a, ok := l.accounts[name]
 		if !ok {
-			a = &account{window: newWindow(l.length), level: policy.Burst, updated: now}
+			a = &account{window: newWindow(l.length), level: l.highest(policy), updated: now}
 			if !l.first {
 				a.window.fill(now, assumedUse*l.limit(policy))
 				a.level *= 1 - assumedUse
@@ -92,7 +92,7 @@
 		}
 		l.advance(now, a)
 		a.policy = policy
-		a.level = min(a.level, policy.Burst)
+		a.level = min(a.level, l.highest(policy))
 	}
 }
 
@@ -115,15 +115,18 @@
 		return
 	}
 	a.updated = now
-	a.level = min(a.level+elapsed*l.meanRate(a.policy), a.policy.Burst)
+	a.level = min(a.level+elapsed*l.meanRate(a.policy), l.highest(a.policy))
 }
 
+// highest is the level of an organisation that was quiet.
+func (l *Limiter) highest(p Policy) float64 { return max(p.Burst, levelShare*l.limit(p)) }
+
 // meanRate is the limit spread over the window, for the hosts in reach.
 func (l *Limiter) meanRate(p Policy) float64 { return l.reach * l.limit(p) / l.length.Seconds() }
 
 func (l *Limiter) charge(now time.Time, a *account, tokens float64) {
 	a.window.add(now, tokens)
-	a.level = max(a.level-tokens, -a.policy.Burst)
+	a.level = max(a.level-tokens, -l.highest(a.policy))
 }
 
 // Decision is the answer to a request for tokens with what it depended on.
@@ -132,14 +135,14 @@
 	// RetryAfter is when as many tokens are expected to be free.
 	RetryAfter time.Duration
 	// Used is what all hosts have taken in the window, Limit what the hosts in
-	// reach may take, Level what is left of the burst.
+	// reach may take, Level what may be used at once.
 	Used, Limit, Level float64
 	// Reach is the part of the hosts in reach.
 	Reach float64
 }
 
-// Take takes tokens. A request that is larger than the burst is let in where
-// the whole burst is free.
+// Take takes tokens. A request that is larger than the highest level is let in
+// where nothing of that is used.
 func (l *Limiter) Take(now time.Time, organisation string, tokens float64) Decision {
 	a, ok := l.accounts[organisation]
 	if !ok {
@@ -147,9 +150,14 @@
 	}
 	l.advance(now, a)
 	d := Decision{Used: a.window.sum(now), Limit: l.reach * l.limit(a.policy), Level: a.level, Reach: l.reach}
-	missing := max(min(tokens, a.policy.Burst*l.reach)-d.Level, d.Used+tokens-d.Limit)
-	if missing > 0 {
-		d.RetryAfter = pause(missing / l.meanRate(a.policy))
+	behind := min(tokens, l.reach*l.highest(a.policy)) - d.Level
+	over := d.Used + tokens - d.Limit
+	if behind > 0 || over > 0 {
+		wait := time.Duration(max(0, behind) / l.meanRate(a.policy) * float64(time.Second))
+		if over > 0 {
+			wait = max(wait, a.window.freeIn(now, over))
+		}
+		d.RetryAfter = min(max(shortestPause, wait), longestPause)
 		return d
 	}
 	d.Granted = true
@@ -158,19 +166,12 @@
 	return d
 }
 
-func pause(seconds float64) time.Duration {
-	if math.IsNaN(seconds) || seconds > longestPause.Seconds() {
-		return longestPause
-	}
-	return max(shortestPause, time.Duration(seconds*float64(time.Second)))
-}
-
 // GiveBack returns tokens of a request that did not run.
 func (l *Limiter) GiveBack(now time.Time, organisation string, tokens float64) {
 	if a, ok := l.accounts[organisation]; ok {
 		a.taken -= tokens
 		a.window.add(now, -tokens)
-		a.level = min(a.level+tokens, a.policy.Burst)
+		a.level = min(a.level+tokens, l.highest(a.policy))
 	}
 }
 
@@ -202,7 +203,7 @@
 		switch {
 		case reported || !joining:
 			l.charge(now, a, u.Taken-last)
-			a.level = min(a.level, a.policy.Burst)
+			a.level = min(a.level, l.highest(a.policy))
 		case !l.first && a.taken == 0:
 			a.window.fill(now, u.Used)
 		}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,226 @@
+package quota
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+const testWindow = 8 * time.Second
+
+var start = time.Unix(1_700_000_000, 0)
+
+var policy = Policy{Rate: 1000, Burst: 1000}
+
+// limit is what the policy allows in a window.
+const limit = 9000
+
+// fleet is several hosts that report to each other.
+type fleet struct {
+	now   time.Time
+	hosts []*Limiter
+	// granted holds the grants of all hosts, for the check of windows.
+	granted []grant
+}
+
+type grant struct {
+	at     time.Time
+	tokens float64
+}
+
+func newFleet(size int, first bool) *fleet {
+	f := &fleet{now: start}
+	for range size {
+		f.hosts = append(f.hosts, f.newHost(first))
+	}
+	return f
+}
+
+func (f *fleet) newHost(first bool) *Limiter {
+	l := NewLimiter(testWindow, first)
+	l.SetPolicies(f.now, map[string]Policy{"org": policy})
+	return l
+}
+
+func (f *fleet) take(host int, tokens float64) bool {
+	granted := f.hosts[host].Take(f.now, "org", tokens).Granted
+	if granted {
+		f.granted = append(f.granted, grant{f.now, tokens})
+	}
+	return granted
+}
+
+// report lets the hosts of each group report to each other.
+func (f *fleet) report(groups ...[]int) {
+	for _, group := range groups {
+		for _, from := range group {
+			usage := f.hosts[from].Usage(f.now)
+			for _, to := range group {
+				if to != from {
+					f.hosts[to].Heard(f.now, fmt.Sprint(from), usage, false)
+				}
+			}
+		}
+	}
+}
+
+// mostInWindow returns the most tokens granted in any window.
+func (f *fleet) mostInWindow() float64 {
+	most, sum, first := 0.0, 0.0, 0
+	for _, g := range f.granted {
+		sum += g.tokens
+		for g.at.Sub(f.granted[first].at) > testWindow {
+			sum -= f.granted[first].tokens
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+const step = 200 * time.Millisecond
+
+var all = []int{0, 1, 2, 3, 4, 5}
+
+var _ = Describe("The limit of an organisation", func() {
+	It("lets in all that one organisation may send in a window, wherever it comes", func() {
+		f := newFleet(6, true)
+		refused := 0
+		for i := range 40 { // 8 s at 1.05 times the rate, less than rate and burst allow
+			f.now = f.now.Add(step)
+			if !f.take(i%6, 210) {
+				refused++
+			}
+			f.report(all)
+		}
+		Expect(refused).To(BeZero())
+	})
+
+	It("holds a hot organisation at all hosts to its limit, but for what is not reported yet", func() {
+		f := newFleet(6, true)
+		for range 200 {
+			f.now = f.now.Add(step)
+			for host := range f.hosts {
+				f.take(host, 100) // three times the rate
+			}
+			f.report(all)
+		}
+		Expect(f.mostInWindow()).To(BeNumerically("<=", limit+6*100))
+		Expect(f.mostInWindow()).To(BeNumerically(">=", 0.9*limit))
+	})
+
+	It("keeps hosts that are cut off from each other within the limit together", func() {
+		f := newFleet(6, true)
+		left, right := []int{0, 1, 2, 3}, []int{4, 5}
+		for range 200 {
+			f.now = f.now.Add(step)
+			for host := range f.hosts {
+				reach := 4.0 / 6
+				if host >= 4 {
+					reach = 2.0 / 6
+				}
+				f.hosts[host].SetReach(f.now, reach)
+				f.take(host, 100)
+			}
+			f.report(left, right)
+		}
+		Expect(f.mostInWindow()).To(BeNumerically("<=", limit+6*100))
+	})
+
+	It("doesn't give the limit twice to a hot organisation when all hosts restart", func() {
+		f := newFleet(6, true)
+		hot := func(steps int) {
+			for range steps {
+				f.now = f.now.Add(step)
+				for host := range f.hosts {
+					f.take(host, 60)
+				}
+				f.report(all)
+			}
+		}
+		hot(100)
+		f.now = f.now.Add(time.Second)
+		for i := range f.hosts {
+			f.hosts[i] = f.newHost(false)
+		}
+		hot(100)
+		// The stated tolerance of a deployment is 1.1 of the limit and a
+		// slack of 110,000 tokens at rates of about 80,000 a second.
+		const slack = 1.3 * 1000
+		Expect(f.mostInWindow()).To(BeNumerically("<=", 1.1*limit+slack))
+	})
+
+	It("lets an organisation within its rate go on when all hosts restart", func() {
+		f := newFleet(6, false)
+		refused := 0
+		for i := range 100 {
+			f.now = f.now.Add(step)
+			if !f.take(i%6, 110) { // 0.55 of the rate
+				refused++
+			}
+			f.report(all)
+		}
+		Expect(refused).To(BeZero())
+	})
+
+	It("takes over from its peers what was used when one host starts", func() {
+		f := newFleet(2, true)
+		for range 40 {
+			f.now = f.now.Add(step)
+			f.take(0, 225)
+			f.report([]int{0, 1})
+		}
+		joined := f.newHost(false)
+		joined.Heard(f.now, "0", f.hosts[0].Usage(f.now), true)
+		used := joined.Usage(f.now)["org"].Used
+		Expect(used).To(BeNumerically("~", f.hosts[0].Usage(f.now)["org"].Used, 1))
+	})
+
+	It("returns what did not run", func() {
+		f := newFleet(1, true)
+		Expect(f.take(0, 1000)).To(BeTrue())
+		f.hosts[0].GiveBack(f.now, "org", 1000)
+		Expect(f.hosts[0].Usage(f.now)["org"]).To(Equal(Usage{}))
+	})
+
+	It("lets a quiet organisation use half a window's limit at once", func() {
+		f := newFleet(1, true)
+		Expect(f.take(0, limit/2)).To(BeTrue())
+		Expect(f.take(0, 1)).To(BeFalse())
+	})
+
+	It("tells when to come back, and keeps its word to a single caller", func() {
+		f := newFleet(1, true)
+		for range 80 {
+			f.now = f.now.Add(step / 2)
+			f.take(0, 500)
+		}
+		wait := f.hosts[0].Take(f.now, "org", 500).RetryAfter
+		Expect(wait).To(BeNumerically(">", 0))
+		f.now = f.now.Add(wait)
+		Expect(f.take(0, 500)).To(BeTrue())
+	})
+
+	It("takes a lower limit into force at once", func() {
+		f := newFleet(1, true)
+		Expect(f.take(0, 900)).To(BeTrue())
+		f.hosts[0].SetPolicies(f.now, map[string]Policy{"org": {Rate: 10, Burst: 10}})
+		Expect(f.take(0, 5)).To(BeFalse())
+	})
+
+	It("grants no more than the limit in any window, whatever is asked when", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			f := newFleet(1, true)
+			for range rapid.IntRange(1, 300).Draw(t, "steps") {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "pause")) * time.Millisecond)
+				f.take(0, float64(rapid.IntRange(1, 3000).Draw(t, "tokens")))
+			}
+			if most := f.mostInWindow(); most > limit {
+				t.Fatalf("%v tokens in a window", most)
+			}
+		})
+	})
+})
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -2,10 +2,14 @@
 
 import "time"
 
-// window sums tokens over a sliding length of time.
+// ring is the number of slots kept: one more than a window has, since the
+// newest is not over yet.
+const ring = slots + 1
+
+// window sums tokens over a sliding length of time, and up to a slot more.
 type window struct {
 	slot time.Duration
-	used [slots]float64
+	used [ring]float64
 	// newest is the number of the slot that was last added to, counted from
 	// the zero time.
 	newest int64
@@ -18,20 +22,20 @@
 // advance empties the slots that have left the window.
 func (w *window) advance(now time.Time) {
 	number := w.number(now)
-	if number-w.newest >= slots {
-		w.used = [slots]float64{}
+	if number-w.newest >= ring {
+		w.used = [ring]float64{}
 		w.newest = number
 		return
 	}
 	for w.newest < number {
 		w.newest++
-		w.used[w.newest%slots] = 0
+		w.used[w.newest%ring] = 0
 	}
 }
 
 func (w *window) add(now time.Time, tokens float64) {
 	w.advance(now)
-	w.used[w.newest%slots] += tokens
+	w.used[w.newest%ring] += tokens
 }
 
 func (w *window) sum(now time.Time) float64 {
@@ -47,6 +51,18 @@
 func (w *window) fill(now time.Time, total float64) {
 	w.advance(now)
 	for i := range w.used {
-		w.used[i] = total / slots
+		w.used[i] = total / ring
+	}
+}
+
+// freeIn returns how long it takes until as many tokens have left the window.
+func (w *window) freeIn(now time.Time, tokens float64) time.Duration {
+	w.advance(now)
+	for i := int64(1); i <= ring; i++ {
+		if tokens -= w.used[(w.newest+i)%ring]; tokens <= 0 {
+			end := time.Unix(0, (w.newest+i)*int64(w.slot))
+			return end.Sub(now)
+		}
 	}
+	return time.Duration(ring) * w.slot
 }
--- /dev/null
+++ b/internal/traffic/config_test.go
@@ -0,0 +1,55 @@
+package traffic
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A configuration", func() {
+	config := NewConfig(Spec{
+		Routes: []Route{
+			{Name: "short", Host: "h", PathPrefix: "/a/"},
+			{Name: "long", Host: "h", PathPrefix: "/a/b/"},
+			{Name: "other", Host: "i", PathPrefix: "/"},
+		},
+		Organisations: []Organisation{{Name: "o", Keys: []string{"k1", "k2"}}},
+	})
+
+	It("finds the route with the longest prefix of the host's", func() {
+		Expect(config.Route("h", "/a/x").Name).To(Equal("short"))
+		Expect(config.Route("h", "/a/b/x").Name).To(Equal("long"))
+		Expect(config.Route("h", "/a/bx").Name).To(Equal("short"))
+		Expect(config.Route("h", "/ab")).To(BeNil())
+		Expect(config.Route("h", "/")).To(BeNil())
+		Expect(config.Route("i", "/a/b/x").Name).To(Equal("other"))
+		Expect(config.Route("unknown", "/a/")).To(BeNil())
+	})
+
+	It("knows who holds a key", func() {
+		Expect(config.Holder("k2").Name).To(Equal("o"))
+		Expect(config.Holder("K2")).To(BeNil())
+		Expect(config.Holder("")).To(BeNil())
+	})
+
+	It("divides a route by its weights, the same for the same request", func() {
+		route := Route{Targets: []Target{{"a", 90}, {"b", 10}, {"c", 0}}}
+		counts := map[string]int{}
+		for i := range 5000 {
+			id := fmt.Sprint(i)
+			counts[route.Service(id)]++
+			Expect(route.Service(id)).To(Equal(route.Service(id)))
+		}
+		Expect(counts["b"]).To(BeNumerically("~", 500, 100))
+		Expect(counts).NotTo(HaveKey("c"))
+		Expect((&Route{}).Service("x")).To(BeEmpty())
+	})
+
+	It("tells which requests may run again", func() {
+		Expect((&Route{Kind: Idempotent}).MayRepeat()).To(BeTrue())
+		Expect((&Route{Kind: NonIdempotent, Resumable: true}).MayRepeat()).To(BeFalse())
+		Expect((&Route{Kind: Streaming}).MayRepeat()).To(BeFalse())
+		Expect((&Route{Kind: Streaming, Resumable: true}).MayRepeat()).To(BeTrue())
+	})
+})
