--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -214,11 +214,17 @@
 	return send
 }
 
+// resumeAfter returns the event after which a stream is to go on, on routes
+// that allow that.
 func (x *run) resumeAfter() string {
-	if x.lastEvent != "" {
+	switch {
+	case !x.route.Resumable:
+		return ""
+	case x.lastEvent != "":
 		return x.lastEvent
+	default:
+		return x.call.ResumeAfter
 	}
-	return x.call.ResumeAfter
 }
 
 func (x *run) sendFailed(attempt *fleet.Attempt, err error) (verdict, error) {
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,132 @@
+package mirror
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/standin/memstore"
+)
+
+// copyOf keeps what a mirror tells.
+type copyOf struct {
+	mu      sync.Mutex
+	objects map[string]string
+	lost    int
+}
+
+func (c *copyOf) Replace(listing objectstore.Listing) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.objects = make(map[string]string)
+	for _, item := range listing.Items {
+		c.objects[item.Name] = string(item.Value)
+	}
+}
+
+func (c *copyOf) Apply(event objectstore.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if event.Type == objectstore.EventDelete {
+		delete(c.objects, event.Object.Name)
+		return
+	}
+	c.objects[event.Object.Name] = string(event.Object.Value)
+}
+
+func (c *copyOf) Lost()     { c.mu.Lock(); defer c.mu.Unlock(); c.lost++ }
+func (c *copyOf) Regained() {}
+
+func (c *copyOf) get(name string) func() string {
+	return func() string {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.objects[name]
+	}
+}
+
+const kind objectstore.Kind = "things"
+
+var _ = Describe("A mirror of a kind", func() {
+	var (
+		store  *memstore.Store
+		seen   *copyOf
+		mirror *Mirror
+	)
+	BeforeEach(func() {
+		store, seen = memstore.New(), &copyOf{}
+		mirror = New(store, kind, seen)
+	})
+	start := func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = mirror.Serve(ctx)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			Eventually(done).Should(BeClosed())
+		})
+	}
+	put := func(name, value string) {
+		_, err := store.Create(context.Background(), kind, name, "w"+name, json.RawMessage(value))
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	It("shows what is there and what changes", func() {
+		put("a", "1")
+		start()
+		Eventually(seen.get("a")).Should(Equal("1"))
+		put("b", "2")
+		Eventually(seen.get("b")).Should(Equal("2"))
+		Eventually(func() objectstore.Version { return mirror.Reading().Changed }).Should(Equal(objectstore.Version(2)))
+		object, err := store.Get(context.Background(), kind, "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Delete(context.Background(), kind, "a", object.Version)).To(Succeed())
+		Eventually(seen.get("a")).Should(BeEmpty())
+	})
+
+	It("lists anew when it has word of a change that its watch doesn't show", func() {
+		put("a", "1")
+		start()
+		Eventually(seen.get("a")).Should(Equal("1"))
+		seen.mu.Lock()
+		seen.objects["a"] = "stale"
+		seen.mu.Unlock()
+		mirror.Refresh()
+		mirror.Refresh() // one is enough
+		Eventually(seen.get("a")).Should(Equal("1"))
+	})
+
+	It("lists anew, and tells the mirrors of other kinds, when the history is gone", func() {
+		gone := make(chan struct{}, 10)
+		mirror = New(&forgetful{Store: store, times: 2}, kind, seen)
+		mirror.OnGone(func() { gone <- struct{}{} })
+		put("a", "1")
+		start()
+		Eventually(gone).Should(Receive())
+		Eventually(gone).Should(Receive())
+		put("b", "2")
+		Eventually(seen.get("b")).Should(Equal("2"))
+		Expect(seen.lost).To(BeZero(), "the store was there all along")
+	})
+})
+
+// forgetful is a store that has dropped its history a number of times.
+type forgetful struct {
+	*memstore.Store
+	times int
+}
+
+func (f *forgetful) Watch(ctx context.Context, kind objectstore.Kind, after objectstore.Version) (objectstore.Watch, error) {
+	if f.times > 0 {
+		f.times--
+		return nil, &objectstore.GoneError{Oldest: after + 1}
+	}
+	return f.Store.Watch(ctx, kind, after)
+}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -74,7 +74,7 @@
 	file := c.path(name + ".addr")
 	_ = os.Remove(file)
 	args = append(args, "--address-file", file)
-	process := start(c.dir, name, filepath.Join(string(c.programs), "bilberryslip-standin"), args...)
+	process := StartProcess(c.dir, name, filepath.Join(string(c.programs), "bilberryslip-standin"), args...)
 	return process, "http://" + process.waitFile(file)
 }
 
--- a/test/cluster/host.go
+++ b/test/cluster/host.go
@@ -57,7 +57,7 @@
 	data, err := json.Marshal(c.settings(name, h, addresses))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Expect(os.WriteFile(file, data, 0o600)).To(gomega.Succeed())
-	h.Process = start(c.dir, name, filepath.Join(string(c.programs), "bilberryslipd"), "--settings", file)
+	h.Process = StartProcess(c.dir, name, filepath.Join(string(c.programs), "bilberryslipd"), "--settings", file)
 	gomega.Expect(json.Unmarshal([]byte(h.waitFile(addresses)), &h.Addresses)).To(gomega.Succeed())
 	h.ToPeers.SetTarget(h.Addresses.Peers)
 	c.Hosts = append(c.Hosts, h)
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -27,8 +27,8 @@
 	exited  chan struct{}
 }
 
-// start runs a program until the test's cleanup kills it.
-func start(dir, name, program string, args ...string) *Process {
+// StartProcess runs a program until the test's cleanup kills it.
+func StartProcess(dir, name, program string, args ...string) *Process {
 	ginkgo.GinkgoHelper()
 	logFile := filepath.Join(dir, name+".log")
 	output, err := os.OpenFile(logFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
@@ -60,6 +60,9 @@
 // Terminate asks the process to end with SIGTERM.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Hangup tells the process with SIGHUP that its settings changed.
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
+
 // Exited is closed once the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
 
