--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -124,6 +124,7 @@
 		Store: h.adapter.Store(), Host: s.Host.Name, Incarnation: incarnation, Address: s.Listen.Peers,
 	})
 	h.exchange.AddPart(h.quota)
+	h.exchange.AddPart(h.endpoints)
 	pool := upstream.NewPool()
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -118,7 +118,7 @@
 func (s *Service) interval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(shortestInterval, perPeer*time.Duration(len(s.roster.peers)))
+	return s.roster.interval()
 }
 
 // register writes this host's entry, whatever an earlier process left there.
@@ -247,7 +247,7 @@
 	s.mu.Lock()
 	wasHeard := false
 	if before, ok := s.roster.peers[report.GetHost()]; ok {
-		wasHeard = asked.Sub(before.heard) < heardFor
+		wasHeard = s.roster.inReach(asked, before)
 	}
 	p := s.roster.hear(asked, report)
 	s.mu.Unlock()
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// heardFor is how long a host counts as in reach after its last report: a
-	// few intervals between reports.
-	heardFor = 1200 * time.Millisecond
+	// heardFor is how long a host counts as in reach after its last report, at
+	// least; it is heardIntervals times the interval between reports.
+	heardFor       = 1200 * time.Millisecond
+	heardIntervals = 3
 	// rememberedFor is how long a silent host still counts as one that may be
 	// serving out of reach.
 	rememberedFor = 15 * time.Second
@@ -40,6 +41,16 @@
 
 func newRoster(self string) *roster { return &roster{self: self, peers: make(map[string]*peer)} }
 
+// interval is the time between two rounds of reports.
+func (r *roster) interval() time.Duration {
+	return max(shortestInterval, perPeer*time.Duration(len(r.peers)))
+}
+
+// inReach reports whether a host has been heard lately.
+func (r *roster) inReach(now time.Time, p *peer) bool {
+	return now.Sub(p.heard) < max(heardFor, heardIntervals*r.interval())
+}
+
 // list takes over a host's entry in the store.
 func (r *roster) list(now time.Time, name, address, incarnation string) {
 	if name == r.self {
@@ -84,7 +95,7 @@
 	heard, known := 1, 1
 	for _, p := range r.peers {
 		switch {
-		case now.Sub(p.heard) < heardFor:
+		case r.inReach(now, p):
 			heard++
 			known++
 		case now.Sub(p.lastSign()) < rememberedFor:
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -60,13 +60,16 @@
 type candidate struct {
 	member *member
 	now    time.Time
+	// others is what the other hosts reported to have there.
+	others hostWork
 }
 
-// othersRunning estimates what other hosts have running there.
+// othersRunning estimates what other hosts have running there, by their
+// reports and by what the endpoint told last, whichever is more.
 func (c *candidate) othersRunning() float64 {
 	m := c.member
-	others := float64(m.load.Running+m.load.Waiting) - float64(m.runningAtLoad)
-	return max(0, others) * c.trust()
+	told := float64(m.load.Running+m.load.Waiting) - float64(m.runningAtLoad)
+	return max(float64(c.others.running), told*c.trust())
 }
 
 func (c *candidate) waiting() float64 { return float64(c.member.load.Waiting) * c.trust() }
@@ -78,7 +81,7 @@
 // cost returns the delay that the work is expected to see, in prompt tokens.
 func (c *candidate) cost(work Work, zone string, agreed bool) float64 {
 	m := c.member
-	cost := float64(m.unreadTokens)
+	cost := float64(m.unreadTokens + c.others.unreadTokens)
 	cost += tokensPerRunning * (float64(m.running) + c.othersRunning())
 	cost += tokensPerWaiting * c.waiting()
 	cost += float64(unread(work, m, agreed))
--- /dev/null
+++ b/internal/fleet/peers.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"time"
+
+	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+)
+
+// hostLoadFor is how long another host's report of its own requests counts.
+// Reports come several times in it.
+const hostLoadFor = 4 * time.Second
+
+// hostWork is what one host, or several, have at one endpoint.
+type hostWork struct {
+	running      int
+	unreadTokens int
+}
+
+// hostLoad is what another host has at all endpoints.
+type hostLoad struct {
+	at   time.Time
+	work map[string]hostWork
+}
+
+// Contribute implements exchange.Part: it tells what this host has running.
+func (r *Registry) Contribute(report *fleetv1.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, m := range r.members {
+		if m.running > 0 {
+			report.Loads = append(report.Loads, &fleetv1.EndpointLoad{
+				Endpoint: id, Running: int32(m.running), UnreadTokens: int64(m.unreadTokens),
+			})
+		}
+	}
+}
+
+// Hear implements exchange.Part: it takes what another host has running.
+func (r *Registry) Hear(report *fleetv1.Report, _ bool) {
+	load := hostLoad{at: r.config.Clock(), work: make(map[string]hostWork, len(report.GetLoads()))}
+	for _, l := range report.GetLoads() {
+		load.work[l.GetEndpoint()] = hostWork{running: int(l.GetRunning()), unreadTokens: int(l.GetUnreadTokens())}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count(r.hosts[report.GetHost()], -1)
+	r.hosts[report.GetHost()] = load
+	r.count(load, 1)
+}
+
+// Reach implements exchange.Part: it drops what silent hosts had running.
+func (r *Registry) Reach(float64, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Clock()
+	for host, load := range r.hosts {
+		if now.Sub(load.at) > hostLoadFor {
+			r.count(load, -1)
+			delete(r.hosts, host)
+		}
+	}
+}
+
+// count adds a host's work to its endpoints, or takes it out. It must be
+// called with the mutex held.
+func (r *Registry) count(load hostLoad, sign int) {
+	for id, work := range load.work {
+		sum := r.others[id]
+		sum.running += sign * work.running
+		sum.unreadTokens += sign * work.unreadTokens
+		if sum == (hostWork{}) {
+			delete(r.others, id)
+			continue
+		}
+		r.others[id] = sum
+	}
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -72,6 +72,9 @@
 	// regained when it was last followed again.
 	storeLost bool
 	regained  time.Time
+	// hosts is what each other host has running, others the sum by endpoint.
+	hosts  map[string]hostLoad
+	others map[string]hostWork
 }
 
 // NewRegistry returns a registry that knows no endpoint.
@@ -82,7 +85,10 @@
 	if cfg.Ejector == (endpoint.EjectorConfig{}) {
 		cfg.Ejector = endpoint.DefaultEjectorConfig()
 	}
-	return &Registry{config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector)}
+	return &Registry{
+		config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector),
+		hosts: make(map[string]hostLoad), others: make(map[string]hostWork),
+	}
 }
 
 // Replace takes over a whole list.
@@ -271,7 +277,7 @@
 			continue
 		}
 		m.penalty = r.ejector.Penalty(now, m.ID)
-		c := candidate{member: m, now: now}
+		c := candidate{member: m, now: now, others: r.others[m.ID]}
 		holding = append(holding, c)
 		if !ejected[m.ID] {
 			sound = append(sound, c)
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 )
@@ -203,4 +204,37 @@
 			Expect(chosen(work)).To(Equal("e2"))
 		}
 	})
+
+	// A burst that many hosts see at once, each a small part of it.
+	It("sees what other hosts have running, until they end it or fall silent", func() {
+		registry.Put(engine("e1", "z1", "m"))
+		registry.Put(engine("e2", "z1", "m"))
+		busy := &fleetv1.Report{Host: "h2", Loads: []*fleetv1.EndpointLoad{{Endpoint: "e1", Running: 9, UnreadTokens: 30_000}}}
+		registry.Hear(busy, false)
+		registry.Hear(busy, false) // counts once
+		for range 5 {
+			Expect(chosen(work)).To(Equal("e2"))
+		}
+		registry.Hear(&fleetv1.Report{Host: "h2"}, false)
+		Expect(chosen(work)).To(Equal("e1"))
+		registry.Hear(busy, false)
+		now = now.Add(hostLoadFor + time.Millisecond)
+		registry.Reach(1, 2)
+		Expect(registry.others).To(BeEmpty())
+	})
+
+	It("tells other hosts what it has running itself", func() {
+		registry.Put(engine("e1", "z1", "m"))
+		attempt, _ := registry.Start(Work{Service: "llm", Model: "m", PromptTokens: 700})
+		report := &fleetv1.Report{}
+		registry.Contribute(report)
+		Expect(report.Loads).To(HaveLen(1))
+		Expect(report.Loads[0].GetRunning()).To(Equal(int32(1)))
+		Expect(report.Loads[0].GetUnreadTokens()).To(Equal(int64(700)))
+		attempt.Begun()
+		attempt.Finish(endpoint.OutcomeAnswered)
+		report = &fleetv1.Report{}
+		registry.Contribute(report)
+		Expect(report.Loads).To(BeEmpty())
+	})
 })
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -124,8 +124,14 @@
 // meanRate is the limit spread over the window, for the hosts in reach.
 func (l *Limiter) meanRate(p Policy) float64 { return l.reach * l.limit(p) / l.length.Seconds() }
 
+// charge takes tokens into account, or gives them back where they are
+// negative.
 func (l *Limiter) charge(now time.Time, a *account, tokens float64) {
-	a.window.add(now, tokens)
+	if tokens < 0 {
+		a.window.credit(now, -tokens)
+	} else {
+		a.window.add(now, tokens)
+	}
 	a.level = max(a.level-tokens, -l.highest(a.policy))
 }
 
@@ -170,7 +176,7 @@
 func (l *Limiter) GiveBack(now time.Time, organisation string, tokens float64) {
 	if a, ok := l.accounts[organisation]; ok {
 		a.taken -= tokens
-		a.window.add(now, -tokens)
+		a.window.credit(now, tokens)
 		a.level = min(a.level+tokens, l.highest(a.policy))
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -192,6 +192,31 @@
 		Expect(f.take(0, 1)).To(BeFalse())
 	})
 
+	// Requests that wait for a model and are refused in the end give their
+	// tokens back long after they took them.
+	It("grants no more than the limit where much is given back late", func() {
+		f := newFleet(2, true)
+		type taken struct {
+			host int
+			at   time.Time
+		}
+		var waiting []taken
+		for i := range 600 {
+			f.now = f.now.Add(step / 4)
+			host := i % 2
+			if i%3 == 0 && f.hosts[host].Take(f.now, "org", 200).Granted {
+				waiting = append(waiting, taken{host, f.now})
+			}
+			for len(waiting) > 0 && f.now.Sub(waiting[0].at) >= 1600*time.Millisecond {
+				f.hosts[waiting[0].host].GiveBack(f.now, "org", 200)
+				waiting = waiting[1:]
+			}
+			f.take(host, 100)
+			f.report([]int{0, 1})
+		}
+		Expect(f.mostInWindow()).To(BeNumerically("<=", limit))
+	})
+
 	It("tells when to come back, and keeps its word to a single caller", func() {
 		f := newFleet(1, true)
 		for range 80 {
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -38,6 +38,19 @@
 	w.used[w.newest%ring] += tokens
 }
 
+// credit takes back tokens that were added but not used, from the oldest slots
+// first: the sum is right at once, and never less than what was used
+// afterwards, although the slot of the use is not known.
+func (w *window) credit(now time.Time, tokens float64) {
+	w.advance(now)
+	for i := int64(1); i <= ring && tokens > 0; i++ {
+		slot := &w.used[(w.newest+i)%ring]
+		taken := min(tokens, *slot)
+		*slot -= taken
+		tokens -= taken
+	}
+}
+
 func (w *window) sum(now time.Time) float64 {
 	w.advance(now)
 	total := 0.0
