Read the store by way of lookouts in large fleets, tell demand to the holder only, check wire names

Change: from 24 hosts on, two hosts of each zone are on lookout, the others follow them; a lookout that doesn't answer is left at once. Demand is told as rates, to the holder of the lease.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	if [ -n "$$unformatted" ]; then echo "run 'make fmt' for: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(TOOL) staticcheck ./...
+	scripts/wire-names.sh
 
 fmt:
 	$(TOOL) gofumpt -w $(SOURCES)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,7 +121,7 @@
 	source, configMirror := h.adapter.Configuration(func(c *traffic.Config) { h.quota.Configure(c) })
 	h.source = source
 	h.exchange = exchange.New(exchange.Config{
-		Store: h.adapter.Store(), Host: s.Host.Name, Incarnation: incarnation, Address: s.Listen.Peers,
+		Store: h.adapter.Store(), Host: s.Host.Name, Incarnation: incarnation, Zone: s.Host.Zone, Address: s.Listen.Peers,
 	})
 	h.exchange.AddPart(h.quota)
 	h.exchange.AddPart(h.endpoints)
--- a/internal/edge/freshness.go
+++ b/internal/edge/freshness.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
@@ -25,6 +27,10 @@
 	// proofAge is how old the store's answer to a lookout may be; its next
 	// watch has ended by then.
 	proofAge = lookoutWait + 600*time.Millisecond
+	// followFrom is the number of hosts from which those not on lookout read
+	// the store by way of a lookout of their zone. In a smaller fleet each
+	// keeps its own watch, which a cut between hosts can't take away.
+	followFrom = 24
 	// patience is how long a host waits for its own watch to show a change
 	// that a peer has seen.
 	patience = 150 * time.Millisecond
@@ -38,23 +44,36 @@
 	mirrors map[objectstore.Kind]*mirror.Mirror
 
 	mu sync.Mutex
-	// watched is until when each peer with a lower name is known to be in
-	// touch with the store.
-	watched map[string]time.Time
+	// watched are the peers with lower names that are on lookout.
+	watched map[string]*watchedPeer
 	// behind is since when a peer has been ahead in a kind.
 	behind  map[objectstore.Kind]time.Time
 	lookout bool
+	// large tells that the fleet has lookouts in each zone.
+	large bool
+	// followed is the lookout that this host reads from; nil for the store.
+	followed *lookoutSource
+}
+
+// watchedPeer is a peer on lookout.
+type watchedPeer struct {
+	source *lookoutSource
+	zone   string
+	// until is up to when it is known to be in touch with the store.
+	until time.Time
 }
 
 func newFreshness(h *host, mirrors ...*mirror.Mirror) *freshness {
 	f := &freshness{
-		host: h, mirrors: make(map[objectstore.Kind]*mirror.Mirror), watched: make(map[string]time.Time),
+		host: h, mirrors: make(map[objectstore.Kind]*mirror.Mirror), watched: make(map[string]*watchedPeer),
 		behind: make(map[objectstore.Kind]time.Time), lookout: true,
 	}
 	for _, m := range mirrors {
 		f.mirrors[m.Kind()] = m
 		m.OnGone(func() { f.refresh(m) })
+		m.ReadFrom(f.source)
 	}
+	h.exchange.ServeFollowers(f.follow)
 	h.adapter.SetWatchWait(lookoutWait)
 	return f
 }
@@ -72,6 +91,7 @@
 // Contribute implements exchange.Part.
 func (f *freshness) Contribute(report *fleetv1.Report) {
 	now := time.Now()
+	report.Lookout = f.onLookout()
 	for kind, m := range f.mirrors {
 		if reading := m.Reading(); !reading.At.IsZero() {
 			report.Readings = append(report.Readings, &fleetv1.Reading{
@@ -93,9 +113,35 @@
 			f.compare(now, m, objectstore.Version(theirs.GetChanged()))
 		}
 	}
-	if report.GetHost() < f.host.settings.Host.Name && len(report.GetReadings()) == len(f.mirrors) {
-		f.watched[report.GetHost()] = now.Add(proofAge - oldest)
+	f.watch(now, report, oldest)
+}
+
+// watch notes a peer that is on lookout and whose store answered lately. It
+// must be called with the mutex held.
+func (f *freshness) watch(now time.Time, report *fleetv1.Report, oldest time.Duration) {
+	name := report.GetHost()
+	if name >= f.host.settings.Host.Name {
+		return
+	}
+	if !report.GetLookout() || len(report.GetReadings()) < len(f.mirrors) {
+		delete(f.watched, name)
+		return
+	}
+	p, ok := f.watched[name]
+	if !ok || p.source.address != report.GetAddress() {
+		p = &watchedPeer{zone: report.GetZone()}
+		p.source = &lookoutSource{exchange: f.host.exchange, address: report.GetAddress(), lost: func() { f.lost(name) }}
+		f.watched[name] = p
 	}
+	p.until = now.Add(proofAge + f.host.exchange.Interval() - oldest)
+}
+
+// lost notes that a lookout doesn't answer.
+func (f *freshness) lost(name string) {
+	f.mu.Lock()
+	delete(f.watched, name)
+	f.mu.Unlock()
+	f.decide(time.Now())
 }
 
 // compare lists a kind anew where a peer has seen a change that this host's
@@ -115,28 +161,65 @@
 }
 
 // Reach implements exchange.Part.
-func (f *freshness) Reach(exchange.Reach) {
-	now := time.Now()
+func (f *freshness) Reach(reach exchange.Reach) {
+	f.mu.Lock()
+	f.large = len(reach.Heard)+len(reach.Silent)+1 >= followFrom
+	f.mu.Unlock()
+	f.decide(time.Now())
+}
+
+// decide goes on lookout where too few others are, and off it again.
+func (f *freshness) decide(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	others := 0
-	for name, until := range f.watched {
-		if now.Before(until) {
-			others++
-		} else {
+	var names []string
+	for name, p := range f.watched {
+		if now.After(p.until) {
 			delete(f.watched, name)
+		} else if !f.large || p.zone == f.host.settings.Host.Zone {
+			names = append(names, name)
 		}
 	}
-	lookout := others < lookouts
-	if lookout == f.lookout {
-		return
+	slices.Sort(names)
+	lookout, followed := len(names) < lookouts, f.followed
+	switch {
+	case lookout || !f.large:
+		followed = nil
+	case !slices.ContainsFunc(names, func(name string) bool { return f.watched[name].source == followed }):
+		followed = f.watched[names[xxhash.Sum64String(f.host.settings.Host.Name)%uint64(len(names))]].source
 	}
-	f.lookout = lookout
-	logrus.WithFields(logrus.Fields{"lookout": lookout, "others": others}).Info("lookout for changes in the store")
-	if !lookout {
-		f.host.adapter.SetWatchWait(longWait)
+	if lookout == f.lookout && followed == f.followed {
 		return
 	}
-	f.host.adapter.SetWatchWait(lookoutWait)
-	f.refresh(nil) // ends the long watches
+	logrus.WithFields(logrus.Fields{"lookout": lookout, "others": len(names), "follows_peer": followed != nil}).Info("lookout for changes in the store")
+	begin := lookout && !f.lookout || followed != f.followed
+	f.lookout, f.followed = lookout, followed
+	f.host.adapter.SetWatchWait(waitOf(lookout))
+	if begin {
+		f.refresh(nil) // ends the long watches, and those of another source
+	}
+}
+
+func waitOf(lookout bool) time.Duration {
+	if lookout {
+		return lookoutWait
+	}
+	return longWait
+}
+
+// onLookout reports whether this host asks the store often.
+func (f *freshness) onLookout() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lookout
+}
+
+// source returns where the mirrors read.
+func (f *freshness) source() mirror.Source {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.followed != nil {
+		return f.followed
+	}
+	return f.host.adapter.Store()
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
@@ -70,6 +72,8 @@
 	Store objectstore.Store
 	// Host is this host's name, Incarnation that of this process.
 	Host, Incarnation string
+	// Zone is the host's availability zone.
+	Zone string
 	// Address is IP:PORT of this host's peer service.
 	Address string
 }
@@ -81,6 +85,8 @@
 	started time.Time
 	client  *http.Client
 	parts   []Part
+	// follow answers hosts that follow this one; nil refuses them.
+	follow func(ctx context.Context, request *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error)
 	// place answers requests for models and adapters; nil refuses them.
 	place func(ctx context.Context, request *fleetv1.PlaceRequest) *fleetv1.PlaceResponse
 
@@ -109,6 +115,12 @@
 	s.place = answer
 }
 
+// ServeFollowers sets what answers hosts that follow this one; it must be
+// called before Serve.
+func (s *Service) ServeFollowers(answer func(context.Context, *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error)) {
+	s.follow = answer
+}
+
 // Handler serves the other hosts.
 func (s *Service) Handler() http.Handler { return fleetv1.NewFleetServer(s) }
 
@@ -120,13 +132,14 @@
 	go s.register(ctx)
 	for {
 		s.round(ctx)
-		if !retry.Sleep(ctx, s.interval()) {
+		if !retry.Sleep(ctx, s.Interval()) {
 			return ctx.Err()
 		}
 	}
 }
 
-func (s *Service) interval() time.Duration {
+// Interval is the time between two rounds of reports.
+func (s *Service) Interval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.roster.interval()
@@ -201,6 +214,10 @@
 	s.mu.Lock()
 	peers := s.roster.addresses(now)
 	reach := s.roster.reach(now)
+	leader := ""
+	if p := s.roster.leader(now); p != nil {
+		leader = p.name
+	}
 	s.mu.Unlock()
 	for _, part := range s.parts {
 		part.Reach(reach)
@@ -209,19 +226,26 @@
 		return
 	}
 	report := s.report()
+	// Only the holder of the lease, or who may become it soon, asks for demand.
+	brief := proto.CloneOf(report)
+	brief.Demand = nil
 	var wait sync.WaitGroup
 	for _, p := range peers {
+		told := brief
+		if leader == "" || p.name == leader {
+			told = report
+		}
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			s.reportTo(ctx, p, report)
+			s.reportTo(ctx, p, told)
 		}()
 	}
 	wait.Wait()
 }
 
 func (s *Service) report() *fleetv1.Report {
-	report := &fleetv1.Report{Host: s.config.Host, Incarnation: s.config.Incarnation, Address: s.config.Address, AgeMillis: time.Since(s.started).Milliseconds()}
+	report := &fleetv1.Report{Host: s.config.Host, Incarnation: s.config.Incarnation, Address: s.config.Address, Zone: s.config.Zone, AgeMillis: time.Since(s.started).Milliseconds()}
 	for _, part := range s.parts {
 		part.Contribute(report)
 	}
@@ -277,7 +301,9 @@
 // Exchange implements fleetv1.Fleet.
 func (s *Service) Exchange(_ context.Context, report *fleetv1.Report) (*fleetv1.Report, error) {
 	s.hear(time.Now(), report)
-	return s.report(), nil
+	answer := s.report()
+	answer.Demand = nil // told to the holder of the lease by calls
+	return answer, nil
 }
 
 // Place implements fleetv1.Fleet.
@@ -288,6 +314,21 @@
 	return s.place(ctx, request), nil
 }
 
+// Follow implements fleetv1.Fleet.
+func (s *Service) Follow(ctx context.Context, request *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error) {
+	if s.follow == nil {
+		return nil, twirp.NewError(twirp.Unavailable, "this host is not on lookout; follow another")
+	}
+	return s.follow(ctx, request)
+}
+
+// FollowPeer asks a peer for what it has read of the store.
+func (s *Service) FollowPeer(ctx context.Context, address string, request *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(request.GetWaitMillis())*time.Millisecond)
+	defer cancel()
+	return s.peerClient(address).Follow(ctx, request)
+}
+
 // AskLeader asks the holder of the placement lease for a model or an adapter. It returns
 // an error where none is in reach.
 func (s *Service) AskLeader(ctx context.Context, request *fleetv1.PlaceRequest) (*fleetv1.PlaceResponse, error) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -36,9 +36,17 @@
 	Regained()
 }
 
+// Source is where a mirror reads: the store, or a peer that follows it.
+type Source interface {
+	List(ctx context.Context, kind objectstore.Kind, prefix string) (objectstore.Listing, error)
+	Watch(ctx context.Context, kind objectstore.Kind, after objectstore.Version) (objectstore.Watch, error)
+}
+
 // Mirror follows one kind. It implements suture.Service.
 type Mirror struct {
-	store   objectstore.Store
+	store   Source
+	choose  func() Source
+	journal *journal
 	kind    objectstore.Kind
 	handler Handler
 	lost    bool
@@ -84,7 +92,7 @@
 // New returns a mirror of a kind; Serve runs it.
 func New(store objectstore.Store, kind objectstore.Kind, handler Handler) *Mirror {
 	return &Mirror{
-		store: store, kind: kind, handler: handler, pause: retry.NewBackOff(firstPause, longestPause),
+		store: store, journal: newJournal(), kind: kind, handler: handler, pause: retry.NewBackOff(firstPause, longestPause),
 		refresh: make(chan struct{}, 1),
 	}
 }
@@ -93,6 +101,17 @@
 // concerns all kinds. It must be called before Serve.
 func (m *Mirror) OnGone(tell func()) { m.onGone = tell }
 
+// ReadFrom sets what chooses where to read each time the mirror begins anew.
+// It must be called before Serve.
+func (m *Mirror) ReadFrom(choose func() Source) { m.choose = choose }
+
+func (m *Mirror) source() Source {
+	if m.choose == nil {
+		return m.store
+	}
+	return m.choose()
+}
+
 // Refresh makes the mirror list its kind at once, since there is word of a
 // change that the watch has not shown.
 func (m *Mirror) Refresh() {
@@ -108,15 +127,17 @@
 // Serve follows the kind until ctx ends.
 func (m *Mirror) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		listing, err := m.store.List(ctx, m.kind, "")
+		source := m.source()
+		listing, err := source.List(ctx, m.kind, "")
 		if err != nil {
 			m.failed(ctx, "list", err)
 			continue
 		}
 		m.answered()
 		m.handler.Replace(listing)
+		m.journal.replace(listing)
 		m.read(listing.Version, newest(listing))
-		m.follow(ctx, listing.Version)
+		m.follow(ctx, source, listing.Version)
 	}
 	return ctx.Err()
 }
@@ -132,9 +153,9 @@
 
 // follow watches from a version until its history is gone, a refresh is due
 // or ctx ends.
-func (m *Mirror) follow(ctx context.Context, version objectstore.Version) {
+func (m *Mirror) follow(ctx context.Context, source Source, version objectstore.Version) {
 	for ctx.Err() == nil {
-		watch, err := m.store.Watch(ctx, m.kind, version)
+		watch, err := source.Watch(ctx, m.kind, version)
 		if err == nil {
 			var refresh bool
 			if version, refresh = m.consume(watch, version); refresh {
@@ -154,6 +175,9 @@
 		if err != nil {
 			m.failed(ctx, "watch", err)
 		}
+		if source != m.source() {
+			return
+		}
 	}
 }
 
@@ -170,6 +194,7 @@
 				return version, false
 			}
 			m.answered()
+			m.journal.apply(event)
 			if event.Type == objectstore.EventBookmark {
 				m.read(event.Version, 0)
 			} else {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -117,6 +119,78 @@
 	})
 })
 
+var _ = Describe("Following a mirror in place of the store", func() {
+	put := func(j *journal, version objectstore.Version, name string) {
+		j.apply(objectstore.Event{Type: objectstore.EventPut, Version: version, Object: objectstore.Object{Name: name, Version: version}})
+	}
+	names := func(u Update) []string {
+		var list []string
+		for _, e := range u.Events {
+			list = append(list, e.Object.Name)
+		}
+		return list
+	}
+
+	It("gives all objects to one that begins, and the changes since to one that has read", func() {
+		j := newJournal()
+		j.replace(objectstore.Listing{Version: 5, Items: []objectstore.Object{{Name: "a", Version: 2}}})
+		put(j, 6, "b")
+		put(j, 8, "c")
+		update, _ := j.since(0)
+		Expect(update.Whole).To(BeTrue())
+		Expect(names(update)).To(Equal([]string{"a", "b", "c"}))
+		update, _ = j.since(6)
+		Expect(update).To(Equal(Update{Covered: 8, Events: update.Events}))
+		Expect(names(update)).To(Equal([]string{"c"}))
+		j.apply(objectstore.Event{Type: objectstore.EventBookmark, Version: 20})
+		update, _ = j.since(8)
+		Expect(update).To(Equal(Update{Covered: 20}), "nothing changed up to there")
+	})
+
+	It("gives all objects to one that is further behind than the changes kept", func() {
+		j := newJournal()
+		j.replace(objectstore.Listing{Version: 1})
+		for v := objectstore.Version(2); v < 2+2*journalLength; v++ {
+			put(j, v, "x")
+		}
+		update, _ := j.since(2)
+		Expect(update.Whole).To(BeTrue())
+		update, _ = j.since(2 + journalLength)
+		Expect(update.Whole).To(BeFalse())
+	})
+
+	It("never misses a change, whenever its follower asks", func() {
+		j := newJournal()
+		j.replace(objectstore.Listing{Version: 1})
+		seen, covered := map[string]bool{}, objectstore.Version(1)
+		for v := objectstore.Version(2); v < 200; v++ {
+			put(j, v, fmt.Sprint(v))
+			if v%7 == 0 {
+				update, _ := j.since(covered)
+				Expect(update.Whole).To(BeFalse())
+				for _, name := range names(update) {
+					seen[name] = true
+				}
+				covered = update.Covered
+			}
+		}
+		Expect(seen).To(HaveLen(195))
+	})
+
+	It("waits for a change, and no longer than asked", func() {
+		m := New(memstore.New(), kind, &copyOf{})
+		m.journal.replace(objectstore.Listing{Version: 3})
+		started := time.Now()
+		Expect(m.Follow(context.Background(), 3, 50*time.Millisecond).Events).To(BeEmpty())
+		Expect(time.Since(started)).To(BeNumerically(">=", 50*time.Millisecond))
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			put(m.journal, 4, "late")
+		}()
+		Expect(names(m.Follow(context.Background(), 3, 5*time.Second))).To(Equal([]string{"late"}))
+	})
+})
+
 // forgetful is a store that has dropped its history a number of times.
 type forgetful struct {
 	*memstore.Store
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -72,8 +72,6 @@
 
 	mu     sync.Mutex
 	demand *demand
-	// asked is the demand at this host since its start.
-	asked map[subject]float64
 	views map[string]*view
 	// locks holds one lock for each engine: one order at a time.
 	locks map[string]*sync.Mutex
@@ -102,7 +100,7 @@
 			Name: "bilberryslip_engine_orders_total",
 			Help: "Orders to engines, by action and answer.",
 		}, []string{"action", "answer"}),
-		demand: newDemand(), asked: make(map[subject]float64), views: make(map[string]*view),
+		demand: newDemand(), views: make(map[string]*view),
 		locks: make(map[string]*sync.Mutex), moving: make(map[string]string), waiting: make(map[subject]chan struct{}),
 	}
 }
@@ -161,7 +159,6 @@
 		subjects = append(subjects, subject{service, model, adapter})
 	}
 	for _, of := range subjects {
-		s.asked[of] += float64(tokens)
 		s.demand.add(now, of, float64(tokens))
 	}
 }
@@ -177,10 +174,12 @@
 			LeftMillis: holding.Until.Sub(clock.Boot()).Milliseconds(),
 		}
 	}
-	for of, tokens := range s.asked {
-		report.Demand = append(report.Demand, &fleetv1.Demand{Service: of.service, Model: of.model, Adapter: of.adapter, Tokens: tokens})
-	}
 	now := time.Now()
+	for of, perSecond := range s.demand.told(now) {
+		report.Demand = append(report.Demand, &fleetv1.Demand{
+			Service: of.service, Model: of.model, Adapter: of.adapter, TokensPerSecond: perSecond,
+		})
+	}
 	s.recent = slices.DeleteFunc(s.recent, func(a announcement) bool { return now.After(a.until) })
 	for _, a := range s.recent {
 		report.Holdings = append(report.Holdings, a.holding)
@@ -189,12 +188,12 @@
 
 // Hear implements exchange.Part.
 func (s *Service) Hear(report *fleetv1.Report, _ bool) {
-	totals := make(map[subject]float64, len(report.GetDemand()))
+	rates := make(map[subject]float64, len(report.GetDemand()))
 	for _, d := range report.GetDemand() {
-		totals[subject{d.GetService(), d.GetModel(), d.GetAdapter()}] = d.GetTokens()
+		rates[subject{d.GetService(), d.GetModel(), d.GetAdapter()}] = d.GetTokensPerSecond()
 	}
 	s.mu.Lock()
-	s.demand.report(time.Now(), report.GetHost()+"/"+report.GetIncarnation(), totals)
+	s.demand.report(time.Now(), report.GetHost(), rates)
 	s.mu.Unlock()
 	if l := report.GetLease(); l != nil {
 		s.config.Lease.Hear(lease.Value{Holder: l.GetHolder(), Incarnation: l.GetIncarnation(), Term: l.GetTerm()}, objectstore.Version(l.GetVersion()))
