--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -329,22 +329,21 @@
 // The ranks of engines: 0 to 9, where 5 is the default.
 const maxRank = 9
 
-// rank orders requests in an engine by their organisation's priority or their
-// route's, and then by how soon they are due.
+// rank orders requests in an engine: by their organisation's priority, then by
+// their route's, then by how soon they are due.
 func (x *run) rank() int {
 	const (
-		perPriority = 3
+		perOrganisation = 3
 		// leisurely objectives rank behind others of their priority.
 		leisurely = 2 * time.Second
 	)
-	priority := x.route.Priority
-	if x.organisation != nil && x.organisation.Priority != nil {
-		priority = *x.organisation.Priority
-	}
-	rank := perPriority * priority
+	rank := x.route.Priority
 	if x.route.Objective > leisurely {
 		rank++
 	}
+	if x.organisation != nil && x.organisation.Priority != nil {
+		rank = perOrganisation**x.organisation.Priority + min(rank, perOrganisation-1)
+	}
 	return min(rank, maxRank)
 }
 
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -33,8 +33,12 @@
 		if service.Engine == nil {
 			continue
 		}
-		for s.underWay() < loadsUnderWay {
-			c, ok := nextChange(s.planInput(service))
+		for {
+			in := s.planInput(service)
+			if s.underWay() >= max(leastUnderWay, len(in.engines)/enginesPerChange) {
+				break
+			}
+			c, ok := nextChange(in)
 			if !ok || !s.start(ctx, service, c) {
 				break
 			}
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -29,8 +29,11 @@
 	// announceFor is how long an order's effect is told to the other hosts;
 	// the engines' own descriptions say it within a heartbeat.
 	announceFor = 3 * time.Second
-	// loadsUnderWay bounds the models loaded at once by this holder.
-	loadsUnderWay = 3
+	// leastUnderWay is the number of engines that may change their models at
+	// once, and enginesPerChange how many engines allow one more: those that
+	// change serve less meanwhile.
+	leastUnderWay    = 3
+	enginesPerChange = 8
 	// ceilingShare is the part of the weight store's ceiling that is used.
 	ceilingShare = 0.85
 )
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -78,6 +79,8 @@
 	weights  *weightStore
 	hosts    *hostList
 	started  time.Time
+	// silencings counts how often watches were silenced.
+	silencings atomic.Int64
 
 	mu       sync.Mutex
 	counts   map[objectstore.Kind]*Calls
@@ -126,6 +129,9 @@
 	if faults.Hosts != nil {
 		s.hosts.set(time.Now(), faults.Hosts)
 	}
+	if faults.SilentWatches {
+		s.silencings.Add(1)
+	}
 }
 
 func (s *Server) bookmarks(ctx context.Context) {
--- a/internal/standin/platformserver/watch.go
+++ b/internal/standin/platformserver/watch.go
@@ -24,8 +24,11 @@
 	defer w.Stop()
 	s.countWaiting(1)
 	defer s.countWaiting(-1)
-	stream := watchStream{server: s, response: c.Response(), delivered: objectstore.Version(after)}
-	return stream.run(c, w)
+	return s.newStream(c.Response(), objectstore.Version(after)).run(c, w)
+}
+
+func (s *Server) newStream(response *echo.Response, after objectstore.Version) *watchStream {
+	return &watchStream{server: s, response: response, delivered: after, silencings: s.silencings.Load()}
 }
 
 // watchStream writes the events of one watch and applies the watch faults.
@@ -35,6 +38,14 @@
 	delivered objectstore.Version
 	held      []objectstore.Event
 	silent    bool
+	// silencings is how often watches had been silenced when this one began.
+	silencings int64
+}
+
+// isSilent reports whether the watch was silenced, now or at any time since it
+// began: it may not have been scheduled between two changes of the switch.
+func (w *watchStream) isSilent(faults Faults) bool {
+	return w.silent || faults.SilentWatches || w.server.silencings.Load() != w.silencings
 }
 
 func (w *watchStream) run(c echo.Context, source objectstore.Watch) error {
@@ -48,7 +59,7 @@
 		if faults.CutWatches != cuts || faults.Down {
 			return nil
 		}
-		w.silent = w.silent || faults.SilentWatches
+		w.silent = w.isSilent(faults)
 		if err := w.release(faults); err != nil {
 			return err
 		}
