--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -75,7 +75,7 @@
 
 	mu     sync.Mutex
 	demand *demand
-	views map[string]*view
+	views  map[string]*view
 	// locks holds one lock for each engine: one order at a time.
 	locks map[string]*sync.Mutex
 	// actsFrom is when this host may give its first order as holder.
