Avoid a lookout that is behind without taking its place; be patient with endpoints' changes

Change: a change is missed only if the same one stays unseen; configurations 0.25 s, endpoints 0.9 s; a lookout that is left is not followed for 3 s but still counts.

--- a/internal/edge/freshness.go
+++ b/internal/edge/freshness.go
@@ -34,9 +34,14 @@
 	// the store by way of a lookout of their zone. In a smaller fleet each
 	// keeps its own watch, which a cut between hosts can't take away.
 	followFrom = 24
-	// patience is how long a host waits for its own watch to show a change
-	// that a peer has seen.
-	patience = 150 * time.Millisecond
+	// urgentPatience is how long a host waits for the usual way to show a
+	// change of the configuration that a peer has seen, and usualPatience for
+	// one of the endpoints: those are gathered on the way.
+	urgentPatience = 250 * time.Millisecond
+	usualPatience  = 900 * time.Millisecond
+	// avoidFor is how long a lookout is not followed that didn't answer or was
+	// behind.
+	avoidFor = 3 * time.Second
 )
 
 // freshness keeps the mirrors of all hosts up to date together: a few hosts
@@ -45,12 +50,14 @@
 type freshness struct {
 	host    *host
 	mirrors map[objectstore.Kind]*mirror.Mirror
+	// urgent is the mirror of the configuration.
+	urgent *mirror.Mirror
 
 	mu sync.Mutex
 	// watched are the peers with lower names that are on lookout.
 	watched map[string]*watchedPeer
-	// behind is since when a peer has been ahead in a kind.
-	behind  map[objectstore.Kind]time.Time
+	// behind is what this host has still to see of each kind.
+	behind  map[objectstore.Kind]lag
 	lookout bool
 	// large tells that the fleet has lookouts in each zone.
 	large bool
@@ -58,20 +65,29 @@
 	followed *lookoutSource
 }
 
+// lag is a change that a peer has seen and this host has not.
+type lag struct {
+	version objectstore.Version
+	since   time.Time
+}
+
 // watchedPeer is a peer on lookout.
 type watchedPeer struct {
 	source *lookoutSource
 	zone   string
+	// avoided is until when it is not followed, since it didn't answer or was
+	// behind.
+	avoided time.Time
 	// until is up to when it is known to be in touch with the store.
 	until time.Time
 }
 
-func newFreshness(h *host, mirrors ...*mirror.Mirror) *freshness {
+func newFreshness(h *host, configuration, endpoints *mirror.Mirror) *freshness {
 	f := &freshness{
-		host: h, mirrors: make(map[objectstore.Kind]*mirror.Mirror), watched: make(map[string]*watchedPeer),
-		behind: make(map[objectstore.Kind]time.Time), lookout: true,
+		host: h, urgent: configuration, mirrors: make(map[objectstore.Kind]*mirror.Mirror), watched: make(map[string]*watchedPeer),
+		behind: make(map[objectstore.Kind]lag), lookout: true,
 	}
-	for _, m := range mirrors {
+	for _, m := range []*mirror.Mirror{configuration, endpoints} {
 		f.mirrors[m.Kind()] = m
 		m.OnGone(func() { f.refresh(m) })
 		m.ReadFrom(f.source)
@@ -133,46 +149,62 @@
 	p, ok := f.watched[name]
 	if !ok || p.source.address != report.GetAddress() {
 		p = &watchedPeer{zone: report.GetZone()}
-		p.source = &lookoutSource{exchange: f.host.exchange, address: report.GetAddress(), lost: func() { f.lost(name) }}
+		p.source = &lookoutSource{exchange: f.host.exchange, address: report.GetAddress()}
+		p.source.lost = func() { f.lost(p.source) }
 		f.watched[name] = p
 	}
 	p.until = now.Add(proofAge + f.host.exchange.Interval() - oldest)
 }
 
-// leaveLookout stops following a lookout that is behind other hosts; the next
-// decision chooses another. It must be called with the mutex held.
-func (f *freshness) leaveLookout() {
-	for name, p := range f.watched {
-		if p.source == f.followed {
-			delete(f.watched, name)
+// compare lists a kind anew where this host has not seen a change for a while
+// that a peer has.
+func (f *freshness) compare(now time.Time, m *mirror.Mirror, changed objectstore.Version) {
+	covered := m.Reading().Covered
+	missing, behind := f.behind[m.Kind()]
+	if behind && covered >= missing.version {
+		behind = false
+		delete(f.behind, m.Kind())
+	}
+	switch {
+	case changed <= covered:
+	case !behind:
+		f.behind[m.Kind()] = lag{version: changed, since: now}
+	case now.Sub(missing.since) >= f.patience(m):
+		logrus.WithFields(logrus.Fields{"kind": m.Kind(), "version": covered, "peer_version": missing.version}).Info("a peer is ahead")
+		delete(f.behind, m.Kind())
+		f.avoid(now, f.followed)
+		m.Refresh()
+	}
+}
+
+// patience is how long a change may take by the usual way.
+func (f *freshness) patience(m *mirror.Mirror) time.Duration {
+	if m == f.urgent {
+		return urgentPatience
+	}
+	return usualPatience
+}
+
+// avoid stops following a lookout for a while. It must be called with the
+// mutex held.
+func (f *freshness) avoid(now time.Time, source *lookoutSource) {
+	if source == nil {
+		return
+	}
+	for _, p := range f.watched {
+		if p.source == source {
+			p.avoided = now.Add(avoidFor)
 		}
 	}
-	f.followed = nil
 }
 
 // lost notes that a lookout doesn't answer.
-func (f *freshness) lost(name string) {
+func (f *freshness) lost(source *lookoutSource) {
+	now := time.Now()
 	f.mu.Lock()
-	delete(f.watched, name)
+	f.avoid(now, source)
 	f.mu.Unlock()
-	f.decide(time.Now())
-}
-
-// compare lists a kind anew where a peer has seen a change that this host's
-// own watch doesn't show.
-func (f *freshness) compare(now time.Time, m *mirror.Mirror, changed objectstore.Version) {
-	since, behind := f.behind[m.Kind()]
-	switch {
-	case changed <= m.Reading().Covered:
-		delete(f.behind, m.Kind())
-	case !behind:
-		f.behind[m.Kind()] = now
-	case now.Sub(since) >= patience:
-		logrus.WithFields(logrus.Fields{"kind": m.Kind(), "version": m.Reading().Covered, "peer_version": changed}).Info("a peer is ahead")
-		delete(f.behind, m.Kind())
-		f.leaveLookout()
-		m.Refresh()
-	}
+	f.decide(now)
 }
 
 // Reach implements exchange.Part.
@@ -187,21 +219,13 @@
 func (f *freshness) decide(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var names []string
-	for name, p := range f.watched {
-		if now.After(p.until) {
-			delete(f.watched, name)
-		} else if !f.large || p.zone == f.host.settings.Host.Zone {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	lookout, followed := len(names) < lookouts, f.followed
+	names, open := f.lookoutsNow(now)
+	lookout, followed := len(names) < lookouts || f.large && len(open) == 0, f.followed
 	switch {
 	case lookout || !f.large:
 		followed = nil
-	case !slices.ContainsFunc(names, func(name string) bool { return f.watched[name].source == followed }):
-		followed = f.watched[names[xxhash.Sum64String(f.host.settings.Host.Name)%uint64(len(names))]].source
+	case !slices.ContainsFunc(open, func(name string) bool { return f.watched[name].source == followed }):
+		followed = f.watched[open[xxhash.Sum64String(f.host.settings.Host.Name)%uint64(len(open))]].source
 	}
 	if lookout == f.lookout && followed == f.followed {
 		return
@@ -215,6 +239,25 @@
 	}
 }
 
+// lookoutsNow returns the names of the lookouts that count for this host, and
+// of those that it may follow. It must be called with the mutex held.
+func (f *freshness) lookoutsNow(now time.Time) (names, open []string) {
+	for name, p := range f.watched {
+		switch {
+		case now.After(p.until):
+			delete(f.watched, name)
+		case !f.large || p.zone == f.host.settings.Host.Zone:
+			names = append(names, name)
+			if now.After(p.avoided) {
+				open = append(open, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	slices.Sort(open)
+	return names, open
+}
+
 func waitOf(lookout bool) time.Duration {
 	if lookout {
 		return lookoutWait
