--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,44 @@
+package logsink
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestWritersNeverWaitForAStuckReader fills the sink while nobody reads.
+func TestWritersNeverWaitForAStuckReader(t *testing.T) {
+	reader, writer := io.Pipe() // blocks each write until it is read
+	s := New(writer)
+	const lines = 3 * capacity
+	started := time.Now()
+	for i := range lines {
+		if _, err := fmt.Fprintf(s, "line %d\n", i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(started); took > time.Second {
+		t.Errorf("%d lines took %v while nobody read", lines, took)
+	}
+	if dropped := s.Dropped(); dropped < lines-capacity-1 || dropped > lines-capacity {
+		t.Errorf("%d lines dropped of %d, want all but those that the sink holds", dropped, lines)
+	}
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	s.Close()
+}
+
+func TestLinesArriveWholeAndInOrder(t *testing.T) {
+	var out bytes.Buffer
+	s := New(&out)
+	line := []byte("first\n")
+	_, _ = s.Write(line)
+	copy(line, "XXXXX") // the caller may use its buffer again
+	_, _ = s.Write([]byte("second\n"))
+	s.Close()
+	if got := out.String(); got != "first\nsecond\n" || strings.Contains(got, "X") {
+		t.Errorf("got %q", got)
+	}
+}
