--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -28,7 +28,7 @@
 	shortestInterval = 200 * time.Millisecond
 	// perPeer stretches the interval in large fleets, so that reports take a
 	// bounded part of a host's processor.
-	perPeer = 15 * time.Millisecond
+	perPeer = 8 * time.Millisecond
 	// callTimeout bounds a call to a peer.
 	callTimeout = 600 * time.Millisecond
 	// registerPause and registerLongest pace the attempts to write this
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -14,7 +14,7 @@
 	// heardFor is how long a host counts as in reach after its last report, at
 	// least; it is heardIntervals times the interval between reports.
 	heardFor       = 1200 * time.Millisecond
-	heardIntervals = 3
+	heardIntervals = 2
 	// rememberedFor is how long a silent host still counts as one that may be
 	// serving out of reach.
 	rememberedFor = 15 * time.Second
