--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
@@ -131,11 +132,6 @@
 			list = append(list, *p)
 		}
 	}
-	slices.SortFunc(list, func(a, b peer) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b peer) int { return strings.Compare(a.name, b.name) })
 	return list
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -252,17 +253,6 @@
 	return r.start(chosen, work), ReasonNone
 }
 
-// StartAt is Start at one endpoint; nil where that takes no work.
-func (r *Registry) StartAt(id string, work Work) *Attempt {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m, ok := r.members[id]
-	if !ok || !r.usable(m, r.config.Clock()) {
-		return nil
-	}
-	return r.start(m, work)
-}
-
 func (r *Registry) candidates(work Work, now time.Time) ([]candidate, Reason) {
 	r.sweep(now)
 	ejected := r.ejector.Ejected(now)
@@ -325,48 +315,6 @@
 			list = append(list, m.Endpoint)
 		}
 	}
-	slices.SortFunc(list, func(a, b Endpoint) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
-
-// Running returns how many requests of this host run at all endpoints.
-func (r *Registry) Running() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	total := 0
-	for _, m := range r.members {
-		total += m.running
-	}
-	return total
-}
-
-// endpointState is one endpoint in the state dump.
-type endpointState struct {
-	Endpoint
-	Gone         bool `json:"gone"`
-	Running      int  `json:"running"`
-	UnreadTokens int  `json:"unreadTokens"`
-	Load         Load `json:"load"`
-	LoadAgeMS    int64
-	Penalty      float64 `json:"penalty"`
-}
-
-// DumpState returns what is known of all endpoints.
-func (r *Registry) DumpState() any {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.config.Clock()
-	states := make([]endpointState, 0, len(r.members))
-	for _, m := range r.members {
-		states = append(states, endpointState{
-			Endpoint: m.Endpoint, Gone: !m.gone.IsZero(), Running: m.running, UnreadTokens: m.unreadTokens,
-			Load: m.load, LoadAgeMS: now.Sub(m.loadAt).Milliseconds(), Penalty: r.ejector.Penalty(now, m.ID),
-		})
-	}
-	return states
-}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -86,9 +86,9 @@
 		again := engine("e1", "z1", "m")
 		again.Started = now
 		registry.Put(again)
-		Expect(registry.Running()).To(BeZero())
+		Expect(registry.members["e1"].running).To(BeZero())
 		attempt.Finish(endpoint.OutcomeFailed)
-		Expect(registry.Running()).To(BeZero())
+		Expect(registry.members["e1"].running).To(BeZero())
 	})
 
 	It("believes an endpoint's refusal and the holder's orders over an older description", func() {
@@ -197,10 +197,10 @@
 
 	It("takes the load that an endpoint tells into account", func() {
 		registry.Put(engine("e1", "z1", "m"))
-		registry.Put(engine("e2", "z1", "m"))
-		attempt := registry.StartAt("e1", work)
+		attempt, _ := registry.Start(work)
 		attempt.Reported(Load{Running: 40, Waiting: 3, Slots: 64})
 		attempt.Finish(endpoint.OutcomeAnswered)
+		registry.Put(engine("e2", "z1", "m"))
 		for range 5 {
 			Expect(chosen(work)).To(Equal("e2"))
 		}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -284,48 +284,6 @@
 	return verdictNotRun, err
 }
 
-// again decides whether the request is sent once more.
-func (x *run) again(v verdict) bool {
-	switch v {
-	case verdictNotSent:
-		return x.dials < maxDials && x.ctx.Err() == nil
-	case verdictNotRun:
-	case verdictUnknown:
-		if !x.route.MayRepeat() {
-			return false
-		}
-	default:
-		return false
-	}
-	if x.sends >= x.route.MaxAttempts || x.ctx.Err() != nil {
-		return false
-	}
-	if !x.forwarder.retryAllowed(x.service) {
-		x.log().Info("no send left in the retry budget")
-		return false
-	}
-	x.forwarder.metrics.retries.WithLabelValues(x.service).Inc()
-	return true
-}
-
-// giveUp returns the final answer after the last send.
-func (x *run) giveUp(v verdict, err error) error {
-	switch {
-	case x.begun:
-		return ErrBroken
-	case v == verdictGone && errors.Is(context.Cause(x.ctx), errLimit):
-		return &Failure{Reason: ReasonTimeout, NotRun: !x.mayHaveRun, Cause: err}
-	case v == verdictGone:
-		return &Failure{Reason: ReasonCallerGone, NotRun: !x.mayHaveRun, Cause: err}
-	case x.mayHaveRun:
-		return &Failure{Reason: ReasonEndpointFailed, Cause: err}
-	case v == verdictNotSent:
-		return &Failure{Reason: ReasonNoEndpoint, NotRun: true, RetryAfter: capacityPause, Cause: err}
-	default:
-		return &Failure{Reason: ReasonOverloaded, NotRun: true, RetryAfter: capacityPause, Cause: err}
-	}
-}
-
 // The ranks of engines: 0 to 9, where 5 is the default.
 const maxRank = 9
 
@@ -346,47 +304,3 @@
 	}
 	return min(rank, maxRank)
 }
-
-func (x *run) log() *logrus.Entry {
-	return logrus.WithFields(logrus.Fields{"request": x.call.ID, "service": x.service})
-}
-
-func (x *run) logSend(attempt *fleet.Attempt, event string, err error) {
-	x.log().WithError(err).WithFields(logrus.Fields{
-		"endpoint": attempt.Endpoint.ID, "address": attempt.Endpoint.Address, "send": x.sends,
-	}).Info(event)
-}
-
-// finish logs and counts the end of the call.
-func (x *run) finish(err error) {
-	elapsed := x.forwarder.config.Clock().Sub(x.started)
-	fields := logrus.Fields{
-		"request": x.call.ID, "config": x.version, "service": x.service, "model": x.call.Model, "adapter": x.call.Adapter,
-		"sends": x.sends, "duration_ms": elapsed.Milliseconds(), "first_byte_ms": x.firstByte.Milliseconds(),
-	}
-	if x.route != nil {
-		fields["route"] = x.route.Name
-	}
-	if x.organisation != nil {
-		fields["organisation"] = x.organisation.Name
-	}
-	if len(x.tried) > 0 {
-		fields["endpoint"] = x.tried[len(x.tried)-1]
-	}
-	outcome := "served"
-	var failure *Failure
-	switch {
-	case errors.As(err, &failure):
-		outcome = string(failure.Reason)
-		fields["not_run"] = failure.NotRun
-		fields["choice"] = x.lastReason
-		fields["retry_after_ms"] = failure.RetryAfter.Milliseconds()
-	case err != nil:
-		outcome = "broken"
-	default:
-		fields["status"] = x.status
-	}
-	fields["outcome"] = outcome
-	x.forwarder.metrics.finished(x.service, outcome, elapsed, x.firstByte)
-	logrus.WithFields(fields).Info("request ended")
-}
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// Bring makes a model reachable that no engine holds, as far as its load may
+// bring makes a model reachable that no engine holds, as far as its load may
 // begin now.
 func (s *Service) bring(of subject) {
 	config := s.config.Source.Current()
