Divide limits by what was used while all hosts were certainly heard

Cause: a host that is cut off misses the others after 1.2 s or more, and made the division then, with its own use up to that moment and the others' of before: soon after the start the parts added up to several limits. Change: the division of 1.5 s before is taken, the same on all hosts; evenly where there is none. The spec of a busy host that is cut off tells its reach each round now, as the exchange does; its assertions are the same.

--- a/internal/quota/part.go
+++ b/internal/quota/part.go
@@ -12,6 +12,8 @@
 	// evenShare is the part of the limit that is divided evenly, so that a
 	// host without recent use is not left with nothing.
 	evenShare = 0.25
+	// missedWithin is how long a host may have been silent before it is missed.
+	missedWithin = 1500 * time.Millisecond
 )
 
 // use is recent use of an organisation's limit, in tokens that decay over a
@@ -35,16 +37,17 @@
 func (u *use) perSecond(now time.Time) float64 { return u.now(now) / u.window.Seconds() }
 
 // division is how limits are divided among the hosts while some are out of
-// reach: by each host's use when the first fell silent, which all of them had
-// heard of alike.
+// reach: by each host's use before the first fell silent, of which all of them
+// had heard alike.
 type division struct {
+	at time.Time
 	// shares is each host's part, by organisation and host.
 	shares map[string]map[string]float64
 }
 
-// divide fixes the division by the use so far of this host and all others.
+// divide returns the division by the use so far of this host and all others.
 func divide(now time.Time, hosts []string, uses map[string]map[string]*use) *division {
-	d := &division{shares: make(map[string]map[string]float64)}
+	d := &division{at: now, shares: make(map[string]map[string]float64)}
 	for organisation, byHost := range uses {
 		total := 0.0
 		for _, host := range hosts {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -72,8 +72,10 @@
 	// included.
 	reach     float64
 	reachable []string
-	// division is set while some hosts are out of reach.
+	// division is set while some hosts are out of reach; history holds those
+	// that would have been set lately, oldest first.
 	division *division
+	history  []*division
 	// uses is each host's recent use, by organisation and host.
 	uses     map[string]map[string]*use
 	accounts map[string]*account
@@ -131,8 +133,12 @@
 	switch {
 	case len(silent) == 0:
 		l.division = nil
+		l.history = append(l.history, divide(now, l.reachable, l.uses))
+		for len(l.history) > 1 && now.Sub(l.history[1].at) >= missedWithin {
+			l.history = l.history[1:]
+		}
 	case l.division == nil:
-		l.division = divide(now, append(slices.Clone(l.reachable), silent...), l.uses)
+		l.division = l.lastShared(now)
 	}
 	for name, a := range l.accounts {
 		if part := l.part(name); part < before[name] && a.level > 0 {
@@ -151,6 +157,16 @@
 	return a.others.perSecond(now) * l.lag.Seconds() / 2
 }
 
+// lastShared returns the division of a time at which the hosts that are silent
+// now were certainly heard, so that all hosts come to the same one. Without
+// any, limits are divided evenly.
+func (l *Limiter) lastShared(now time.Time) *division {
+	if len(l.history) == 0 || now.Sub(l.history[0].at) < missedWithin {
+		return &division{at: now}
+	}
+	return l.history[0]
+}
+
 // part returns the part of an organisation's limit that falls to the hosts in
 // reach.
 func (l *Limiter) part(organisation string) float64 {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -96,6 +96,17 @@
 	}
 }
 
+// alone tells a host that all others are silent.
+func (f *fleet) alone(host int) {
+	var silent []string
+	for i := range f.hosts {
+		if i != host {
+			silent = append(silent, fmt.Sprint(i))
+		}
+	}
+	f.hosts[host].SetReach(f.now, nil, silent)
+}
+
 // mostInWindow returns the most tokens granted in any window.
 func (f *fleet) mostInWindow() float64 {
 	most, sum, first := 0.0, 0.0, 0
@@ -202,7 +213,10 @@
 				report()
 			}
 		}
-		load(100, func() { f.report(all) })
+		load(100, func() {
+			f.cut(all, nil) // told each round
+			f.report(all)
+		})
 		load(100, func() {
 			f.cut(left, right)
 			f.report(left, right)
@@ -211,6 +225,38 @@
 		Expect(f.mostInWindow()).To(BeNumerically("<=", limit))
 	})
 
+	// Hosts are cut off one by one soon after the start, miss each other late,
+	// and each sees its own use grow meanwhile.
+	It("keeps the limit where hosts that are cut off miss each other late", func() {
+		f := newFleet(6, true)
+		// silence is how long a host takes to miss another, as in the exchange.
+		const silence = 1200 * time.Millisecond
+		cutAt := start.Add(time.Second)
+		for range 200 {
+			f.now = f.now.Add(step)
+			cut := f.now.After(cutAt)
+			for host := range f.hosts {
+				if f.now.Sub(cutAt) > silence {
+					f.alone(host)
+				} else {
+					f.cut(all, nil)
+				}
+				tokens := 20.0
+				if cut {
+					tokens = 150
+				}
+				f.take(host, tokens)
+			}
+			if !cut {
+				f.report(all)
+			}
+		}
+		// What the hosts used before they missed each other is not bounded by
+		// a division; it is 1.2 s of the use.
+		const unseen = 6 * 6 * 150
+		Expect(f.mostInWindow()).To(BeNumerically("<=", limit+unseen))
+	})
+
 	It("keeps the limit where the use moves to the other side of a cut", func() {
 		f := newFleet(6, true)
 		left, right := []int{0, 1, 2}, []int{3, 4, 5}
