Say once which hosts' use counts, and charge returned tokens in one place

Found on reading the change again: used and freeIn repeated a condition, and GiveBack and Heard repeated parts of charge.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -3,7 +3,8 @@
 // window and the burst. Each host keeps its own copy of each organisation's
 // account and charges it with what it takes itself and with what the other
 // hosts report. While some hosts are out of reach it uses only the part of the
-// limit that falls to the hosts in reach, by what each host used before. It does no I/O and reads no clock.
+// limit that falls to the hosts in reach, by what each host used before. It
+// does no I/O and reads no clock.
 package quota
 
 import (
@@ -204,12 +205,18 @@
 	return w
 }
 
+// counts reports whether a host's use counts against this host's part of the
+// limit: that of the hosts in reach, or of all where the limit isn't divided.
+func (l *Limiter) counts(host string) bool {
+	return l.division == nil || host == earlier || slices.Contains(l.reachable, host)
+}
+
 // used returns what the hosts that share this host's part of the limit have
 // used in the window: those in reach, or all where the limit isn't divided.
 func (l *Limiter) used(now time.Time, a *account) float64 {
 	total := 0.0
 	for host, w := range a.windows {
-		if l.division == nil || host == earlier || slices.Contains(l.reachable, host) {
+		if l.counts(host) {
 			total += w.sum(now)
 		}
 	}
@@ -221,7 +228,7 @@
 	sum := newWindow(l.length)
 	sum.advance(now)
 	for host, w := range a.windows {
-		if l.division == nil || host == earlier || slices.Contains(l.reachable, host) {
+		if l.counts(host) {
 			sum.merge(now, w)
 		}
 	}
@@ -253,7 +260,8 @@
 	} else {
 		l.window(a, host).add(now, tokens)
 	}
-	a.level = max(a.level-tokens, -l.highest(a.policy))
+	highest := l.highest(a.policy)
+	a.level = min(max(a.level-tokens, -highest), highest)
 }
 
 // Decision is the answer to a request for tokens with what it depended on.
@@ -300,8 +308,7 @@
 	if a, ok := l.accounts[organisation]; ok {
 		a.taken -= tokens
 		l.remember(now, organisation, l.self, -tokens)
-		l.window(a, l.self).credit(now, tokens)
-		a.level = min(a.level+tokens, l.highest(a.policy))
+		l.charge(now, a, l.self, -tokens)
 	}
 }
 
@@ -344,7 +351,6 @@
 			l.charge(now, a, r.Host, u.Taken-last)
 			a.others.add(now, u.Taken-last)
 			l.remember(now, name, r.Host, u.Taken-last)
-			a.level = min(a.level, l.highest(a.policy))
 		case !l.first:
 			l.window(a, earlier).fill(now, u.Used)
 		}
