Decide on repeated sends in one module, and divide the retry reserve by the hosts there are

Cause: each host took the reserve of the retry budget divided by an assumed number of 8 hosts, and half of that; on 85 hosts the parts sum up to five times the deployment's reserve. The decision whether a request is sent once more was written twice, for routed requests and for the own interface. Ruled out: the ratio's part, which is charged per request and sums up right. Change: internal/repeat holds the rule, the budget per service and the part of a host, by the largest number of hosts seen; forward and gateway use it. Test: all hosts of fleets of 1 to 400 retry as often as they may after they saved up what they can; the old division (210 of reserve, 85 hosts: 13 a host, 1,105 in all) exceeds it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -31,7 +31,6 @@
 	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/orders"
 	"bilberryslip.example/bilberryslip/internal/quota"
-	"bilberryslip.example/bilberryslip/internal/routing"
 	"bilberryslip.example/bilberryslip/internal/settings"
 	"bilberryslip.example/bilberryslip/internal/supervise"
 	"bilberryslip.example/bilberryslip/internal/traffic"
@@ -125,11 +124,13 @@
 	})
 	h.exchange.AddPart(h.quota)
 	h.exchange.AddPart(h.endpoints)
+	retries := newRetries(s.Bounds)
+	h.exchange.AddPart(retries)
 	pool := upstream.NewPool()
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
-		Quota: h.quota, Holdings: h.orders, Retry: h.retryBudget(),
+		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets,
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
@@ -173,19 +174,6 @@
 	h.exchange.ServePlacement(h.orders.Place)
 }
 
-// retryBudget returns this host's part of the fleet's budget.
-func (h *host) retryBudget() routing.RetryBudgetConfig {
-	// hostsAssumed divides the reserve; few of the hosts need theirs at once.
-	const hostsAssumed = 8
-	const margin = 0.75 // of the ratio, since windows slide
-	b := h.settings.Bounds
-	reserve := max(1, b.RetryReserve/hostsAssumed/2)
-	return routing.RetryBudgetConfig{
-		Ratio: margin * b.RetryRatio, Reserve: reserve,
-		ReserveInterval: time.Duration(float64(b.RetryWindow.Std()) / reserve),
-	}
-}
-
 func (h *host) listen() ([]suture.Service, error) {
 	var servers []suture.Service
 	for _, l := range []struct {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,14 +7,13 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/quota"
-	"bilberryslip.example/bilberryslip/internal/routing"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
@@ -103,7 +102,7 @@
 	// Holdings may be nil: models and adapters stay where they are.
 	Holdings Holdings
 	// Retry bounds the sends beyond each request's first, per service.
-	Retry routing.RetryBudgetConfig
+	Retry *repeat.Budgets
 	// Clock defaults to time.Now.
 	Clock func() time.Time
 }
@@ -112,9 +111,6 @@
 type Forwarder struct {
 	config  Config
 	metrics *metrics
-
-	mu      sync.Mutex
-	budgets map[string]*routing.RetryBudget
 }
 
 // New returns a forwarder.
@@ -122,7 +118,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
-	return &Forwarder{config: cfg, metrics: newMetrics(), budgets: make(map[string]*routing.RetryBudget)}
+	return &Forwarder{config: cfg, metrics: newMetrics()}
 }
 
 // Collectors returns the forwarder's metrics.
@@ -172,26 +168,3 @@
 	}
 	return x, nil
 }
-
-// retryAllowed takes one send beyond the first out of a service's budget.
-func (f *Forwarder) retryAllowed(service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.budget(service).Retry(f.config.Clock())
-}
-
-func (f *Forwarder) firstSend(service string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.budget(service).Request(f.config.Clock())
-}
-
-// budget must be called with the mutex held.
-func (f *Forwarder) budget(service string) *routing.RetryBudget {
-	b, ok := f.budgets[service]
-	if !ok {
-		b = routing.NewRetryBudget(f.config.Retry)
-		f.budgets[service] = b
-	}
-	return b
-}
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -7,44 +7,37 @@
 	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 )
 
 // again decides whether the request is sent once more.
-func (x *run) again(v verdict) bool {
-	switch v {
-	case verdictNotSent:
-		return x.dials < maxDials && x.ctx.Err() == nil
-	case verdictNotRun:
-	case verdictUnknown:
-		if !x.route.MayRepeat() {
-			return false
-		}
-	default:
-		return false
-	}
-	if x.sends >= x.route.MaxAttempts || x.ctx.Err() != nil {
+func (x *run) again(end repeat.End) bool {
+	if x.ctx.Err() != nil {
 		return false
 	}
-	if !x.forwarder.retryAllowed(x.service) {
+	rule := repeat.Rule{Repeatable: x.route.MayRepeat(), MaxSends: x.route.MaxAttempts, MaxDials: maxDials}
+	decision := x.forwarder.config.Retry.Again(x.service, rule, x.sent, end)
+	switch decision {
+	case repeat.OverBudget:
 		x.log().Info("no send left in the retry budget")
-		return false
+	case repeat.AllowedWithinBudget:
+		x.forwarder.metrics.retries.WithLabelValues(x.service).Inc()
 	}
-	x.forwarder.metrics.retries.WithLabelValues(x.service).Inc()
-	return true
+	return decision.Yes()
 }
 
 // giveUp returns the final answer after the last send.
-func (x *run) giveUp(v verdict, err error) error {
+func (x *run) giveUp(end repeat.End, err error) error {
 	switch {
 	case x.begun:
 		return ErrBroken
-	case v == verdictGone && errors.Is(context.Cause(x.ctx), errLimit):
+	case end == repeat.CallerGone && errors.Is(context.Cause(x.ctx), errLimit):
 		return &Failure{Reason: ReasonTimeout, NotRun: !x.mayHaveRun, Cause: err}
-	case v == verdictGone:
+	case end == repeat.CallerGone:
 		return &Failure{Reason: ReasonCallerGone, NotRun: !x.mayHaveRun, Cause: err}
 	case x.mayHaveRun:
 		return &Failure{Reason: ReasonEndpointFailed, Cause: err}
-	case v == verdictNotSent:
+	case end == repeat.NotReached:
 		return &Failure{Reason: ReasonNoEndpoint, NotRun: true, RetryAfter: capacityPause, Cause: err}
 	default:
 		return &Failure{Reason: ReasonOverloaded, NotRun: true, RetryAfter: capacityPause, Cause: err}
@@ -57,7 +50,7 @@
 
 func (x *run) logSend(attempt *fleet.Attempt, event string, err error) {
 	x.log().WithError(err).WithFields(logrus.Fields{
-		"endpoint": attempt.Endpoint.ID, "address": attempt.Endpoint.Address, "send": x.sends,
+		"endpoint": attempt.Endpoint.ID, "address": attempt.Endpoint.Address, "send": x.sent.Sends,
 	}).Info(event)
 }
 
@@ -66,7 +59,7 @@
 	elapsed := x.forwarder.config.Clock().Sub(x.started)
 	fields := logrus.Fields{
 		"request": x.call.ID, "config": x.version, "service": x.service, "model": x.call.Model, "adapter": x.call.Adapter,
-		"sends": x.sends, "duration_ms": elapsed.Milliseconds(), "first_byte_ms": x.firstByte.Milliseconds(),
+		"sends": x.sent.Sends, "duration_ms": elapsed.Milliseconds(), "first_byte_ms": x.firstByte.Milliseconds(),
 	}
 	if x.route != nil {
 		fields["route"] = x.route.Name
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -8,6 +8,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
 
@@ -16,7 +17,7 @@
 
 // relayWhole reads a whole answer before the caller sees any of it, so that
 // one that breaks off can still be replaced.
-func (x *run) relayWhole(attempt *fleet.Attempt, exchange *upstream.Exchange) (verdict, error) {
+func (x *run) relayWhole(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.End, error) {
 	response := exchange.Response
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainAnswer+1))
 	if err == nil && len(body) > maxPlainAnswer {
@@ -28,7 +29,7 @@
 	exchange.Finished()
 	if x.begun { // no resumed stream
 		attempt.Finish(endpoint.OutcomeFailed)
-		return verdictUnknown, errors.Newf("stream not resumed, status %d", response.StatusCode)
+		return repeat.Unknown, errors.Newf("stream not resumed, status %d", response.StatusCode)
 	}
 	if response.StatusCode < http.StatusInternalServerError {
 		attempt.Finish(endpoint.OutcomeAnswered)
@@ -36,7 +37,7 @@
 	}
 	attempt.Finish(endpoint.OutcomeFailed)
 	x.logSend(attempt, "endpoint answered with an error", errors.Newf("status %d", response.StatusCode))
-	if x.again(verdictUnknown) {
+	if x.again(repeat.Unknown) {
 		return x.sendAgain(response, body)
 	}
 	return x.answer(response, body), nil
@@ -44,26 +45,26 @@
 
 // sendAgain sends a request again whose endpoint failed, and passes that
 // endpoint's own answer on where nothing better comes.
-func (x *run) sendAgain(response *http.Response, body []byte) (verdict, error) {
+func (x *run) sendAgain(response *http.Response, body []byte) (repeat.End, error) {
 	attempt, failure := x.choose()
 	if failure != nil {
 		return x.answer(response, body), nil
 	}
-	if v, err := x.send(attempt); v == verdictDone || x.begun {
+	if v, err := x.send(attempt); v == repeat.Over || x.begun {
 		return v, err
 	}
 	if x.ctx.Err() != nil {
-		return verdictGone, x.ctx.Err()
+		return repeat.CallerGone, x.ctx.Err()
 	}
 	return x.answer(response, body), nil
 }
 
 // answer passes a whole answer on.
-func (x *run) answer(response *http.Response, body []byte) verdict {
+func (x *run) answer(response *http.Response, body []byte) repeat.End {
 	x.begin(response)
 	// A caller that went away meanwhile is noticed by its connection.
 	_, _ = x.writer.Write(body)
-	return verdictDone
+	return repeat.Over
 }
 
 // begin passes on the header of an answer.
@@ -76,19 +77,19 @@
 }
 
 // broke takes account of an answer that ended early.
-func (x *run) broke(attempt *fleet.Attempt, err error) (verdict, error) {
+func (x *run) broke(attempt *fleet.Attempt, err error) (repeat.End, error) {
 	if x.ctx.Err() != nil {
 		attempt.Finish(endpoint.OutcomeCancelled)
-		return verdictGone, err
+		return repeat.CallerGone, err
 	}
 	attempt.Finish(endpoint.OutcomeFailed)
 	x.logSend(attempt, "answer broke off", err)
-	return verdictUnknown, err
+	return repeat.Unknown, err
 }
 
 // relayStream passes events on as they arrive. Of a stream that may be
 // resumed only whole events are passed on, so that it can go on elsewhere.
-func (x *run) relayStream(attempt *fleet.Attempt, exchange *upstream.Exchange) (verdict, error) {
+func (x *run) relayStream(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.End, error) {
 	events := &splitter{whole: x.route.Resumable}
 	control := http.NewResponseController(x.writer)
 	buffer := make([]byte, streamBuffer)
@@ -100,7 +101,7 @@
 			}
 			if !x.pass(control, ready) {
 				attempt.Finish(endpoint.OutcomeCancelled)
-				return verdictGone, errCallerGone
+				return repeat.CallerGone, errCallerGone
 			}
 			x.lastEvent = events.lastID
 		}
@@ -122,14 +123,14 @@
 	return control.Flush() == nil
 }
 
-func (x *run) endStream(attempt *fleet.Attempt, exchange *upstream.Exchange, events *splitter, control *http.ResponseController) (verdict, error) {
+func (x *run) endStream(attempt *fleet.Attempt, exchange *upstream.Exchange, events *splitter, control *http.ResponseController) (repeat.End, error) {
 	exchange.Finished()
 	attempt.Finish(endpoint.OutcomeAnswered)
 	if !x.begun {
 		x.begin(exchange.Response)
 	}
 	if rest := events.rest(); len(rest) > 0 && !x.pass(control, rest) {
-		return verdictGone, errCallerGone
+		return repeat.CallerGone, errCallerGone
 	}
-	return verdictDone, nil
+	return repeat.Over, nil
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -10,6 +10,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
@@ -52,9 +53,7 @@
 	limit time.Time
 
 	tried []string
-	// sends counts the endpoints that the request was sent to, dials those
-	// that could not be reached.
-	sends, dials int
+	sent  repeat.Sent
 	// mayHaveRun is set once an endpoint may have begun to work on it.
 	mayHaveRun bool
 	// begun is set once the caller has seen a part of the answer.
@@ -79,20 +78,20 @@
 		}
 	}()
 	x.noteDemand()
-	x.forwarder.firstSend(x.service)
+	x.forwarder.config.Retry.Request(x.service)
 	for {
 		attempt, failure := x.choose()
 		if failure != nil {
 			return failure
 		}
-		verdict, err := x.send(attempt)
-		if verdict == verdictDone {
+		end, err := x.send(attempt)
+		if end == repeat.Over {
 			return nil
 		}
-		if x.again(verdict) {
+		if x.again(end) {
 			continue
 		}
-		return x.giveUp(verdict, err)
+		return x.giveUp(end, err)
 	}
 }
 
@@ -166,24 +165,8 @@
 	return holdings.WaitHeld(x.ctx, x.service, x.call.Model, adapter)
 }
 
-// verdict is how a send ended.
-type verdict int
-
-const (
-	// verdictDone means that the answer was passed on.
-	verdictDone verdict = iota
-	// verdictNotSent means that the endpoint was not reached.
-	verdictNotSent
-	// verdictNotRun is the endpoint's word that it did not run the request.
-	verdictNotRun
-	// verdictUnknown means that the request may have run.
-	verdictUnknown
-	// verdictGone means that the caller went away or its time is over.
-	verdictGone
-)
-
 // send sends the request to one endpoint.
-func (x *run) send(attempt *fleet.Attempt) (verdict, error) {
+func (x *run) send(attempt *fleet.Attempt) (repeat.End, error) {
 	x.tried = append(x.tried, attempt.Endpoint.ID)
 	codec := x.forwarder.config.Codec
 	message := upstream.Message{
@@ -196,7 +179,7 @@
 		return x.sendFailed(attempt, err)
 	}
 	defer exchange.Close()
-	x.sends++
+	x.sent.Sends++
 	return x.take(attempt, exchange)
 }
 
@@ -227,29 +210,29 @@
 	}
 }
 
-func (x *run) sendFailed(attempt *fleet.Attempt, err error) (verdict, error) {
+func (x *run) sendFailed(attempt *fleet.Attempt, err error) (repeat.End, error) {
 	var notSent *upstream.NotSentError
 	unsent := errors.As(err, &notSent)
 	if !unsent {
-		x.sends++
+		x.sent.Sends++
 		x.mayHaveRun = true
 	}
 	if x.ctx.Err() != nil {
 		attempt.Finish(endpoint.OutcomeCancelled)
-		return verdictGone, err
+		return repeat.CallerGone, err
 	}
 	attempt.Finish(endpoint.OutcomeFailed)
 	x.forwarder.config.Upstream.Forget(attempt.Endpoint.Address)
 	x.logSend(attempt, "endpoint failed", err)
 	if unsent {
-		x.dials++
-		return verdictNotSent, err
+		x.sent.Dials++
+		return repeat.NotReached, err
 	}
-	return verdictUnknown, err
+	return repeat.Unknown, err
 }
 
 // take reads the header of an answer and passes the answer on.
-func (x *run) take(attempt *fleet.Attempt, exchange *upstream.Exchange) (verdict, error) {
+func (x *run) take(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.End, error) {
 	reply := x.forwarder.config.Codec.Decode(exchange.Response)
 	if reply.Load != nil {
 		attempt.Reported(*reply.Load)
@@ -263,7 +246,7 @@
 		attempt.Finish(endpoint.OutcomeFailed)
 		err := errors.Newf("answer with status %d is not the endpoint's own", exchange.Response.StatusCode)
 		x.logSend(attempt, "answer discarded", err)
-		return verdictUnknown, err
+		return repeat.Unknown, err
 	}
 	if x.route.Kind == traffic.Streaming && exchange.Response.StatusCode == http.StatusOK {
 		return x.relayStream(attempt, exchange)
@@ -272,7 +255,7 @@
 }
 
 // refused takes account of an endpoint that did not run the request.
-func (x *run) refused(attempt *fleet.Attempt, exchange *upstream.Exchange, reply Reply) (verdict, error) {
+func (x *run) refused(attempt *fleet.Attempt, exchange *upstream.Exchange, reply Reply) (repeat.End, error) {
 	outcome := endpoint.OutcomeCancelled // a full endpoint is not a failing one
 	if reply.WrongEndpoint {
 		x.forwarder.config.Endpoints.Learn(attempt.Endpoint.ID, x.call.Model, x.call.Adapter, false)
@@ -281,7 +264,7 @@
 	attempt.Finish(outcome)
 	err := errors.Newf("endpoint %s did not run it, status %d", attempt.Endpoint.ID, exchange.Response.StatusCode)
 	x.logSend(attempt, "endpoint refused", err)
-	return verdictNotRun, err
+	return repeat.NotRun, err
 }
 
 // The ranks of engines: 0 to 9, where 5 is the default.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -13,6 +12,7 @@
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/routing"
 )
 
@@ -31,7 +31,7 @@
 	// Policy defaults to routing.Affinity.
 	Policy    routing.Policy
 	Admission admission.Config
-	Retry     routing.RetryBudgetConfig
+	Retry     repeat.BudgetConfig
 	// Clock defaults to time.Now.
 	Clock func() time.Time
 	// Seed of the routing policy's random numbers.
@@ -99,9 +99,7 @@
 	metrics   *metrics
 	demand    *demand
 	running   tracker
-
-	retryMu sync.Mutex
-	retries *routing.RetryBudget
+	retries   *repeat.Budgets
 }
 
 // New returns a gateway. Its Serve must run for waiting requests to start.
@@ -113,7 +111,7 @@
 		metrics:   newMetrics(),
 		demand:    newDemand(),
 		running:   tracker{requests: make(map[*request]struct{})},
-		retries:   routing.NewRetryBudget(cfg.Retry),
+		retries:   repeat.NewBudgets(cfg.Retry, cfg.Clock),
 	}
 }
 
@@ -175,17 +173,16 @@
 // Collectors returns the gateway's metrics.
 func (g *Gateway) Collectors() []prometheus.Collector { return g.metrics.collectors() }
 
-// retryAllowed takes one retry out of the budget.
-func (g *Gateway) retryAllowed() bool {
-	g.retryMu.Lock()
-	defer g.retryMu.Unlock()
-	return g.retries.Retry(g.config.Clock())
-}
+// ownBudget names the one retry budget for all models and services.
+const ownBudget = ""
 
-func (g *Gateway) firstAttempt() {
-	g.retryMu.Lock()
-	defer g.retryMu.Unlock()
-	g.retries.Request(g.config.Clock())
+// retryAllowed decides whether a request with as many attempts is sent once
+// more.
+func (g *Gateway) retryAllowed(repeatable bool, attempts int, end repeat.End) bool {
+	rule := repeat.Rule{Repeatable: repeatable, MaxSends: g.config.MaxAttempts}
+	return g.retries.Again(ownBudget, rule, repeat.Sent{Sends: attempts}, end).Yes()
 }
 
+func (g *Gateway) firstAttempt() { g.retries.Request(ownBudget) }
+
 var _ Endpoints = (*endpoint.Registry)(nil)
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -55,7 +55,7 @@
 			return gen.sink.finish()
 		}
 		failure = gen.outcome(ctx, err)
-		if final(err) || ctx.Err() != nil || attempts >= gen.gateway().config.MaxAttempts || !gen.gateway().retryAllowed() {
+		if !gen.gateway().retryAllowed(true, attempts, endOf(ctx, err)) {
 			return gen.fail(failure)
 		}
 		gen.moveOn(sl.attempt.Endpoint())
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -14,6 +14,7 @@
 	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/invariant"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 )
 
 // maxIdempotencyKeyBytes bounds an idempotency key.
@@ -187,7 +188,7 @@
 		}
 		c.tried = append(c.tried, sl.attempt.Endpoint())
 		failure := errEndpointFailed(RunNot)
-		if attempts < c.gateway().config.MaxAttempts && c.gateway().retryAllowed() {
+		if c.gateway().retryAllowed(false, attempts, repeat.NotReached) {
 			sl, failure = c.acquire(ctx)
 		}
 		if failure != nil {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -11,6 +11,7 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 )
 
 // statusError reports an endpoint's answer with an HTTP status other than
@@ -55,6 +56,18 @@
 	}
 }
 
+// endOf tells what an attempt's failure means for the request.
+func endOf(ctx context.Context, err error) repeat.End {
+	switch {
+	case final(err):
+		return repeat.Over
+	case ctx.Err() != nil:
+		return repeat.CallerGone
+	default:
+		return repeat.Unknown
+	}
+}
+
 // outcome returns the answer to a request whose last attempt failed.
 func (gen *generation) outcome(ctx context.Context, err error) *Error {
 	var failure *Error
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -18,6 +18,7 @@
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/routing"
 )
 
@@ -224,7 +225,7 @@
 		if ctx.Err() != nil {
 			return ended(ctx, c.runState())
 		}
-		if attempts >= c.gateway().config.MaxAttempts || !c.gateway().retryAllowed() {
+		if !c.gateway().retryAllowed(true, attempts, repeat.Unknown) {
 			if err == nil {
 				return c.write(answer, false)
 			}
--- a/internal/routing/simulation_test.go
+++ b/internal/routing/simulation_test.go
@@ -14,6 +14,7 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 )
 
 // The simulation: 8 hosts choose among 9 engines of one availability zone.
@@ -103,7 +104,7 @@
 	sentLog [][]loadSample
 	latency []endpoint.Latency
 	ejector *endpoint.Ejector
-	budget  *RetryBudget
+	budget  *repeat.Budget
 }
 
 type event struct {
@@ -163,7 +164,7 @@
 func newHostSim() *hostSim {
 	h := &hostSim{
 		seen: make([]int, simEngines), sentLog: make([][]loadSample, simEngines), latency: make([]endpoint.Latency, simEngines),
-		ejector: endpoint.NewEjector(endpoint.DefaultEjectorConfig()), budget: NewRetryBudget(RetryBudgetConfig{}),
+		ejector: endpoint.NewEjector(endpoint.DefaultEjectorConfig()), budget: repeat.NewBudget(repeat.BudgetConfig{}),
 	}
 	for i := range simEngines {
 		name := fmt.Sprintf("worker-%d", i)
