Tell callers that are refused for the rate to come back one after the other

Cause: all callers refused at one moment were told the same time, when the tokens of one request would be free; all but the first were refused again. Change: a host promises what becomes free to one refused caller after the other, by its own share of the organisation's use.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -51,6 +51,9 @@
 	taken float64
 	// others is the recent use of all other hosts.
 	others use
+	// promised is up to when what becomes free is promised to callers that
+	// were told to come back.
+	promised time.Time
 	// own are this host's grants within the last lag, oldest first.
 	own []ownGrant
 }
@@ -292,7 +295,7 @@
 		if over > 0 {
 			wait = max(wait, l.freeIn(now, a, over))
 		}
-		d.RetryAfter = min(max(shortestPause, wait), longestPause)
+		d.RetryAfter = l.turn(now, a, tokens, max(shortestPause, wait))
 		return d
 	}
 	d.Granted = true
@@ -303,6 +306,22 @@
 	return d
 }
 
+// turn returns when a refused caller is to come back at the earliest after a
+// wait: callers that all came at the same moment would be refused again but
+// for the first.
+func (l *Limiter) turn(now time.Time, a *account, tokens float64, wait time.Duration) time.Duration {
+	at := now.Add(wait)
+	if a.promised.After(at) {
+		at = a.promised
+	}
+	if pause := at.Sub(now); pause < longestPause {
+		takes := tokens / (l.meanRate(a) * l.share(now, a.name))
+		a.promised = at.Add(time.Duration(takes * float64(time.Second)))
+		return pause
+	}
+	return longestPause
+}
+
 // GiveBack returns tokens of a request that did not run.
 func (l *Limiter) GiveBack(now time.Time, organisation string, tokens float64) {
 	if a, ok := l.accounts[organisation]; ok {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -472,6 +472,20 @@
 		Expect(f.take(0, 500)).To(BeTrue())
 	})
 
+	It("tells callers that are refused together to come back one after the other", func() {
+		f := newFleet(1, true)
+		for f.take(0, 200) {
+		}
+		backAt := make([]time.Time, 6)
+		for i := range backAt {
+			backAt[i] = f.now.Add(f.hosts[0].Take(f.now, "org", 200).RetryAfter)
+		}
+		for i, at := range backAt {
+			f.now = at
+			Expect(f.take(0, 200)).To(BeTrue(), "caller %d is refused again", i)
+		}
+	})
+
 	It("takes a lower limit into force at once", func() {
 		f := newFleet(1, true)
 		Expect(f.take(0, 900)).To(BeTrue())
