Read the configuration from the store where the peers that tell of it can't be followed

Change: after three times its patience without the change a host reads the kind from the store for a while; it chooses another lookout at once and not at its next round, and a list from a lookout waits for no changes.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -47,9 +47,9 @@
 	lost func()
 }
 
-func (l *lookoutSource) ask(ctx context.Context, kind objectstore.Kind, after objectstore.Version) (*fleetv1.FollowResponse, error) {
+func (l *lookoutSource) ask(ctx context.Context, kind objectstore.Kind, after objectstore.Version, wait time.Duration) (*fleetv1.FollowResponse, error) {
 	response, err := l.exchange.FollowPeer(ctx, l.address, &fleetv1.FollowRequest{
-		Kind: string(kind), After: int64(after), WaitMillis: followWait.Milliseconds(),
+		Kind: string(kind), After: int64(after), WaitMillis: wait.Milliseconds(),
 	})
 	if err != nil && ctx.Err() == nil {
 		l.lost()
@@ -72,7 +72,7 @@
 
 // List implements mirror.Source.
 func (l *lookoutSource) List(ctx context.Context, kind objectstore.Kind, _ string) (objectstore.Listing, error) {
-	response, err := l.ask(ctx, kind, 0)
+	response, err := l.ask(ctx, kind, 0, 0)
 	if err != nil {
 		return objectstore.Listing{}, err
 	}
@@ -112,7 +112,7 @@
 	defer close(w.events)
 	defer w.cancel()
 	for {
-		response, err := l.ask(ctx, kind, after)
+		response, err := l.ask(ctx, kind, after, followWait)
 		if err != nil {
 			w.err = err
 			return
--- a/internal/edge/freshness.go
+++ b/internal/edge/freshness.go
@@ -34,11 +34,6 @@
 	// the store by way of a lookout of their zone. In a smaller fleet each
 	// keeps its own watch, which a cut between hosts can't take away.
 	followFrom = 24
-	// urgentPatience is how long a host waits for the usual way to show a
-	// change of the configuration that a peer has seen, and usualPatience for
-	// one of the endpoints: those are gathered on the way.
-	urgentPatience = 250 * time.Millisecond
-	usualPatience  = 900 * time.Millisecond
 	// avoidFor is how long a lookout is not followed that didn't answer or was
 	// behind.
 	avoidFor = 3 * time.Second
@@ -50,27 +45,21 @@
 type freshness struct {
 	host    *host
 	mirrors map[objectstore.Kind]*mirror.Mirror
-	// urgent is the mirror of the configuration.
-	urgent *mirror.Mirror
 
 	mu sync.Mutex
 	// watched are the peers with lower names that are on lookout.
 	watched map[string]*watchedPeer
-	// behind is what this host has still to see of each kind.
-	behind  map[objectstore.Kind]lag
-	lookout bool
+	// behind is what this host has still to see of each kind, and directly
+	// until when it reads a kind from the store though it follows a peer.
+	behind   map[objectstore.Kind]*lag
+	directly map[objectstore.Kind]time.Time
+	lookout  bool
 	// large tells that the fleet has lookouts in each zone.
 	large bool
 	// followed is the lookout that this host reads from; nil for the store.
 	followed *lookoutSource
 }
 
-// lag is a change that a peer has seen and this host has not.
-type lag struct {
-	version objectstore.Version
-	since   time.Time
-}
-
 // watchedPeer is a peer on lookout.
 type watchedPeer struct {
 	source *lookoutSource
@@ -84,13 +73,16 @@
 
 func newFreshness(h *host, configuration, endpoints *mirror.Mirror) *freshness {
 	f := &freshness{
-		host: h, urgent: configuration, mirrors: make(map[objectstore.Kind]*mirror.Mirror), watched: make(map[string]*watchedPeer),
-		behind: make(map[objectstore.Kind]lag), lookout: true,
+		host: h, mirrors: make(map[objectstore.Kind]*mirror.Mirror), watched: make(map[string]*watchedPeer),
+		behind: map[objectstore.Kind]*lag{
+			configuration.Kind(): {patience: urgentPatience}, endpoints.Kind(): {patience: usualPatience},
+		},
+		directly: make(map[objectstore.Kind]time.Time), lookout: true,
 	}
 	for _, m := range []*mirror.Mirror{configuration, endpoints} {
 		f.mirrors[m.Kind()] = m
 		m.OnGone(func() { f.refresh(m) })
-		m.ReadFrom(f.source)
+		m.ReadFrom(func() mirror.Source { return f.source(m.Kind()) })
 	}
 	h.exchange.ServeFollowers(f.follow)
 	h.adapter.SetWatchWait(lookoutWait)
@@ -123,16 +115,32 @@
 // Hear implements exchange.Part.
 func (f *freshness) Hear(report *fleetv1.Report, _ bool) {
 	now := time.Now()
+	late := f.take(now, report)
+	if len(late) == 0 {
+		return
+	}
+	f.decide(now) // follows another before it lists again
+	for _, m := range late {
+		m.Refresh()
+	}
+}
+
+// take takes a peer's report and returns the mirrors that are to list again.
+func (f *freshness) take(now time.Time, report *fleetv1.Report) []*mirror.Mirror {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var late []*mirror.Mirror
 	oldest := time.Duration(0)
 	for _, theirs := range report.GetReadings() {
 		if m, ok := f.mirrors[objectstore.Kind(theirs.GetKind())]; ok {
 			oldest = max(oldest, time.Duration(theirs.GetAgeMillis())*time.Millisecond)
-			f.compare(now, m, objectstore.Version(theirs.GetChanged()))
+			if f.compare(now, m, objectstore.Version(theirs.GetChanged())) != wait {
+				late = append(late, m)
+			}
 		}
 	}
 	f.watch(now, report, oldest)
+	return late
 }
 
 // watch notes a peer that is on lookout and whose store answered lately. It
@@ -156,33 +164,22 @@
 	p.until = now.Add(proofAge + f.host.exchange.Interval() - oldest)
 }
 
-// compare lists a kind anew where this host has not seen a change for a while
-// that a peer has.
-func (f *freshness) compare(now time.Time, m *mirror.Mirror, changed objectstore.Version) {
+// compare returns what to do about a kind of which a peer has seen a change.
+// It must be called with the mutex held.
+func (f *freshness) compare(now time.Time, m *mirror.Mirror, changed objectstore.Version) step {
 	covered := m.Reading().Covered
-	missing, behind := f.behind[m.Kind()]
-	if behind && covered >= missing.version {
-		behind = false
-		delete(f.behind, m.Kind())
+	l := f.behind[m.Kind()]
+	step := l.heard(now, covered, changed)
+	if step == wait {
+		return step
 	}
-	switch {
-	case changed <= covered:
-	case !behind:
-		f.behind[m.Kind()] = lag{version: changed, since: now}
-	case now.Sub(missing.since) >= f.patience(m):
-		logrus.WithFields(logrus.Fields{"kind": m.Kind(), "version": covered, "peer_version": missing.version}).Info("a peer is ahead")
-		delete(f.behind, m.Kind())
-		f.avoid(now, f.followed)
-		m.Refresh()
-	}
-}
-
-// patience is how long a change may take by the usual way.
-func (f *freshness) patience(m *mirror.Mirror) time.Duration {
-	if m == f.urgent {
-		return urgentPatience
+	logrus.WithFields(logrus.Fields{"kind": m.Kind(), "version": covered, "peer_version": l.missing, "directly": step == listDirectly}).
+		Info("a peer is ahead")
+	f.avoid(now, f.followed)
+	if step == listDirectly {
+		f.directly[m.Kind()] = now.Add(avoidFor)
 	}
-	return usualPatience
+	return step
 }
 
 // avoid stops following a lookout for a while. It must be called with the
@@ -272,11 +269,11 @@
 	return f.lookout
 }
 
-// source returns where the mirrors read.
-func (f *freshness) source() mirror.Source {
+// source returns where the mirror of a kind reads.
+func (f *freshness) source(kind objectstore.Kind) mirror.Source {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.followed != nil {
+	if f.followed != nil && time.Now().After(f.directly[kind]) {
 		return f.followed
 	}
 	return f.host.adapter.Store()
