Tell the other hosts where requests failed, and judge endpoints by all of them

Cause: on a large deployment each host sends a few requests a minute to an endpoint and learns of its failures alone, so that every host pays for each grey or dead endpoint anew. Ruled out: health checks. They cost probes and may lie both ways, for all or some callers; none is asked. Change: reports tell recent failures by endpoint; those of hosts in the zone count half of one's own, those of other zones a fifth, three failures at most, so that an endpoint that fails some callers serves the others and one that recovers is tried again soon.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -85,7 +85,7 @@
 	cost += tokensPerRunning * (float64(m.running) + c.othersRunning())
 	cost += tokensPerWaiting * c.waiting()
 	cost += float64(unread(work, m, agreed))
-	cost += tokensPerFailure * m.penalty
+	cost += tokensPerFailure * (m.penalty + c.others.told())
 	if m.Zone != zone {
 		cost += tokensPerZone
 	}
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -8,7 +8,10 @@
 	UnreadTokens int  `json:"unreadTokens"`
 	Load         Load `json:"load"`
 	LoadAgeMS    int64
-	Penalty      float64 `json:"penalty"`
+	// Penalty is this host's recent failures there, Told those that other
+	// hosts tell of, by their weight.
+	Penalty float64 `json:"penalty"`
+	Told    float64 `json:"told"`
 }
 
 // DumpState returns what is known of all endpoints.
@@ -20,7 +23,7 @@
 	for _, m := range r.members {
 		states = append(states, endpointState{
 			Endpoint: m.Endpoint, Gone: !m.gone.IsZero(), Running: m.running, UnreadTokens: m.unreadTokens,
-			Load: m.load, LoadAgeMS: now.Sub(m.loadAt).Milliseconds(), Penalty: r.ejector.Penalty(now, m.ID),
+			Load: m.load, LoadAgeMS: now.Sub(m.loadAt).Milliseconds(), Penalty: r.ejector.Penalty(now, m.ID), Told: r.others[m.ID].told(),
 		})
 	}
 	return states
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -15,6 +15,8 @@
 type hostWork struct {
 	running      int
 	unreadTokens int
+	// failureTenths is recent failures, weighted by their host's zone.
+	failureTenths int
 }
 
 // hostLoad is what another host has at all endpoints.
@@ -23,14 +25,31 @@
 	work map[string]hostWork
 }
 
-// Contribute implements exchange.Part: it tells what this host has running.
+const (
+	// nearWeight and farWeight are what failures that hosts of this zone and of
+	// others tell count against this host's own, in tenths: an endpoint may
+	// fail some callers only, as behind a broken path from another zone.
+	nearWeight = 5
+	farWeight  = 2
+	// mostTold bounds the failures counted by word of other hosts, so that an
+	// endpoint that recovers is tried again soon.
+	mostTold = 3
+)
+
+// told returns the failures that other hosts tell of, by their weight.
+func (w hostWork) told() float64 { return min(float64(w.failureTenths)/10, mostTold) }
+
+// Contribute implements exchange.Part: it tells what this host has running and
+// where its requests failed.
 func (r *Registry) Contribute(report *fleetv1.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.config.Clock()
 	for id, m := range r.members {
-		if m.running > 0 {
+		tenths := int32(10 * r.ejector.Penalty(now, id))
+		if m.running > 0 || tenths > 0 {
 			report.Loads = append(report.Loads, &fleetv1.EndpointLoad{
-				Endpoint: id, Running: int32(m.running), UnreadTokens: int64(m.unreadTokens),
+				Endpoint: id, Running: int32(m.running), UnreadTokens: int64(m.unreadTokens), FailureTenths: tenths,
 			})
 		}
 	}
@@ -39,8 +58,15 @@
 // Hear implements exchange.Part: it takes what another host has running.
 func (r *Registry) Hear(report *fleetv1.Report, _ bool) {
 	load := hostLoad{at: r.config.Clock(), work: make(map[string]hostWork, len(report.GetLoads()))}
+	weight := farWeight
+	if report.GetZone() == r.config.Zone {
+		weight = nearWeight
+	}
 	for _, l := range report.GetLoads() {
-		load.work[l.GetEndpoint()] = hostWork{running: int(l.GetRunning()), unreadTokens: int(l.GetUnreadTokens())}
+		load.work[l.GetEndpoint()] = hostWork{
+			running: int(l.GetRunning()), unreadTokens: int(l.GetUnreadTokens()),
+			failureTenths: int(l.GetFailureTenths()) * weight / 10,
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -69,6 +95,7 @@
 		sum := r.others[id]
 		sum.running += sign * work.running
 		sum.unreadTokens += sign * work.unreadTokens
+		sum.failureTenths += sign * work.failureTenths
 		if sum == (hostWork{}) {
 			delete(r.others, id)
 			continue
