Follow the list of hosts by way of lookouts, as the other kinds

Cause: every host kept its own watch of the hosts' entries at the store, so that each start of a host ended the watches of all: calls grew with the square of the hosts. Ruled out: lookouts that change by turns (the watches of the other kinds grew by 40 calls only). Change: followers read the hosts' entries from their lookout; hosts tell each other of themselves anyway. Test: 'is not asked more when hosts come and go' failed first (446 over 296); after: 266, most of them pages of three objects.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -134,7 +134,7 @@
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
-	h.exchange.AddPart(newFreshness(h, configMirror, endpointMirror))
+	h.exchange.AddPart(newFreshness(h, configMirror, endpointMirror, hostMirror))
 	branches := []supervise.Branch{
 		{Name: "store", Services: []suture.Service{configMirror, endpointMirror, hostMirror}},
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -9,6 +9,7 @@
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
 	"bilberryslip.example/bilberryslip/internal/exchange"
+	"bilberryslip.example/bilberryslip/internal/mirror"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/retry"
 )
@@ -23,8 +24,8 @@
 
 // follow answers a host that follows this one.
 func (f *freshness) follow(ctx context.Context, request *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error) {
-	m, ok := f.mirrors[objectstore.Kind(request.GetKind())]
-	if !ok || !f.onLookout() || time.Since(m.Reading().At) > followAge {
+	m, ok := f.served[objectstore.Kind(request.GetKind())]
+	if !ok || !f.onLookout() || f.stale(m) {
 		return nil, twirp.NewError(twirp.Unavailable, "this host is not on lookout; follow another")
 	}
 	wait := min(time.Duration(request.GetWaitMillis())*time.Millisecond, followWait)
@@ -38,6 +39,14 @@
 	return response, nil
 }
 
+// stale reports whether the store's answer to this host is too old to be
+// passed on.
+func (f *freshness) stale(m *mirror.Mirror) bool {
+	_, fresh := f.mirrors[m.Kind()]
+	at := m.Reading().At
+	return at.IsZero() || fresh && time.Since(at) > followAge
+}
+
 // lookoutSource reads the store by way of a peer on lookout. It implements
 // mirror.Source.
 type lookoutSource struct {
--- a/internal/edge/freshness.go
+++ b/internal/edge/freshness.go
@@ -43,8 +43,9 @@
 // ask the store often, the others trust them as long as they hear from them.
 // It implements exchange.Part.
 type freshness struct {
-	host    *host
-	mirrors map[objectstore.Kind]*mirror.Mirror
+	host *host
+	// mirrors are those that must be fresh, served those that followers read.
+	mirrors, served map[objectstore.Kind]*mirror.Mirror
 
 	mu sync.Mutex
 	// watched are the peers with lower names that are on lookout.
@@ -71,9 +72,12 @@
 	until time.Time
 }
 
-func newFreshness(h *host, configuration, endpoints *mirror.Mirror) *freshness {
+// newFreshness keeps two mirrors fresh. Hosts need not be: they tell each other
+// of themselves, so that following them at the store is for those out of reach.
+func newFreshness(h *host, configuration, endpoints, hosts *mirror.Mirror) *freshness {
 	f := &freshness{
-		host: h, mirrors: make(map[objectstore.Kind]*mirror.Mirror), watched: make(map[string]*watchedPeer),
+		host: h, mirrors: make(map[objectstore.Kind]*mirror.Mirror), served: make(map[objectstore.Kind]*mirror.Mirror),
+		watched: make(map[string]*watchedPeer),
 		behind: map[objectstore.Kind]*lag{
 			configuration.Kind(): {patience: urgentPatience}, endpoints.Kind(): {patience: usualPatience},
 		},
@@ -82,6 +86,9 @@
 	for _, m := range []*mirror.Mirror{configuration, endpoints} {
 		f.mirrors[m.Kind()] = m
 		m.OnGone(func() { f.refresh(m) })
+	}
+	for _, m := range []*mirror.Mirror{configuration, endpoints, hosts} {
+		f.served[m.Kind()] = m
 		m.ReadFrom(func() mirror.Source { return f.source(m.Kind()) })
 	}
 	h.exchange.ServeFollowers(f.follow)
@@ -92,7 +99,7 @@
 // refresh lists all kinds anew but for one, whose history is known to be gone
 // like that of all.
 func (f *freshness) refresh(gone *mirror.Mirror) {
-	for _, m := range f.mirrors {
+	for _, m := range f.served {
 		if m != gone {
 			m.Refresh()
 		}
