Go on at another source without listing anew, and back from the store in time

A host that had turned to the store for a change stayed with the store's watch, which is answered at each change of a worker; and each change between lookout and follower listed all kinds anew. Ruled out: the hosts' watches themselves (one lookout holds them for 15 s). Change: a mirror goes on at its new source from the version reached, and lists only where history is gone or a peer is ahead; kinds read from the store for a while are handed back when that is over. Test: 'goes on elsewhere from where it is, without listing anew' (mirror).

--- a/internal/edge/freshness.go
+++ b/internal/edge/freshness.go
@@ -99,7 +99,7 @@
 // refresh lists all kinds anew but for one, whose history is known to be gone
 // like that of all.
 func (f *freshness) refresh(gone *mirror.Mirror) {
-	for _, m := range f.served {
+	for _, m := range f.mirrors {
 		if m != gone {
 			m.Refresh()
 		}
@@ -223,6 +223,7 @@
 func (f *freshness) decide(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.endDirect(now)
 	names, open := f.lookoutsNow(now)
 	lookout, followed := len(names) < lookouts || f.large && len(open) == 0, f.followed
 	switch {
@@ -238,8 +239,21 @@
 	begin := lookout && !f.lookout || followed != f.followed
 	f.lookout, f.followed = lookout, followed
 	f.host.adapter.SetWatchWait(waitOf(lookout))
-	if begin {
-		f.refresh(nil) // ends the long watches, and those of another source
+	if begin { // ends the long watches, and those of another source
+		for _, m := range f.served {
+			m.Move()
+		}
+	}
+}
+
+// endDirect lets kinds that were read from the store for a while be read by way
+// of a peer again. It must be called with the mutex held.
+func (f *freshness) endDirect(now time.Time) {
+	for kind, until := range f.directly {
+		if now.After(until) {
+			delete(f.directly, kind)
+			f.served[kind].Move()
+		}
 	}
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -54,8 +54,8 @@
 		NextBackOff() time.Duration
 		Reset()
 	}
-	refresh chan struct{}
-	onGone  func()
+	refresh, moved chan struct{}
+	onGone         func()
 
 	mu      sync.Mutex
 	reading Reading
@@ -93,7 +93,7 @@
 func New(store objectstore.Store, kind objectstore.Kind, handler Handler) *Mirror {
 	return &Mirror{
 		store: store, journal: newJournal(), kind: kind, handler: handler, pause: retry.NewBackOff(firstPause, longestPause),
-		refresh: make(chan struct{}, 1),
+		refresh: make(chan struct{}, 1), moved: make(chan struct{}, 1),
 	}
 }
 
@@ -121,6 +121,15 @@
 	}
 }
 
+// Move makes the mirror go on where it is to read now, from the version that it
+// has reached.
+func (m *Mirror) Move() {
+	select {
+	case m.moved <- struct{}{}:
+	default:
+	}
+}
+
 // String names the service in logs.
 func (m *Mirror) String() string { return "mirror-" + string(m.kind) }
 
@@ -151,18 +160,21 @@
 	return version
 }
 
-// follow watches from a version until its history is gone, a refresh is due
-// or ctx ends.
+// follow watches from a version, wherever it is to read, until its history is
+// gone, a refresh is due or ctx ends.
 func (m *Mirror) follow(ctx context.Context, source Source, version objectstore.Version) {
 	for ctx.Err() == nil {
 		watch, err := source.Watch(ctx, m.kind, version)
 		if err == nil {
-			var refresh bool
-			if version, refresh = m.consume(watch, version); refresh {
+			var end watchEnd
+			version, end = m.consume(watch, version)
+			if end == endRefresh {
 				logrus.WithFields(logrus.Fields{"kind": m.kind, "version": version}).Info("word of a change; listing again")
 				return
 			}
-			err = watch.Err()
+			if end == endByItself {
+				err = watch.Err()
+			}
 		}
 		var gone *objectstore.GoneError
 		if errors.As(err, &gone) {
@@ -175,23 +187,32 @@
 		if err != nil {
 			m.failed(ctx, "watch", err)
 		}
-		if source != m.source() {
-			return
-		}
+		source = m.source()
 	}
 }
 
+// watchEnd is why a watch is not followed any more.
+type watchEnd int
+
+const (
+	endByItself watchEnd = iota
+	endRefresh
+	endMoved
+)
+
 // consume takes the events of one watch and returns the version reached, and
-// whether a refresh ended it.
-func (m *Mirror) consume(watch objectstore.Watch, version objectstore.Version) (objectstore.Version, bool) {
+// what ended it.
+func (m *Mirror) consume(watch objectstore.Watch, version objectstore.Version) (objectstore.Version, watchEnd) {
 	defer watch.Stop()
 	for {
 		select {
 		case <-m.refresh:
-			return version, true
+			return version, endRefresh
+		case <-m.moved:
+			return version, endMoved
 		case event, open := <-watch.Events():
 			if !open {
-				return version, false
+				return version, endByItself
 			}
 			m.answered()
 			m.journal.apply(event)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,6 +54,22 @@
 
 const kind objectstore.Kind = "things"
 
+// countingSource counts the calls to a store.
+type countingSource struct {
+	*memstore.Store
+	lists, watches atomic.Int64
+}
+
+func (c *countingSource) List(ctx context.Context, kind objectstore.Kind, prefix string) (objectstore.Listing, error) {
+	c.lists.Add(1)
+	return c.Store.List(ctx, kind, prefix)
+}
+
+func (c *countingSource) Watch(ctx context.Context, kind objectstore.Kind, after objectstore.Version) (objectstore.Watch, error) {
+	c.watches.Add(1)
+	return c.Store.Watch(ctx, kind, after)
+}
+
 var _ = Describe("A mirror of a kind", func() {
 	var (
 		store  *memstore.Store
@@ -105,6 +122,23 @@
 		Eventually(seen.get("a")).Should(Equal("1"))
 	})
 
+	It("goes on elsewhere from where it is, without listing anew", func() {
+		before, after := &countingSource{Store: store}, &countingSource{Store: store}
+		var source atomic.Pointer[countingSource]
+		source.Store(before)
+		mirror.ReadFrom(func() Source { return source.Load() })
+		start()
+		put("a", `1`)
+		Eventually(seen.get("a")).Should(Equal("1"))
+		source.Store(after)
+		mirror.Move()
+		Eventually(after.watches.Load).Should(Equal(int64(1)))
+		put("b", `2`)
+		Eventually(seen.get("b")).Should(Equal("2"))
+		Expect(before.lists.Load()).To(Equal(int64(1)))
+		Expect(after.lists.Load()).To(BeZero())
+	})
+
 	It("lists anew, and tells the mirrors of other kinds, when the history is gone", func() {
 		gone := make(chan struct{}, 10)
 		mirror = New(&forgetful{Store: store, times: 2}, kind, seen)
