--- a/internal/repeat/budget.go
+++ b/internal/repeat/budget.go
@@ -92,15 +92,18 @@
 	// reserveMargin is the part of the reserve that is used: a full balance and
 	// what comes back within a window are spent in one window at worst.
 	reserveMargin = 0.5
+	// nothing stands for none, where zero would mean a default.
+	nothing = 1e-9
 )
 
 // Host returns one host's part of the budget.
 func (f FleetBudget) Host(hosts int) BudgetConfig {
 	reserve := reserveMargin * f.Reserve / float64(max(hosts, 1))
-	return BudgetConfig{
-		Ratio: ratioMargin * f.Ratio, Reserve: reserve,
-		ReserveInterval: time.Duration(float64(f.Window) / reserve),
+	cfg := BudgetConfig{Ratio: max(ratioMargin*f.Ratio, nothing), Reserve: max(reserve, nothing)}
+	if reserve > 0 {
+		cfg.ReserveInterval = time.Duration(float64(f.Window) / reserve)
 	}
+	return cfg
 }
 
 // Budgets keeps one budget for each service. It is safe for concurrent use.
--- a/internal/repeat/rule_test.go
+++ b/internal/repeat/rule_test.go
@@ -74,3 +74,15 @@
 		}
 	}
 }
+
+func TestFleetBudgetOfNothing(t *testing.T) {
+	now := time.Unix(0, 0)
+	budgets := NewBudgets(FleetBudget{Window: 10 * time.Second}.Host(3), func() time.Time { return now })
+	for range 100 {
+		now = now.Add(time.Second)
+		budgets.Request("s")
+		if budgets.Again("s", Rule{Repeatable: true, MaxSends: 9}, Sent{Sends: 1}, Unknown).Yes() {
+			t.Fatal("a retry where none is allowed")
+		}
+	}
+}
