Agree within a zone where a shared prompt goes first

Change: the endpoint is agreed upon in each zone that has one with the model. Test: hosts of two zones take an endpoint of their own.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -122,8 +122,9 @@
 }
 
 // agreedEndpoint returns the endpoint with the highest rendezvous hash for
-// the last shared part, which is the same on all hosts; nil without one.
-func agreedEndpoint(candidates []candidate, work Work) *member {
+// the last shared part, which is the same on all hosts of a zone; nil without
+// one. It is in the zone if any is, so that not all hosts send to it at once.
+func agreedEndpoint(candidates []candidate, work Work, zone string) *member {
 	if len(work.Parts) < 2 {
 		return nil
 	}
@@ -131,7 +132,8 @@
 	var best *member
 	var highest uint64
 	for _, c := range candidates {
-		if hash := xxhash.Sum64String(subject + "@" + c.member.ID); best == nil || hash > highest {
+		near, hash := c.member.Zone == zone, xxhash.Sum64String(subject+"@"+c.member.ID)
+		if best == nil || near && best.Zone != zone || near == (best.Zone == zone) && hash > highest {
 			best, highest = c.member, hash
 		}
 	}
@@ -140,7 +142,7 @@
 
 // cheapest returns the candidate at which the work is delayed least.
 func cheapest(candidates []candidate, work Work, zone string) *member {
-	agreed := agreedEndpoint(candidates, work)
+	agreed := agreedEndpoint(candidates, work, zone)
 	var best *member
 	lowest := math.Inf(1)
 	for i := range candidates {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -161,6 +161,21 @@
 		}
 	})
 
+	// All hosts see the same popular prompt at once.
+	It("agrees within its zone, so that not all hosts send a shared prompt to one endpoint", func() {
+		other := NewRegistry(Config{Zone: "z2", Clock: func() time.Time { return now }})
+		for i := range 6 {
+			for _, r := range []*Registry{registry, other} {
+				r.Put(engine(fmt.Sprint("e", i), fmt.Sprint("z", 1+i%2), "m"))
+			}
+		}
+		w := Work{Service: "llm", Model: "m", PromptTokens: 9000, Parts: []traffic.Part{{ID: "s", Tokens: 6000}, {ID: "own", Tokens: 3000}}}
+		here, _ := registry.Start(w)
+		there, _ := other.Start(w)
+		Expect(here.Endpoint.Zone).To(Equal("z1"))
+		Expect(there.Endpoint.Zone).To(Equal("z2"))
+	})
+
 	// Some endpoints fail part of their requests while they say they are well.
 	It("keeps away from an endpoint that fails, but never from all", func() {
 		registry.Put(engine("e1", "z1", "m"))
