--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-# Targets: demo, test, lint, generate, measure, soak, fuzz, build.
+# Targets: demo, test, lint, generate, measure, soak, soak-edge, unseen, fuzz, build.
 
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN ?= bin
 SOURCES = $(shell git ls-files '*.go' ':!*.pb.go' ':!*.twirp.go')
 
-.PHONY: build demo test lint unit generate check-generated measure soak fuzz fmt
+.PHONY: build demo test lint unit generate check-generated measure soak soak-edge unseen fuzz fmt
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -43,5 +43,18 @@
 soak:
 	scripts/soak.sh $(SEED) $(DURATION)
 
+# Faults for LENGTH seconds each on the users' path, on deployments drawn from SEEDS seeds from SEED on.
+SEEDS ?= 10
+LENGTH ?= 10
+soak-edge:
+	SOAK_FIRST=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(LENGTH) \
+		$(GO) test -count=1 -timeout 24h ./platform/platformtest -ginkgo.timeout 24h -ginkgo.v -ginkgo.focus 'A fault soak'
+
+# Deployments of up to HOSTS hosts, drawn from SEEDS seeds from SEED on.
+HOSTS ?= 8
+unseen:
+	UNSEEN_FIRST=$(SEED) UNSEEN_SEEDS=$(SEEDS) UNSEEN_HOSTS=$(HOSTS) \
+		$(GO) test -count=1 -timeout 24h ./platform/platformtest -ginkgo.timeout 24h -ginkgo.v -ginkgo.focus 'A deployment that nobody has seen'
+
 fuzz:
 	scripts/fuzz.sh
