Keep limits through long cuts, and serve on when they end

When they heard each other again, the use of the whole cut was charged at that moment, and nearly all was refused for a window. Change: hosts that fell silent together are remembered for 40 s; use out of reach is charged over the time; rounds of reports wait for nobody, since calls to silent hosts now go on for longer. Tests, failing first: 'remembers hosts that fell silent together for longer', 'serves on when a long cut ends' (300 tokens of 4,500 in the half window after it before).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -94,6 +94,8 @@
 	mu      sync.Mutex
 	roster  *roster
 	clients map[string]fleetv1.Fleet
+	// calling holds the peers that a report is on its way to.
+	calling map[string]bool
 }
 
 var _ fleetv1.Fleet = (*Service)(nil)
@@ -103,7 +105,7 @@
 	transport := &http.Transport{DialContext: upstream.Dial, MaxIdleConnsPerHost: 2, DisableCompression: true}
 	return &Service{
 		config: cfg, started: time.Now(), client: &http.Client{Transport: transport},
-		roster: newRoster(cfg.Host), clients: make(map[string]fleetv1.Fleet),
+		roster: newRoster(cfg.Host), clients: make(map[string]fleetv1.Fleet), calling: make(map[string]bool),
 	}
 }
 
@@ -209,7 +211,8 @@
 	s.roster.list(time.Now(), object.Name, entry.Address, entry.Incarnation)
 }
 
-// round reports to all peers at once and waits for their answers.
+// round reports to all peers at once. It doesn't wait for those that are slow
+// to answer, or don't; they get no further report meanwhile.
 func (s *Service) round(ctx context.Context) {
 	now := time.Now()
 	s.mu.Lock()
@@ -229,19 +232,35 @@
 	report := s.report()
 	// Only the holder of the lease, or who may become it soon, asks for demand.
 	brief := withoutDemand(report)
-	var wait sync.WaitGroup
 	for _, p := range peers {
 		told := brief
 		if leader == "" || p.name == leader {
 			told = report
 		}
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			s.reportTo(ctx, p, told)
-		}()
+		if s.beginCall(p.name) {
+			go func() {
+				defer s.endCall(p.name)
+				s.reportTo(ctx, p, told)
+			}()
+		}
+	}
+}
+
+// beginCall notes that a report is on its way to a peer, unless one is.
+func (s *Service) beginCall(peer string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calling[peer] {
+		return false
 	}
-	wait.Wait()
+	s.calling[peer] = true
+	return true
+}
+
+func (s *Service) endCall(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calling, peer)
 }
 
 // withoutDemand returns a copy of a report that leaves demand out.
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -16,9 +16,11 @@
 	// least; it is heardIntervals times the interval between reports.
 	heardFor       = 1200 * time.Millisecond
 	heardIntervals = 2
-	// rememberedFor is how long a silent host still counts as one that may be
-	// serving out of reach.
-	rememberedFor = 15 * time.Second
+	// rememberedAlone is how long a silent host still counts as one that may be
+	// serving out of reach, and rememberedTogether how long several do: hosts
+	// die one by one, and a cut takes several away, or all from one.
+	rememberedAlone    = 15 * time.Second
+	rememberedTogether = 40 * time.Second
 )
 
 // peer is another host.
@@ -98,15 +100,27 @@
 		switch {
 		case r.inReach(now, p):
 			reach.Heard = append(reach.Heard, name)
-		case now.Sub(p.lastSign()) < rememberedFor:
+		case now.Sub(p.lastSign()) < p.remembered():
 			reach.Silent = append(reach.Silent, name)
 		}
 	}
+	if len(reach.Silent) == 1 && len(reach.Heard) > 0 && now.Sub(r.peers[reach.Silent[0]].lastSign()) >= rememberedAlone {
+		reach.Silent = nil
+	}
 	slices.Sort(reach.Heard)
 	slices.Sort(reach.Silent)
 	return reach
 }
 
+// remembered is how long the host is remembered at most. The entry of one that
+// was never heard may be left of a host that is gone.
+func (p *peer) remembered() time.Duration {
+	if p.heard.IsZero() {
+		return rememberedAlone
+	}
+	return rememberedTogether
+}
+
 func (p *peer) lastSign() time.Time {
 	if p.heard.After(p.listed) {
 		return p.heard
@@ -128,7 +142,7 @@
 func (r *roster) addresses(now time.Time) []peer {
 	var list []peer
 	for _, p := range r.peers {
-		if now.Sub(p.lastSign()) < rememberedFor {
+		if now.Sub(p.lastSign()) < p.remembered() {
 			list = append(list, *p)
 		}
 	}
--- a/internal/exchange/roster_test.go
+++ b/internal/exchange/roster_test.go
@@ -22,12 +22,31 @@
 		r.hear(now, report("b", 0))
 		Expect(r.reach(now)).To(Equal(Reach{Heard: []string{"b"}, Silent: []string{"c"}, Interval: shortestInterval}))
 		Expect(r.reach(now).Part()).To(BeNumerically("~", 2.0/3, 0.001))
-		later := now.Add(rememberedFor + time.Second)
+		later := now.Add(rememberedAlone + time.Second)
 		r.hear(later, report("b", 0))
 		Expect(r.reach(later)).To(Equal(Reach{Heard: []string{"b"}, Interval: shortestInterval}))
 		Expect(r.reach(later).Part()).To(Equal(1.0))
 	})
 
+	// Half of the hosts are cut off for longer than a host that died alone is
+	// remembered.
+	It("remembers hosts that fell silent together for longer, and all of them where none is heard", func() {
+		cut, alone, one := newRoster("a"), newRoster("a"), newRoster("a")
+		for _, host := range []string{"b", "c", "d"} {
+			for _, r := range []*roster{cut, alone, one} {
+				r.hear(now, report(host, 0))
+			}
+		}
+		later := now.Add(rememberedTogether - time.Second)
+		cut.hear(later, report("b", 0))
+		Expect(cut.reach(later).Silent).To(Equal([]string{"c", "d"}))
+		Expect(alone.reach(later).Silent).To(HaveLen(3))
+		one.hear(later, report("b", 0))
+		one.hear(later, report("c", 0))
+		Expect(one.reach(later).Silent).To(BeEmpty(), "one that died")
+		Expect(cut.reach(later.Add(2 * time.Second)).Silent).To(BeEmpty())
+	})
+
 	It("learns of a host by its report alone, as while the store is away", func() {
 		r := newRoster("a")
 		r.hear(now, report("b", 0))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -85,8 +85,10 @@
 	// uses is each host's recent use, by organisation and host.
 	uses     map[string]map[string]*use
 	accounts map[string]*account
-	// seen is what each process has reported, by organisation.
-	seen map[string]map[string]float64
+	// seen is what each process has reported, by organisation, and heard when
+	// it last did.
+	seen  map[string]map[string]float64
+	heard map[string]time.Time
 }
 
 // NewLimiter returns the limiter of a host, without policies, for windows of a
@@ -95,6 +97,7 @@
 	return &Limiter{
 		length: length, self: self, first: first, reach: 1, reachable: []string{self}, uses: make(map[string]map[string]*use),
 		accounts: make(map[string]*account), seen: make(map[string]map[string]float64),
+		heard: make(map[string]time.Time),
 	}
 }
 
@@ -259,10 +262,43 @@
 	} else {
 		l.window(a, host).add(now, tokens)
 	}
+	l.lower(a, tokens)
+}
+
+// lower takes tokens out of what may be used at once.
+func (l *Limiter) lower(a *account, tokens float64) {
 	highest := l.highest(a.policy)
 	a.level = min(max(a.level-tokens, -highest), highest)
 }
 
+// longGap is how many lags without a report mean that the host was out of
+// reach. What it used then is not taken for use of this moment.
+const longGap = 3
+
+// since returns the time in which a process used what it reports now, and
+// notes the report.
+func (l *Limiter) since(now time.Time, r PeerUsage) time.Duration {
+	over := r.Age
+	if at, ok := l.heard[r.Process]; ok {
+		over = now.Sub(at)
+	}
+	l.heard[r.Process] = now
+	if over < longGap*max(l.lag, l.length/slots) {
+		return 0
+	}
+	return over
+}
+
+// chargeOver charges what a host used over a time.
+func (l *Limiter) chargeOver(now time.Time, a *account, host string, tokens float64, over time.Duration) {
+	if tokens <= 0 || over == 0 {
+		l.charge(now, a, host, tokens)
+		return
+	}
+	l.window(a, host).spread(now, over, tokens)
+	l.lower(a, tokens*min(1, l.length.Seconds()/slots/over.Seconds()))
+}
+
 // Decision is the answer to a request for tokens with what it depended on.
 type Decision struct {
 	Granted bool
@@ -357,6 +393,7 @@
 		before = make(map[string]float64)
 		l.seen[r.Process] = before
 	}
+	over := l.since(now, r)
 	for name, u := range r.Usage {
 		a, ok := l.accounts[name]
 		if !ok {
@@ -367,7 +404,7 @@
 		switch {
 		case reported || !joining || r.Age < l.length:
 			// All that a young process has used lies in the window.
-			l.charge(now, a, r.Host, u.Taken-last)
+			l.chargeOver(now, a, r.Host, u.Taken-last, over)
 			a.others.add(now, u.Taken-last)
 			l.remember(now, name, r.Host, u.Taken-last)
 		case !l.first:
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -472,6 +472,35 @@
 		Expect(f.take(0, 500)).To(BeTrue())
 	})
 
+	// Half of the hosts are cut off for three windows; both sides use their part.
+	It("serves on when a long cut ends, and keeps the limit", func() {
+		f := newFleet(6, true)
+		left, right := []int{0, 1, 2}, []int{3, 4, 5}
+		play := func(length time.Duration, groups ...[]int) (granted float64) {
+			for end := f.now.Add(length); f.now.Before(end); {
+				f.now = f.now.Add(step)
+				if len(groups) == 2 {
+					f.cut(groups[0], groups[1])
+				} else {
+					f.cut(all, nil)
+				}
+				for host := range f.hosts {
+					if f.take(host, 50) { // one and a half times the rate
+						granted += 50
+					}
+				}
+				f.report(groups...)
+			}
+			return granted
+		}
+		play(10*time.Second, all)
+		play(24*time.Second, left, right)
+		after := play(4*time.Second, all)
+		Expect(after).To(BeNumerically(">=", 0.7*limit/2), "in the half window after the cut")
+		play(8*time.Second, all)
+		Expect(f.mostInWindow()).To(BeNumerically("<=", 1.1*limit))
+	})
+
 	It("tells callers that are refused together to come back one after the other", func() {
 		f := newFleet(1, true)
 		for f.take(0, 200) {
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -38,6 +38,16 @@
 	w.used[w.newest%ring] += tokens
 }
 
+// spread adds tokens that were used evenly over a time up to now; what was
+// used before the window is left out.
+func (w *window) spread(now time.Time, over time.Duration, tokens float64) {
+	w.advance(now)
+	slots := max(1, float64(over)/float64(w.slot))
+	for i := int64(0); i < ring && float64(i) < slots; i++ {
+		w.used[(w.newest-i+ring)%ring] += tokens / slots * min(1, slots-float64(i))
+	}
+}
+
 // credit takes back tokens that were added but not used, from the oldest slots
 // first: the sum is right at once, and never less than what was used
 // afterwards, although the slot of the use is not known.
