Hear other hosts' use in a module of its own; spread what was used before an organisation was known

An organisation that a host learns of later, from a newer configuration, had all that its peers ever took of it charged at once (900,000 of 9,000 tokens in the test, after: the window's part of an hour).

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -85,10 +85,8 @@
 	// uses is each host's recent use, by organisation and host.
 	uses     map[string]map[string]*use
 	accounts map[string]*account
-	// seen is what each process has reported, by organisation, and heard when
-	// it last did.
-	seen  map[string]map[string]float64
-	heard map[string]time.Time
+	// processes is what each other process has reported.
+	processes map[string]*process
 }
 
 // NewLimiter returns the limiter of a host, without policies, for windows of a
@@ -96,8 +94,7 @@
 func NewLimiter(self string, length time.Duration, first bool) *Limiter {
 	return &Limiter{
 		length: length, self: self, first: first, reach: 1, reachable: []string{self}, uses: make(map[string]map[string]*use),
-		accounts: make(map[string]*account), seen: make(map[string]map[string]float64),
-		heard: make(map[string]time.Time),
+		accounts: make(map[string]*account), processes: make(map[string]*process),
 	}
 }
 
@@ -271,34 +268,6 @@
 	a.level = min(max(a.level-tokens, -highest), highest)
 }
 
-// longGap is how many lags without a report mean that the host was out of
-// reach. What it used then is not taken for use of this moment.
-const longGap = 3
-
-// since returns the time in which a process used what it reports now, and
-// notes the report.
-func (l *Limiter) since(now time.Time, r PeerUsage) time.Duration {
-	over := r.Age
-	if at, ok := l.heard[r.Process]; ok {
-		over = now.Sub(at)
-	}
-	l.heard[r.Process] = now
-	if over < longGap*max(l.lag, l.length/slots) {
-		return 0
-	}
-	return over
-}
-
-// chargeOver charges what a host used over a time.
-func (l *Limiter) chargeOver(now time.Time, a *account, host string, tokens float64, over time.Duration) {
-	if tokens <= 0 || over == 0 {
-		l.charge(now, a, host, tokens)
-		return
-	}
-	l.window(a, host).spread(now, over, tokens)
-	l.lower(a, tokens*min(1, l.length.Seconds()/slots/over.Seconds()))
-}
-
 // Decision is the answer to a request for tokens with what it depended on.
 type Decision struct {
 	Granted bool
@@ -375,41 +344,3 @@
 	}
 	return usage
 }
-
-// PeerUsage is what another host's process has used.
-type PeerUsage struct {
-	Host, Process string
-	// Age is how long ago the process started.
-	Age   time.Duration
-	Usage map[string]Usage
-}
-
-// Heard charges what another host's process has used since its last report.
-// Joining tells that this process has just started: what an older process saw
-// used in the window takes the place of what was assumed.
-func (l *Limiter) Heard(now time.Time, r PeerUsage, joining bool) {
-	before := l.seen[r.Process]
-	if before == nil {
-		before = make(map[string]float64)
-		l.seen[r.Process] = before
-	}
-	over := l.since(now, r)
-	for name, u := range r.Usage {
-		a, ok := l.accounts[name]
-		if !ok {
-			continue
-		}
-		l.advance(now, a)
-		last, reported := before[name]
-		switch {
-		case reported || !joining || r.Age < l.length:
-			// All that a young process has used lies in the window.
-			l.chargeOver(now, a, r.Host, u.Taken-last, over)
-			a.others.add(now, u.Taken-last)
-			l.remember(now, name, r.Host, u.Taken-last)
-		case !l.first:
-			l.window(a, earlier).fill(now, u.Used)
-		}
-		before[name] = u.Taken
-	}
-}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -501,6 +501,15 @@
 		Expect(f.mostInWindow()).To(BeNumerically("<=", 1.1*limit))
 	})
 
+	It("takes little of an organisation that comes with a later configuration for used", func() {
+		l := NewLimiter("0", testWindow, true)
+		used := PeerUsage{Host: "1", Process: "1/a", Age: time.Hour, Usage: map[string]Usage{"org": {Taken: 100 * limit}}}
+		l.Heard(start, used, false)
+		l.SetPolicies(start, map[string]Policy{"org": policy})
+		l.Heard(start.Add(step), used, false)
+		Expect(l.Usage(start.Add(step))["org"].Used).To(BeNumerically("<", limit/2), "an hour's use")
+	})
+
 	It("tells callers that are refused together to come back one after the other", func() {
 		f := newFleet(1, true)
 		for f.take(0, 200) {
--- a/internal/repeat/budget.go
+++ b/internal/repeat/budget.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"sync"
 	"time"
 )
 
@@ -77,90 +76,3 @@
 	b.config = cfg.withDefaults()
 	b.balance = min(b.balance, b.config.highest())
 }
-
-// FleetBudget bounds the sends beyond each request's first over all hosts
-// together: in any window, Ratio for each request and the reserve.
-type FleetBudget struct {
-	Ratio, Reserve float64
-	Window         time.Duration
-}
-
-const (
-	// ratioMargin is the part of the ratio that is used, since the windows of
-	// the check slide.
-	ratioMargin = 0.75
-	// reserveMargin is the part of the reserve that is used: a full balance and
-	// what comes back within a window are spent in one window at worst.
-	reserveMargin = 0.5
-	// nothing stands for none, where zero would mean a default.
-	nothing = 1e-9
-)
-
-// Host returns one host's part of the budget.
-func (f FleetBudget) Host(hosts int) BudgetConfig {
-	reserve := reserveMargin * f.Reserve / float64(max(hosts, 1))
-	cfg := BudgetConfig{Ratio: max(ratioMargin*f.Ratio, nothing), Reserve: max(reserve, nothing)}
-	if reserve > 0 {
-		cfg.ReserveInterval = time.Duration(float64(f.Window) / reserve)
-	}
-	return cfg
-}
-
-// Budgets keeps one budget for each service. It is safe for concurrent use.
-type Budgets struct {
-	clock func() time.Time
-
-	mu      sync.Mutex
-	config  BudgetConfig
-	budgets map[string]*Budget
-}
-
-// NewBudgets returns full budgets of the same settings for all services.
-func NewBudgets(cfg BudgetConfig, clock func() time.Time) *Budgets {
-	return &Budgets{clock: clock, config: cfg, budgets: make(map[string]*Budget)}
-}
-
-// Configure takes over other settings.
-func (b *Budgets) Configure(cfg BudgetConfig) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if cfg == b.config {
-		return
-	}
-	b.config = cfg
-	for _, budget := range b.budgets {
-		budget.Configure(cfg)
-	}
-}
-
-// Request enters a request for a service.
-func (b *Budgets) Request(service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.of(service).Request(b.clock())
-}
-
-// Again decides on a further send of a request for a service and charges the
-// budget where it is allowed.
-func (b *Budgets) Again(service string, rule Rule, sent Sent, end End) Decision {
-	decision := rule.Again(sent, end)
-	if decision != AllowedWithinBudget {
-		return decision
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.of(service).Retry(b.clock()) {
-		return OverBudget
-	}
-	return decision
-}
-
-// of must be called with the mutex held.
-func (b *Budgets) of(service string) *Budget {
-	budget, ok := b.budgets[service]
-	if !ok {
-		budget = NewBudget(b.config)
-		b.budgets[service] = budget
-	}
-	return budget
-}
