Answer several peers with one report, and call silent hosts in every fourth round

Each of 125 answers a second to peers was a report made anew and copied. Change: a report answers peers for 50 ms; silent hosts are called in every fourth round, they call themselves as soon as they can.

--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -13,7 +13,23 @@
 // Exchange implements fleetv1.Fleet.
 func (s *Service) Exchange(_ context.Context, report *fleetv1.Report) (*fleetv1.Report, error) {
 	s.hear(time.Now(), report)
-	return withoutDemand(s.report()), nil // the holder of the lease is told by calls
+	return s.answerNow(time.Now()), nil
+}
+
+// answerNow returns the report that answers a peer. Demand is left out: the
+// holder of the lease is told by calls.
+func (s *Service) answerNow(now time.Time) *fleetv1.Report {
+	s.mu.Lock()
+	answer, fresh := s.answer, now.Sub(s.answeredAt) < answerLife
+	s.mu.Unlock()
+	if fresh && answer != nil {
+		return answer
+	}
+	answer = withoutDemand(s.report())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer, s.answeredAt = answer, now
+	return answer
 }
 
 // Place implements fleetv1.Fleet.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -28,6 +28,12 @@
 	// perPeer stretches the interval in large fleets, so that reports take a
 	// bounded part of a host's processor.
 	perPeer = 8 * time.Millisecond
+	// answerLife is how long one report serves as the answer to several peers;
+	// it is short against the interval between rounds.
+	answerLife = 50 * time.Millisecond
+	// silentEvery is the number of rounds in which a silent host is called
+	// once: it calls by itself as soon as it can.
+	silentEvery = 4
 	// callTimeout bounds a call to a peer.
 	callTimeout = 600 * time.Millisecond
 	// registerPause and registerLongest pace the attempts to write this
@@ -96,6 +102,11 @@
 	clients map[string]fleetv1.Fleet
 	// calling holds the peers that a report is on its way to.
 	calling map[string]bool
+	// rounds counts the rounds of reports.
+	rounds int
+	// answer is the last report made for an answer, at answeredAt.
+	answer     *fleetv1.Report
+	answeredAt time.Time
 }
 
 var _ fleetv1.Fleet = (*Service)(nil)
@@ -216,7 +227,8 @@
 func (s *Service) round(ctx context.Context) {
 	now := time.Now()
 	s.mu.Lock()
-	peers := s.roster.addresses(now)
+	peers := s.roster.addresses(now, s.rounds%silentEvery == 0)
+	s.rounds++
 	reach := s.roster.reach(now)
 	leader := ""
 	if p := s.roster.leader(now); p != nil {
@@ -334,7 +346,7 @@
 		HeardMS       int64
 	}
 	list := []state{}
-	for _, p := range s.roster.addresses(now) {
+	for _, p := range s.roster.addresses(now, true) {
 		list = append(list, state{p.name, p.address, now.Sub(p.heard).Milliseconds()})
 	}
 	return list
--- a/internal/exchange/report_test.go
+++ b/internal/exchange/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -27,6 +28,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.GetDemand()).To(BeEmpty())
 		Expect(answer.GetWithoutDemand()).To(BeTrue())
+		Expect(s.answerNow(time.Now())).To(BeIdenticalTo(answer), "one answer serves several peers")
+		Expect(s.answerNow(time.Now().Add(answerLife))).NotTo(BeIdenticalTo(answer))
 		told := withoutDemand(s.report())
 		Expect(told.GetDemand()).To(BeEmpty())
 		Expect(told.GetWithoutDemand()).To(BeTrue())
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -138,11 +138,12 @@
 	return nil
 }
 
-// addresses returns the peers to report to, by name.
-func (r *roster) addresses(now time.Time) []peer {
+// addresses returns the peers to report to, by name, with or without those that
+// are silent.
+func (r *roster) addresses(now time.Time, silent bool) []peer {
 	var list []peer
 	for _, p := range r.peers {
-		if now.Sub(p.lastSign()) < p.remembered() {
+		if r.inReach(now, p) || silent && now.Sub(p.lastSign()) < p.remembered() {
 			list = append(list, *p)
 		}
 	}
--- a/internal/exchange/roster_test.go
+++ b/internal/exchange/roster_test.go
@@ -52,12 +52,21 @@
 	It("learns of a host by its report alone, as while the store is away", func() {
 		r := newRoster("a")
 		r.hear(now, report("b", 0))
-		Expect(r.addresses(now)).To(HaveLen(1))
-		Expect(r.addresses(now)[0].address).To(Equal("b:1"))
+		Expect(r.addresses(now, true)).To(HaveLen(1))
+		Expect(r.addresses(now, true)[0].address).To(Equal("b:1"))
 		Expect(r.hear(now, report("a", 0))).To(BeNil(), "its own report")
 		Expect(r.hear(now, report("", 0))).To(BeNil())
 	})
 
+	It("calls silent hosts in some rounds only", func() {
+		r := newRoster("a")
+		r.list(now, "b", "b:1", "1")
+		r.hear(now, report("c", 0))
+		Expect(r.addresses(now, false)).To(HaveLen(1))
+		Expect(r.addresses(now, false)[0].name).To(Equal("c"))
+		Expect(r.addresses(now, true)).To(HaveLen(2))
+	})
+
 	It("knows the holder of the lease for as long as that said", func() {
 		r := newRoster("a")
 		r.hear(now, report("b", 2*time.Second))
