--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -11,7 +11,6 @@
 	"bilberryslip.example/bilberryslip/internal/exchange"
 	"bilberryslip.example/bilberryslip/internal/mirror"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
-	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
 const (
@@ -94,57 +93,15 @@
 
 // Watch implements mirror.Source.
 func (l *lookoutSource) Watch(ctx context.Context, kind objectstore.Kind, after objectstore.Version) (objectstore.Watch, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	w := &lookoutWatch{events: make(chan objectstore.Event), cancel: cancel}
-	go w.run(ctx, l, kind, after)
-	return w, nil
-}
-
-// lookoutWatch is a series of calls to a lookout.
-type lookoutWatch struct {
-	events chan objectstore.Event
-	cancel context.CancelFunc
-	// err is set before events is closed.
-	err error
-}
-
-// Events implements objectstore.Watch.
-func (w *lookoutWatch) Events() <-chan objectstore.Event { return w.events }
-
-// Err implements objectstore.Watch.
-func (w *lookoutWatch) Err() error { return w.err }
-
-// Stop implements objectstore.Watch.
-func (w *lookoutWatch) Stop() { w.cancel() }
-
-func (w *lookoutWatch) run(ctx context.Context, l *lookoutSource, kind objectstore.Kind, after objectstore.Version) {
-	defer close(w.events)
-	defer w.cancel()
-	for {
+	return objectstore.NewPolledWatch(ctx, after, followPause, func(ctx context.Context, after objectstore.Version) ([]objectstore.Event, error) {
 		response, err := l.ask(ctx, kind, after, followWait)
 		if err != nil {
-			w.err = err
-			return
+			return nil, err
 		}
+		covered := objectstore.Version(response.GetCovered())
 		if response.GetWhole() {
-			w.err = &objectstore.GoneError{Oldest: objectstore.Version(response.GetCovered())}
-			return
-		}
-		list := append(events(kind, response), objectstore.Event{
-			Type: objectstore.EventBookmark, Version: objectstore.Version(response.GetCovered()),
-		})
-		for _, event := range list {
-			select {
-			case w.events <- event:
-				after = max(after, event.Version)
-			case <-ctx.Done():
-				w.err = ctx.Err()
-				return
-			}
+			return nil, &objectstore.GoneError{Oldest: covered}
 		}
-		if !retry.Sleep(ctx, followPause) {
-			w.err = ctx.Err()
-			return
-		}
-	}
+		return append(events(kind, response), objectstore.Event{Type: objectstore.EventBookmark, Version: covered}), nil
+	}), nil
 }
--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -25,7 +25,8 @@
 	if fresh && answer != nil {
 		return answer
 	}
-	answer = withoutDemand(s.report())
+	answer = s.report()
+	leaveDemandOut(answer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answer, s.answeredAt = answer, now
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -243,7 +243,8 @@
 	}
 	report := s.report()
 	// Only the holder of the lease, or who may become it soon, asks for demand.
-	brief := withoutDemand(report)
+	brief := proto.CloneOf(report)
+	leaveDemandOut(brief)
 	for _, p := range peers {
 		told := brief
 		if leader == "" || p.name == leader {
@@ -275,12 +276,8 @@
 	delete(s.calling, peer)
 }
 
-// withoutDemand returns a copy of a report that leaves demand out.
-func withoutDemand(report *fleetv1.Report) *fleetv1.Report {
-	brief := proto.CloneOf(report)
-	brief.Demand, brief.WithoutDemand = nil, true
-	return brief
-}
+// leaveDemandOut takes demand out of a report.
+func leaveDemandOut(report *fleetv1.Report) { report.Demand, report.WithoutDemand = nil, true }
 
 func (s *Service) report() *fleetv1.Report {
 	report := &fleetv1.Report{Host: s.config.Host, Incarnation: s.config.Incarnation, Address: s.config.Address, Zone: s.config.Zone, AgeMillis: time.Since(s.started).Milliseconds()}
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
-	"math"
 	"sort"
 	"sync"
 	"time"
 
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
+	"bilberryslip.example/bilberryslip/internal/decay"
 )
 
 const (
@@ -19,32 +19,20 @@
 // demand measures the recent tokens a second of each model and adapter.
 type demand struct {
 	mu    sync.Mutex
-	rates map[string]*decayingRate
+	rates map[string]*decay.Sum
 }
 
-type decayingRate struct {
-	perSecond float64
-	at        time.Time
-}
-
-func (r *decayingRate) decay(now time.Time) {
-	elapsed := max(now.Sub(r.at), 0)
-	r.perSecond *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
-	r.at = now
-}
-
-func newDemand() *demand { return &demand{rates: make(map[string]*decayingRate)} }
+func newDemand() *demand { return &demand{rates: make(map[string]*decay.Sum)} }
 
 func (d *demand) add(now time.Time, name string, tokens int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	rate, ok := d.rates[name]
 	if !ok {
-		rate = &decayingRate{at: now}
+		rate = decay.NewSum(demandWindow)
 		d.rates[name] = rate
 	}
-	rate.decay(now)
-	rate.perSecond += float64(tokens) / demandWindow.Seconds()
+	rate.Add(now, float64(tokens))
 }
 
 func (d *demand) list(now time.Time, waiting map[string]int) []*peerv1.Demand {
@@ -52,13 +40,13 @@
 	defer d.mu.Unlock()
 	var list []*peerv1.Demand
 	for name, rate := range d.rates {
-		rate.decay(now)
+		perSecond := rate.PerSecond(now)
 		queued := waiting[name]
-		if rate.perSecond < negligibleDemand && queued == 0 {
+		if perSecond < negligibleDemand && queued == 0 {
 			delete(d.rates, name)
 			continue
 		}
-		list = append(list, &peerv1.Demand{Model: name, TokensPerSecond: rate.perSecond, Queued: int32(queued)})
+		list = append(list, &peerv1.Demand{Model: name, TokensPerSecond: perSecond, Queued: int32(queued)})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].GetModel() < list[j].GetModel() })
 	return list
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -1,8 +1,9 @@
 package orders
 
 import (
-	"math"
 	"time"
+
+	"bilberryslip.example/bilberryslip/internal/decay"
 )
 
 const (
@@ -18,26 +19,11 @@
 // subject is what demand is for. The adapter is empty for a model.
 type subject struct{ service, model, adapter string }
 
-// rate is demand in tokens per second.
-type rate struct {
-	perSecond float64
-	at        time.Time
-}
-
-func (r *rate) add(now time.Time, tokens float64) {
-	r.perSecond = r.now(now) + tokens/demandWindow.Seconds()
-	r.at = now
-}
-
-func (r *rate) now(now time.Time) float64 {
-	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/demandWindow.Seconds())
-}
-
 // demand is what is asked for, over all hosts. It is not safe for concurrent
 // use.
 type demand struct {
 	// own is what is asked of this host.
-	own map[subject]*rate
+	own map[subject]*decay.Sum
 	// others are the other hosts' reports.
 	others map[string]hostDemand
 }
@@ -48,17 +34,17 @@
 }
 
 func newDemand() *demand {
-	return &demand{own: make(map[subject]*rate), others: make(map[string]hostDemand)}
+	return &demand{own: make(map[subject]*decay.Sum), others: make(map[string]hostDemand)}
 }
 
 // add notes work that is asked of this host.
 func (d *demand) add(now time.Time, s subject, tokens float64) {
 	r, ok := d.own[s]
 	if !ok {
-		r = &rate{at: now}
+		r = decay.NewSum(demandWindow)
 		d.own[s] = r
 	}
-	r.add(now, tokens)
+	r.Add(now, tokens)
 }
 
 // report takes what is asked of another host.
@@ -71,7 +57,7 @@
 func (d *demand) told(now time.Time) map[subject]float64 {
 	rates := make(map[subject]float64)
 	for s, r := range d.own {
-		if perSecond := r.now(now); perSecond >= leastDemand {
+		if perSecond := r.PerSecond(now); perSecond >= leastDemand {
 			rates[s] = perSecond
 		} else {
 			delete(d.own, s)
@@ -84,7 +70,7 @@
 func (d *demand) of(now time.Time, s subject) float64 {
 	sum := 0.0
 	if r, ok := d.own[s]; ok {
-		sum = r.now(now)
+		sum = r.PerSecond(now)
 	}
 	for host, other := range d.others {
 		if now.Sub(other.at) > demandFor {
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -71,6 +71,8 @@
 	replicas map[string]int
 	// copied are the models of which some engine keeps a copy.
 	copied map[string]bool
+	// mean is the demand on an engine, were it spread over all.
+	mean float64
 }
 
 func newPlanner(in planInput) *planner {
@@ -79,7 +81,9 @@
 	}
 	for i := range in.models {
 		p.byName[in.models[i].name] = &in.models[i]
+		p.mean += in.models[i].demand
 	}
+	p.mean /= float64(len(in.engines))
 	for _, e := range in.engines {
 		for _, name := range e.models {
 			p.replicas[name]++
@@ -159,11 +163,7 @@
 // neededRelief returns how much a change must take away from replicas with a
 // demand.
 func (p *planner) neededRelief(before float64) float64 {
-	total := 0.0
-	for _, m := range p.models {
-		total += m.demand
-	}
-	if before > overloaded*total/float64(len(p.engines)) {
+	if before > overloaded*p.mean {
 		return hotRelief * before
 	}
 	return relief * before
--- a/internal/quota/heard.go
+++ b/internal/quota/heard.go
@@ -44,7 +44,7 @@
 		case reported || !joining || r.Age < l.length:
 			// All that a young process has used lies in the window.
 			l.chargeOver(now, a, r.Host, u.Taken-last, since)
-			a.others.add(now, u.Taken-last)
+			a.others.Add(now, u.Taken-last)
 			l.remember(now, name, r.Host, u.Taken-last)
 		case !l.first:
 			l.window(a, earlier).fill(now, u.Used)
--- a/internal/quota/part.go
+++ b/internal/quota/part.go
@@ -1,8 +1,9 @@
 package quota
 
 import (
-	"math"
 	"time"
+
+	"bilberryslip.example/bilberryslip/internal/decay"
 )
 
 const (
@@ -16,26 +17,6 @@
 	missedWithin = 1500 * time.Millisecond
 )
 
-// use is recent use of an organisation's limit, in tokens that decay over a
-// window.
-type use struct {
-	window time.Duration
-	tokens float64
-	at     time.Time
-}
-
-func (u *use) add(now time.Time, tokens float64) {
-	u.tokens = max(0, u.now(now)+tokens)
-	u.at = now
-}
-
-func (u *use) now(now time.Time) float64 {
-	return u.tokens * math.Exp(-now.Sub(u.at).Seconds()/u.window.Seconds())
-}
-
-// perSecond returns the use a second.
-func (u *use) perSecond(now time.Time) float64 { return u.now(now) / u.window.Seconds() }
-
 // division is how limits are divided among the hosts while some are out of
 // reach: by each host's use before the first fell silent, of which all of them
 // had heard alike.
@@ -46,13 +27,13 @@
 }
 
 // divide returns the division by the use so far of this host and all others.
-func divide(now time.Time, hosts []string, uses map[string]map[string]*use) *division {
+func divide(now time.Time, hosts []string, uses map[string]map[string]*decay.Sum) *division {
 	d := &division{at: now, shares: make(map[string]map[string]float64)}
 	for organisation, byHost := range uses {
 		total := 0.0
 		for _, host := range hosts {
 			if u := byHost[host]; u != nil {
-				total += u.now(now)
+				total += u.Now(now)
 			}
 		}
 		if total <= 0 {
@@ -62,7 +43,7 @@
 		for _, host := range hosts {
 			shares[host] = evenShare / float64(len(hosts))
 			if u := byHost[host]; u != nil {
-				shares[host] += (1 - evenShare) * u.now(now) / total
+				shares[host] += (1 - evenShare) * u.Now(now) / total
 			}
 		}
 		d.shares[organisation] = shares
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -10,6 +10,8 @@
 import (
 	"slices"
 	"time"
+
+	"bilberryslip.example/bilberryslip/internal/decay"
 )
 
 const (
@@ -50,7 +52,7 @@
 	// taken is what this host has taken since it started.
 	taken float64
 	// others is the recent use of all other hosts.
-	others use
+	others *decay.Sum
 	// promised is up to when what becomes free is promised to callers that
 	// were told to come back.
 	promised time.Time
@@ -83,7 +85,7 @@
 	division *division
 	history  []*division
 	// uses is each host's recent use, by organisation and host.
-	uses     map[string]map[string]*use
+	uses     map[string]map[string]*decay.Sum
 	accounts map[string]*account
 	// processes is what each other process has reported.
 	processes map[string]*process
@@ -93,7 +95,7 @@
 // length. First is for the first start of a whole fleet.
 func NewLimiter(self string, length time.Duration, first bool) *Limiter {
 	return &Limiter{
-		length: length, self: self, first: first, reach: 1, reachable: []string{self}, uses: make(map[string]map[string]*use),
+		length: length, self: self, first: first, reach: 1, reachable: []string{self}, uses: make(map[string]map[string]*decay.Sum),
 		accounts: make(map[string]*account), processes: make(map[string]*process),
 	}
 }
@@ -111,7 +113,7 @@
 	for name, policy := range policies {
 		a, ok := l.accounts[name]
 		if !ok {
-			a = &account{name: name, windows: make(map[string]*window), others: use{window: othersWindow, at: now}, level: l.highest(policy), updated: now}
+			a = &account{name: name, windows: make(map[string]*window), others: decay.NewSum(othersWindow), level: l.highest(policy), updated: now}
 			if !l.first {
 				l.window(a, earlier).fill(now, assumedUse*l.limit(policy))
 				a.level *= 1 - assumedUse
@@ -180,15 +182,15 @@
 func (l *Limiter) remember(now time.Time, organisation, host string, tokens float64) {
 	byHost := l.uses[organisation]
 	if byHost == nil {
-		byHost = make(map[string]*use)
+		byHost = make(map[string]*decay.Sum)
 		l.uses[organisation] = byHost
 	}
 	u := byHost[host]
 	if u == nil {
-		u = &use{window: useWindow, at: now}
+		u = decay.NewSum(useWindow)
 		byHost[host] = u
 	}
-	u.add(now, tokens)
+	u.Add(now, tokens)
 }
 
 // earlier names the use before this process started.
--- a/internal/quota/unreported.go
+++ b/internal/quota/unreported.go
@@ -14,7 +14,7 @@
 // now. Without the latter all hosts would grant at the same moment what is
 // free once.
 func (l *Limiter) unreported(now time.Time, a *account) float64 {
-	goesOn := a.others.perSecond(now) * l.lag.Seconds() / 2
+	goesOn := a.others.PerSecond(now) * l.lag.Seconds() / 2
 	return max(goesOn, l.likeOwn(now, a))
 }
 
@@ -42,7 +42,7 @@
 	byHost := l.uses[organisation]
 	for _, host := range l.reachable {
 		if u := byHost[host]; u != nil {
-			total += u.now(now)
+			total += u.Now(now)
 		}
 	}
 	even := 1 / float64(len(l.reachable))
@@ -50,5 +50,5 @@
 	if own == nil || total <= 0 {
 		return even
 	}
-	return evenShare*even + (1-evenShare)*own.now(now)/total
+	return evenShare*even + (1-evenShare)*own.Now(now)/total
 }
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"reflect"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,28 +55,10 @@
 }
 
 // LoadEdge reads and checks a settings file. Its error is *InvalidError.
-func LoadEdge(path string) (Edge, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Edge{}, &InvalidError{Faults: []Fault{{Path: path, Problem: err.Error(), Remedy: "name a readable settings file"}}}
-	}
-	return ParseEdge(data)
-}
+func LoadEdge(path string) (Edge, error) { return load(path, ParseEdge) }
 
 // ParseEdge reads and checks settings in JSON. Its error is *InvalidError.
-func ParseEdge(data []byte) (Edge, error) {
-	e := defaultEdge()
-	p := &parser{}
-	p.object("", data, reflect.ValueOf(&e).Elem())
-	faults := p.faults
-	if !p.broken {
-		faults = append(faults, e.validate(p.failed)...)
-	}
-	if len(faults) > 0 {
-		return Edge{}, &InvalidError{Faults: faults}
-	}
-	return e, nil
-}
+func ParseEdge(data []byte) (Edge, error) { return parse(data, defaultEdge(), (*Edge).validate) }
 
 func defaultEdge() Edge {
 	return Edge{
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -39,25 +39,34 @@
 }
 
 // Load reads and checks a settings file. Its error is *InvalidError.
-func Load(path string) (Settings, error) {
+func Load(path string) (Settings, error) { return load(path, Parse) }
+
+// Parse reads and checks settings in JSON. Its error is *InvalidError.
+func Parse(data []byte) (Settings, error) { return parse(data, Default(), (*Settings).validate) }
+
+// load reads a settings file of any form.
+func load[T any](path string, parse func([]byte) (T, error)) (T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, &InvalidError{Faults: []Fault{{Path: path, Problem: err.Error(), Remedy: "name a readable settings file"}}}
+		var none T
+		return none, &InvalidError{Faults: []Fault{{Path: path, Problem: err.Error(), Remedy: "name a readable settings file"}}}
 	}
-	return Parse(data)
+	return parse(data)
 }
 
-// Parse reads and checks settings in JSON. Its error is *InvalidError.
-func Parse(data []byte) (Settings, error) {
-	s := Default()
+// parse reads settings of any form over their defaults, and checks those that
+// could be read.
+func parse[T any](data []byte, defaults T, validate func(t *T, skip func(path string) bool) []Fault) (T, error) {
+	s := defaults
 	p := &parser{}
 	p.object("", data, reflect.ValueOf(&s).Elem())
 	faults := p.faults
 	if !p.broken {
-		faults = append(faults, s.validate(p.failed)...)
+		faults = append(faults, validate(&s, p.failed)...)
 	}
 	if len(faults) > 0 {
-		return Settings{}, &InvalidError{Faults: faults}
+		var none T
+		return none, &InvalidError{Faults: faults}
 	}
 	return s, nil
 }
