--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -174,12 +174,13 @@
 
 	It("ends a running stream soon after its key is withdrawn", func() {
 		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { o.TokenInterval = 100 * time.Millisecond })
-		done := make(chan reply, 1)
-		go func() {
-			done <- f.do("POST", "/v1/completions", `{"model":"draft","prompt":"x","max_tokens":1000,"stream":true}`)
-		}()
-		Eventually(func() int { return len(f.journal()) }).Should(Equal(1))
+		// The key is withdrawn once the stream runs: before its first event, the
+		// refusal would be a plain body.
+		rest := f.startStream("/v1/completions", `{"model":"draft","prompt":"x","max_tokens":1000,"stream":true}`)
+		Expect(f.journal()).To(HaveLen(1))
 		f.withdraw("jewellers-key")
+		done := make(chan reply, 1)
+		go func() { done <- rest() }()
 		var r reply
 		Eventually(done, 5*time.Second).Should(Receive(&r))
 		_, last := streamText(r.body)
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -326,6 +326,17 @@
 // do sends a request with the key of jewellers. The header arguments are pairs of
 // name and value; an empty value removes the header.
 func (f *fixture) do(method, path, body string, header ...string) reply {
+	resp, err := http.DefaultClient.Do(f.newRequest(method, path, body, header...))
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(content), err: err}
+}
+
+func (f *fixture) newRequest(method, path, body string, header ...string) *http.Request {
+	GinkgoHelper()
 	req, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set("Authorization", "Bearer "+secret)
@@ -335,13 +346,23 @@
 			req.Header.Del(header[i])
 		}
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return reply{err: err}
+	return req
+}
+
+// startStream sends a POST request, waits for the first line of the response and
+// returns a function that reads the rest.
+func (f *fixture) startStream(path, body string) (rest func() reply) {
+	GinkgoHelper()
+	resp, err := http.DefaultClient.Do(f.newRequest("POST", path, body))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(resp.Body.Close)
+	reader := bufio.NewReader(resp.Body)
+	first, err := reader.ReadString('\n')
+	Expect(err).NotTo(HaveOccurred())
+	return func() reply {
+		content, err := io.ReadAll(reader)
+		return reply{status: resp.StatusCode, header: resp.Header, body: first + string(content), err: err}
 	}
-	defer resp.Body.Close()
-	content, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(content), err: err}
 }
 
 // chat sends a chat completion request with additional JSON fields.
