Use the views of engines under the mutex, remove what has no caller

Cause: orders.Service.order wrote the view's staleness and count of orders, and read its entry, without the mutex, while planning and the state dump use them: 'go test -race ./internal/orders' reported the race with the new spec and passes after the change.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -37,8 +37,9 @@
 	// ReasonAdapterNotHeld means that an endpoint holds the model, but none the
 	// adapter.
 	ReasonAdapterNotHeld Reason = "adapter_not_held"
-	// ReasonFull means that all endpoints are at their limit.
-	ReasonFull Reason = "endpoints_full"
+	// ReasonTurnedAway means that all endpoints that could serve the request want
+	// none from this host for now. See Registry.TurnedAwayFor.
+	ReasonTurnedAway Reason = "turned_away"
 )
 
 // The weights of the cost function. The unit is prompt tokens: a delay costs as
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -51,6 +51,9 @@
 	defer r.mu.Unlock()
 	now := r.config.Clock()
 	for id, m := range r.members {
+		if m.announcedLeaving {
+			report.Leaving = append(report.Leaving, &fleetv1.LeavingEndpoint{Endpoint: id, StartedMillis: startedMillis(m)})
+		}
 		tenths := int32(10 * r.ejector.Penalty(now, id))
 		if m.running > 0 || tenths > 0 {
 			report.Loads = append(report.Loads, &fleetv1.EndpointLoad{
@@ -79,6 +82,11 @@
 	r.addPeerLoad(r.peers[report.GetHost()], -1)
 	r.peers[report.GetHost()] = load
 	r.addPeerLoad(load, 1)
+	for _, l := range report.GetLeaving() {
+		if m, ok := r.members[l.GetEndpoint()]; ok && startedMillis(m) == l.GetStartedMillis() {
+			r.markLeaving(m, report.GetHost())
+		}
+	}
 }
 
 // SetReachability implements exchange.Participant. It drops the load of peers whose
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -57,6 +57,11 @@
 	// penalty is the number of this host's recent failures there, decaying with
 	// time. It is updated for each choice.
 	penalty float64
+	// announcedLeaving is set if the endpoint told this host in a response that it
+	// leaves.
+	announcedLeaving bool
+	// turnedAwayUntil is until when the endpoint wants no request from this host.
+	turnedAwayUntil time.Time
 }
 
 // item is a model, or an adapter of it.
@@ -82,6 +87,10 @@
 	// endpoints is not updated. outageEndedAt is when the last outage ended.
 	storeUnavailable bool
 	outageEndedAt    time.Time
+	// departed are the incarnations that were deleted recently, by ID. restoredAt
+	// is when the store was last restored from an older copy.
+	departed   map[string]departure
+	restoredAt time.Time
 	// peers is the load of each peer, peerTotals the sum by endpoint ID.
 	peers      map[string]peerLoad
 	peerTotals map[string]endpointWork
@@ -98,6 +107,7 @@
 	return &Registry{
 		config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector),
 		peers: make(map[string]peerLoad), peerTotals: make(map[string]endpointWork),
+		departed: make(map[string]departure),
 	}
 }
 
@@ -108,6 +118,9 @@
 	defer r.mu.Unlock()
 	listed := make(map[string]bool, len(endpoints))
 	for i := range endpoints {
+		if r.undone(&endpoints[i]) {
+			continue
+		}
 		listed[endpoints[i].ID] = true
 		r.put(endpoints[i])
 	}
@@ -139,6 +152,9 @@
 		known.removedAt = time.Time{}
 		return
 	}
+	if r.hasLeft(&e) {
+		e.Leaving = true
+	}
 	segments, err := lru.New[string, struct{}](maxCachedSegments)
 	if err != nil {
 		panic(err) // returned only for a size below one
@@ -210,10 +226,12 @@
 func (r *Registry) sweep(now time.Time) {
 	for id, m := range r.members {
 		if !m.removedAt.IsZero() && m.running == 0 && !r.usable(m, now) {
+			r.departed[id] = departure{endpoint: m.Endpoint, removedAt: m.removedAt}
 			delete(r.members, id)
 			r.ejector.Remove(id)
 		}
 	}
+	r.forgetDepartures(now)
 }
 
 // holds reports whether an endpoint holds a model and adapter, by unexpired
@@ -282,6 +300,7 @@
 	ejected := r.ejector.Ejected(now)
 	var holding, healthy, untried []candidate
 	reason := ReasonNoEndpoint
+	turnedAway := false
 	for _, m := range r.members {
 		if m.Service != work.Service || !r.usable(m, now) {
 			continue
@@ -290,6 +309,10 @@
 			reason = notHeldReason(reason, m.holds(now, work.Model, ""))
 			continue
 		}
+		if now.Before(m.turnedAwayUntil) {
+			turnedAway = true
+			continue
+		}
 		m.penalty = r.ejector.Penalty(now, m.ID)
 		c := candidate{member: m, now: now, peers: r.peerTotals[m.ID]}
 		holding = append(holding, c)
@@ -305,6 +328,9 @@
 			return list, ReasonNone
 		}
 	}
+	if turnedAway {
+		reason = ReasonTurnedAway
+	}
 	return nil, reason
 }
 
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -57,6 +57,88 @@
 		Expect(chosen(work)).To(Equal(string(ReasonNoEndpoint)))
 	})
 
+	It("chooses no endpoint that has announced that it leaves, nor do the peers", func() {
+		registry.Replace([]Endpoint{engine("e1", "z1", "m")})
+		attempt, _ := registry.Start(work)
+		attempt.AnnounceLeaving()
+		attempt.Finish(endpoint.OutcomeAnswered)
+		Expect(chosen(work)).To(Equal(string(ReasonNoEndpoint)))
+		registry.Put(engine("e1", "z1", "m")) // its entry is still ready
+		Expect(chosen(work)).To(Equal(string(ReasonNoEndpoint)))
+
+		var report fleetv1.Report
+		registry.FillReport(&report)
+		peer := NewRegistry(Config{Zone: "z2", Clock: func() time.Time { return now }})
+		restarted := engine("e1", "z1", "m")
+		restarted.Started = now
+		peer.Replace([]Endpoint{restarted})
+		peer.HandleReport(&report, false)
+		attempt, _ = peer.Start(work)
+		Expect(attempt).NotTo(BeNil(), "another incarnation with the same ID")
+		peer.Replace([]Endpoint{engine("e1", "z1", "m")})
+		peer.HandleReport(&report, false)
+		_, reason := peer.Start(work)
+		Expect(reason).To(Equal(ReasonNoEndpoint))
+	})
+
+	// Answers with 503 and a time come from an endpoint that sheds load. A steady
+	// stream of requests to the only engine of a model must not reach it meanwhile.
+	It("leaves out an endpoint that turns requests away, and says when it accepts them again", func() {
+		registry.Replace([]Endpoint{engine("e1", "z1", "m", "rare"), engine("e2", "z1", "m")})
+		registry.TurnAway(engine("e1", "z1"), 2*time.Second)
+		rare := Work{Service: "llm", Model: "rare"}
+		for range 20 {
+			Expect(chosen(work)).To(Equal("e2"))
+			Expect(chosen(rare)).To(Equal(string(ReasonTurnedAway)))
+			Expect(registry.TurnedAwayFor(work)).To(BeZero())
+			now = now.Add(90 * time.Millisecond)
+		}
+		Expect(registry.TurnedAwayFor(rare)).To(Equal(200 * time.Millisecond))
+		registry.TurnAway(engine("e1", "z1"), 50*time.Millisecond)
+		Expect(registry.TurnedAwayFor(rare)).To(Equal(200*time.Millisecond), "a shorter time does not replace a longer one")
+		now = now.Add(200 * time.Millisecond)
+		Expect(chosen(rare)).To(Equal("e1"))
+		registry.TurnAway(engine("e1", "z1"), time.Minute)
+		restarted := engine("e1", "z1", "rare")
+		restarted.Started = now
+		registry.Put(restarted)
+		Expect(chosen(rare)).To(Equal("e1"), "another incarnation")
+	})
+
+	It("does not trust the entries in a store that was restored from an older copy", func() {
+		ready := []Endpoint{engine("gone", "z1", "m"), engine("drained", "z1", "m"), engine("new", "z1", "m"), engine("old", "z1", "m")}
+		registry.Replace(ready)
+		draining := engine("drained", "z1", "m")
+		draining.Leaving = true
+		registry.Put(draining)
+		registry.Remove("drained")
+		registry.Remove("gone")
+		now = now.Add(5 * time.Second)
+		registry.StoreRestored()
+		registry.Replace([]Endpoint{engine("gone", "z1", "m"), engine("drained", "z1", "m"), engine("old", "z1", "m")})
+		usable := func() map[string]bool {
+			found := make(map[string]bool)
+			for _, id := range []string{"gone", "drained", "new", "old"} {
+				var others []string
+				for _, e := range ready {
+					if e.ID != id {
+						others = append(others, e.ID)
+					}
+				}
+				attempt, _ := registry.Start(Work{Service: "llm", Model: "m", Tried: others})
+				found[attempt.Endpoint.ID] = true
+				attempt.Finish(endpoint.OutcomeAnswered)
+			}
+			return found
+		}
+		Expect(usable()).To(Equal(map[string]bool{"new": true, "old": true}), "new registered in what is undone")
+		now = now.Add(relistGrace)
+		Expect(usable()).To(Equal(map[string]bool{"old": true}), "it did not write its entry again")
+		registry.Put(engine("gone", "z1", "m"))
+		registry.Put(engine("drained", "z1", "m"))
+		Expect(usable()).To(Equal(map[string]bool{"old": true, "gone": true}), "it is alive; one that drained never comes back")
+	})
+
 	It("keeps using one that was delisted because of a store outage until two seconds after the outage", func() {
 		registry.Put(engine("e1", "z1", "m"))
 		registry.StoreUnavailable()
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -152,10 +153,10 @@
 		return nil, ErrTruncated
 	case x.mayHaveRun:
 		return nil, &Failure{Reason: ReasonEndpointFailed}
+	case reason == fleet.ReasonTurnedAway:
+		return nil, newRefusal(ReasonOverloaded, cmp.Or(x.forwarder.config.Endpoints.TurnedAwayFor(x.work()), capacityRetryAfter))
 	case reason == fleet.ReasonModelNotHeld || reason == fleet.ReasonAdapterNotHeld:
 		return nil, newRefusal(ReasonNotHeld, loadRetryAfter)
-	case reason == fleet.ReasonFull:
-		return nil, newRefusal(ReasonOverloaded, capacityRetryAfter)
 	default:
 		return nil, newRefusal(ReasonNoEndpoint, capacityRetryAfter)
 	}
@@ -247,6 +248,12 @@
 	if reply.Load != nil {
 		attempt.RecordLoad(*reply.Load)
 	}
+	if reply.Leaving {
+		attempt.AnnounceLeaving()
+	}
+	if reply.TurnedAwayFor > 0 {
+		attempt.TurnAway(reply.TurnedAwayFor)
+	}
 	if reply.NotRun {
 		return x.handleRefusal(attempt, exchange, reply)
 	}
--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -118,7 +118,7 @@
 		logrus.WithFields(logrus.Fields{"model": item.model, "adapter": item.adapter}).Info("no engine can load the adapter now")
 		return &fleetv1.PlaceResponse{}
 	}
-	id := v.endpoint.ID
+	id := v.id
 	if held {
 		return &fleetv1.PlaceResponse{Endpoint: id, ReadyMillis: adapterLoadTime.Milliseconds()}
 	}
@@ -146,7 +146,7 @@
 	least := 0
 	for _, v := range s.currentViews(item.service) {
 		adapters, ok := v.models[item.model]
-		if !ok || v.endpoint.Leaving || v.busy {
+		if !ok || v.endpoint.Leaving || v.busy || s.config.Registry.IsTurnedAway(v.id) {
 			continue
 		}
 		if adapters[item.adapter] && !v.stale {
@@ -189,7 +189,7 @@
 func (s *Service) makeRoom(ctx context.Context, v *view, item itemKey, engine *traffic.Engine) bool {
 	for {
 		if err := s.refreshIfStale(ctx, v); err != nil {
-			logrus.WithError(err).WithField("endpoint", v.endpoint.ID).Info("adapter not loaded")
+			logrus.WithError(err).WithField("endpoint", v.id).Info("adapter not loaded")
 			return false
 		}
 		s.mu.Lock()
@@ -206,7 +206,7 @@
 		if !found {
 			return false
 		}
-		s.announce(v.endpoint.ID, key.model, key.adapter, false)
+		s.announce(v.id, key.model, key.adapter, false)
 		if err := s.order(ctx, v, Order{Action: Unload, Model: key.model, Adapter: key.adapter}, nil); err != nil {
 			return false
 		}
--- a/internal/orders/engines.go
+++ b/internal/orders/engines.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"time"
 
@@ -75,6 +76,18 @@
 	Pending map[string]fleet.Adapters
 }
 
+// TurnedAwayError reports an engine that rejected an order or a request for its
+// report without acting on it, and wants no request from this host for a time.
+type TurnedAwayError struct {
+	Endpoint string
+	Wait     time.Duration
+}
+
+// Error implements error.
+func (e *TurnedAwayError) Error() string {
+	return fmt.Sprintf("engine %s wants no request from this host for %v; the planning cycles leave it out until then", e.Endpoint, e.Wait)
+}
+
 // Engines sends orders to engines and reads their reports.
 type Engines interface {
 	// Order sends an order. It returns an error if the outcome is unknown; the
@@ -86,7 +99,12 @@
 
 // view is the lease holder's view of one engine: its models and adapters after
 // a number of accepted orders.
+//
+// The service's mutex guards all fields but id.
 type view struct {
+	// id identifies the engine.
+	id string
+	// endpoint is the engine's current entry.
 	endpoint fleet.Endpoint
 	// orders counts the orders that the engine has accepted.
 	orders int64
@@ -104,7 +122,7 @@
 type adapterKey struct{ model, adapter string }
 
 func newView(e fleet.Endpoint) *view {
-	v := &view{lastUsed: make(map[adapterKey]time.Time)}
+	v := &view{id: e.ID, lastUsed: make(map[adapterKey]time.Time)}
 	v.reset(e)
 	return v
 }
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
@@ -50,35 +51,67 @@
 		if !s.mayOrder() {
 			return errNotHolder
 		}
-		o.ExpectedOrders, o.FencingToken = v.orders, int64(s.config.Lease.Status().Version)
-		sendCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		result, err := s.config.Engines.Order(sendCtx, v.endpoint, o)
-		cancel()
+		if s.config.Registry.IsTurnedAway(v.id) {
+			return errNotAccepted
+		}
+		o.FencingToken = int64(s.config.Lease.Status().Version)
+		result, err := s.sendOrder(ctx, v, &o)
 		s.logOrder(v, o, result, err)
+		s.recordResult(v, o, result, err)
 		switch {
 		case err != nil:
-			v.stale = true
-		case result == Accepted:
-			v.orders++
-			s.apply(v, o)
-			return nil
-		case result == AlreadyApplied:
-			s.apply(v, o)
-			v.stale = true // the report shows whether the engine counted the order
+		case result == Accepted || result == AlreadyApplied:
 			return nil
 		case result == Conflict:
-			v.stale = true
 			if !retry.Sleep(ctx, maxReportAge) {
 				return ctx.Err()
 			}
 		default:
-			v.stale = true
 			return errNotAccepted
 		}
 	}
 	return errNotAccepted
 }
 
+// sendOrder sends an order on the condition that the engine has accepted as many
+// orders as the view shows, which it sets in o.
+func (s *Service) sendOrder(ctx context.Context, v *view, o *Order) (Result, error) {
+	s.mu.Lock()
+	endpoint := v.endpoint
+	o.ExpectedOrders = v.orders
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	result, err := s.config.Engines.Order(ctx, endpoint, *o)
+	s.recordTurnedAway(endpoint, err)
+	return result, err
+}
+
+// recordTurnedAway keeps requests away from an engine that wants none.
+func (s *Service) recordTurnedAway(endpoint fleet.Endpoint, err error) {
+	var turnedAway *TurnedAwayError
+	if errors.As(err, &turnedAway) {
+		s.config.Registry.TurnAway(endpoint, turnedAway.Wait)
+	}
+}
+
+// recordResult updates the view with the engine's response to an order. The view
+// is stale unless the response shows how many orders the engine has accepted.
+func (s *Service) recordResult(v *view, o Order, result Result, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil && result == Accepted:
+		v.orders++
+		v.apply(o)
+	case err == nil && result == AlreadyApplied:
+		v.apply(o)
+		v.stale = true // the report shows whether the engine counted the order
+	default:
+		v.stale = true
+	}
+}
+
 func (s *Service) logOrder(v *view, o Order, result Result, err error) {
 	outcome := map[Result]string{Accepted: "accepted", AlreadyApplied: "holds", Conflict: "conflict", Refused: "refused"}[result]
 	if err != nil {
@@ -86,7 +119,7 @@
 	}
 	s.metrics.WithLabelValues(o.Action.String(), outcome).Inc()
 	entry := logrus.WithFields(logrus.Fields{
-		"endpoint": v.endpoint.ID, "action": o.Action, "model": o.Model, "adapter": o.Adapter, "after": o.ExpectedOrders, "token": o.FencingToken, "answer": outcome,
+		"endpoint": v.id, "action": o.Action, "model": o.Model, "adapter": o.Adapter, "after": o.ExpectedOrders, "token": o.FencingToken, "answer": outcome,
 	})
 	if err != nil {
 		entry = entry.WithError(err)
@@ -113,7 +146,7 @@
 		return err
 	}
 	if busy && !s.underLock(func() bool { return v.busy }) {
-		return errors.Newf("engine %s is busy with another holder's order; the next planning cycle decides again", v.endpoint.ID)
+		return errors.Newf("engine %s is busy with another holder's order; the next planning cycle decides again", v.id)
 	}
 	return nil
 }
@@ -124,9 +157,16 @@
 func (s *Service) readReport(ctx context.Context, v *view) (busy bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	state, err := s.config.Engines.Report(ctx, v.endpoint)
+	s.mu.Lock()
+	endpoint := v.endpoint
+	s.mu.Unlock()
+	if s.config.Registry.IsTurnedAway(v.id) {
+		return false, errors.Newf("engine %s wants no request from this host for now; the next planning cycle decides again", v.id)
+	}
+	state, err := s.config.Engines.Report(ctx, endpoint)
+	s.recordTurnedAway(endpoint, err)
 	if err != nil {
-		return false, errors.Wrapf(err, "read the report of engine %s", v.endpoint.ID)
+		return false, errors.Wrapf(err, "read the report of engine %s", v.id)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,11 +191,9 @@
 
 // apply enters an accepted order for an adapter into the view. The outcome of
 // an order for a model is read from the engine's reports.
-func (s *Service) apply(v *view, o Order) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (v *view) apply(o Order) {
 	switch {
-	case o.Adapter != "" && o.Action == Load:
+	case o.Adapter != "" && o.Action == Load && v.models[o.Model] != nil:
 		v.models[o.Model][o.Adapter] = true
 	case o.Adapter != "":
 		delete(v.models[o.Model], o.Adapter)
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -194,7 +194,7 @@
 	defer s.mu.Unlock()
 	if status.Held {
 		report.Lease = &fleetv1.Lease{
-			Holder: status.Holder, Incarnation: status.Incarnation, Term: status.Term, Version: int64(status.Version),
+			Holder: status.Holder, Incarnation: status.Incarnation, Term: status.Term, Era: status.Version.Era(), Version: status.Version.Revision(),
 			LeftMillis: status.Until.Sub(clock.Boot()).Milliseconds(),
 		}
 	}
@@ -216,7 +216,7 @@
 		s.setPeerDemand(report)
 	}
 	if l := report.GetLease(); l != nil {
-		s.config.Lease.UpdateFromPeer(lease.Value{Holder: l.GetHolder(), Incarnation: l.GetIncarnation(), Term: l.GetTerm()}, objectstore.Version(l.GetVersion()))
+		s.config.Lease.UpdateFromPeer(lease.Value{Holder: l.GetHolder(), Incarnation: l.GetIncarnation(), Term: l.GetTerm()}, objectstore.NewVersion(l.GetEra(), l.GetVersion()))
 	}
 	for _, h := range report.GetHoldings() {
 		s.config.Registry.RecordHeld(h.GetEndpoint(), h.GetModel(), h.GetAdapter(), h.GetHeld())
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync"
 	"time"
 
@@ -222,6 +223,33 @@
 		Expect(service.demand.total(time.Now(), item)).To(BeZero(), "a report with demand but no entry means no demand")
 	})
 
+	// Fails under 'make race' if a view is used without the service's mutex.
+	It("do not race with planning, reports and the state dump", func() {
+		engines.engines["e1"].drop, engines.engines["e1"].loseResponses = 2, 2
+		llm := service.config.Source.Current().Service("llm")
+		var orders, readers sync.WaitGroup
+		done := make(chan struct{})
+		readers.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					service.planInput(llm)
+					service.DumpState()
+					runtime.Gosched()
+				}
+			}
+		})
+		for i := range 4 {
+			orders.Go(func() { place(fmt.Sprint("a", i)) })
+		}
+		orders.Wait()
+		close(done)
+		readers.Wait()
+		engines.inspect("e1", func(e *fakeEngine) { Expect(e.crashed).To(BeFalse()) })
+	})
+
 	It("keep cold loads within the weight store's rate limit", func() {
 		engine := service.engineConfig("llm")
 		count := 0
--- a/internal/placement/adapters.go
+++ b/internal/placement/adapters.go
@@ -17,7 +17,7 @@
 		adapters = append(adapters, &p.in.Adapters[i])
 	}
 	slices.SortStableFunc(adapters, func(a, b *Adapter) int {
-		return cmp.Or(compareBool(a.Requested, b.Requested), cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Name, b.Name))
 	})
 	for _, adapter := range adapters {
 		if p.adapterCopies(adapter) == 0 {
@@ -30,17 +30,6 @@
 	}
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // nodesWithBaseModel returns the endpoints that have a stable replica of the
 // adapter's model, in any version.
 func (p *planner) nodesWithBaseModel(adapter *Adapter) []*node {
@@ -115,18 +104,13 @@
 		return
 	}
 	p.budget.AdapterLoads--
-	reason := ReasonSpread
-	if adapter.Requested {
-		reason = ReasonRequested
-	}
-	p.emit(Step{Endpoint: n.Name, Action: engineapi.ActionLoadAdapter, Item: item, Bytes: adapter.Bytes, Weights: item.Adapter, Reason: reason})
+	p.emit(Step{Endpoint: n.Name, Action: engineapi.ActionLoadAdapter, Item: item, Bytes: adapter.Bytes, Weights: item.Adapter, Reason: ReasonSpread})
 }
 
 // evictAdapters unloads the adapters with the least demand until the needed
 // bytes will be free, and reports whether it did. It unloads only adapters that
-// other endpoints of the zone also have. If a request waits for the adapter, the
-// last copy of an adapter that no request waits for may be unloaded as well; it
-// is loaded again on demand. If that would not free enough, nothing is unloaded.
+// other endpoints of the zone also have. If that would not free enough, nothing is
+// unloaded.
 func (p *planner) evictAdapters(adapter *Adapter, n *node, needed int64) bool {
 	var victims []*Adapter
 	for i := range p.in.Adapters {
@@ -135,7 +119,7 @@
 		if !status.Stable() || status.LoadInFlight || other == adapter {
 			continue
 		}
-		if p.adapterCopies(other) > 1 || (adapter.Requested && !other.Requested) {
+		if p.adapterCopies(other) > 1 {
 			victims = append(victims, other)
 		}
 	}
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -13,8 +13,6 @@
 const (
 	// ReasonUnreachable: no replica of the model is ready in any zone.
 	ReasonUnreachable Reason = "model_unreachable"
-	// ReasonRequested: a request waits for the model or adapter.
-	ReasonRequested Reason = "request_waits"
 	// ReasonVersion: the serving version changed.
 	ReasonVersion Reason = "serving_version"
 	// ReasonMinimum: the model has fewer replicas than the policy's minimum,
@@ -93,8 +91,6 @@
 	MaxReplicas int
 	// Demand is in tokens per second over all zones.
 	Demand float64
-	// Requested is set while a request waits for the model.
-	Requested bool
 }
 
 // Adapter is a plan's input for one adapter.
@@ -106,8 +102,6 @@
 	Bytes int64
 	// Demand is in tokens per second over all zones.
 	Demand float64
-	// Requested is set while a request waits for the adapter.
-	Requested bool
 }
 
 // Budget is the number of loads that one plan may start.
--- a/internal/placement/owner/dump.go
+++ b/internal/placement/owner/dump.go
@@ -12,7 +12,6 @@
 	Held      bool            `json:"held"`
 	Term      int64           `json:"term"`
 	Holder    string          `json:"holder"`
-	Requested []string        `json:"wanted"`
 	Endpoints []endpointState `json:"endpoints"`
 }
 
@@ -45,9 +44,6 @@
 	for _, name := range sortedNames(o.intentCache) {
 		state.Endpoints = append(state.Endpoints, o.dumpIntents(o.intentCache[name]))
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	state.Requested = sortedNames(o.requested)
 	return state
 }
 
--- a/internal/placement/owner/input.go
+++ b/internal/placement/owner/input.go
@@ -16,12 +16,11 @@
 	snapshot := o.cfg.Source.Current()
 	o.recordReady(views, now)
 	demand := o.smoothedDemand(now)
-	requested := o.requestedNames(now)
 	return placement.Input{
 		Zone:       o.cfg.Zone,
 		Endpoints:  o.planEndpoints(views),
-		Models:     models(snapshot, demand, requested),
-		Adapters:   adapters(snapshot, demand, requested),
+		Models:     models(snapshot, demand),
+		Adapters:   adapters(snapshot, demand),
 		Budget:     o.budget.available(now, countLoadsInFlight(views), o.weightStoreZones(views)),
 		Tuning:     o.cfg.Tuning,
 		ReadySince: o.readySince,
@@ -48,7 +47,7 @@
 	return endpoints
 }
 
-func models(snapshot *config.Snapshot, demand map[string]float64, requested map[string]bool) []placement.Model {
+func models(snapshot *config.Snapshot, demand map[string]float64) []placement.Model {
 	policies := policyIndex(snapshot)
 	var out []placement.Model
 	for _, m := range snapshot.Models() {
@@ -66,7 +65,6 @@
 			MinPerZone:  int(policy.GetMinReplicasPerZone()),
 			MaxReplicas: int(policy.GetMaxReplicas()),
 			Demand:      demand[m.GetName()],
-			Requested:   requested[m.GetName()],
 		})
 	}
 	return out
@@ -99,15 +97,14 @@
 	return p.defaultPolicy
 }
 
-func adapters(snapshot *config.Snapshot, demand map[string]float64, requested map[string]bool) []placement.Adapter {
+func adapters(snapshot *config.Snapshot, demand map[string]float64) []placement.Adapter {
 	var out []placement.Adapter
 	for _, a := range snapshot.Adapters() {
 		out = append(out, placement.Adapter{
-			Name:      a.GetName(),
-			Model:     a.GetModel(),
-			Bytes:     a.GetMemoryBytes(),
-			Demand:    demand[a.GetName()],
-			Requested: requested[a.GetName()],
+			Name:   a.GetName(),
+			Model:  a.GetModel(),
+			Bytes:  a.GetMemoryBytes(),
+			Demand: demand[a.GetName()],
 		})
 	}
 	return out
@@ -176,22 +173,6 @@
 	return next
 }
 
-// requestedNames returns the names for which RequestLoad was called within
-// loadRequestLifetime, and drops the older ones.
-func (o *Owner) requestedNames(now time.Time) map[string]bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	names := make(map[string]bool, len(o.requested))
-	for name, at := range o.requested {
-		if now.Sub(at) > loadRequestLifetime {
-			delete(o.requested, name)
-			continue
-		}
-		names[name] = true
-	}
-	return names
-}
-
 // loadsInFlight is the number of loads in the zone that have not ended.
 type loadsInFlight struct {
 	models   int
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -32,9 +32,6 @@
 	DefaultDemandWindow  = time.Minute
 )
 
-// loadRequestLifetime is the time for which a call of RequestLoad takes effect.
-const loadRequestLifetime = 30 * time.Second
-
 // LeaseName returns the name of the lease for a zone's endpoints.
 func LeaseName(zone string) string { return "placement-" + zone }
 
@@ -158,12 +155,10 @@
 	cfg      Config
 	sender   string
 	metrics  ownerMetrics
-	wake     chan struct{}
 	inFlight sync.WaitGroup
 
 	mu            sync.Mutex
 	trackedOrders map[string]*trackedOrder
-	requested     map[string]time.Time
 
 	// cycleMu guards the fields below, which Cycle uses.
 	cycleMu     sync.Mutex
@@ -182,30 +177,14 @@
 		cfg:           cfg,
 		sender:        cfg.Host + "/" + cfg.Incarnation,
 		metrics:       newOwnerMetrics(),
-		wake:          make(chan struct{}, 1),
 		trackedOrders: make(map[string]*trackedOrder),
-		requested:     make(map[string]time.Time),
 		intentCache:   make(map[string]*cachedIntents),
 		budget:        loadBudget{limits: cfg.WeightStoreLimits, tokens: 1},
 		readySince:    make(map[placement.Replica]time.Time),
 	}
 }
 
-// RequestLoad records that a request waits for a model or adapter that no
-// reachable endpoint has, and starts a cycle. It is a hint: the load may not be
-// possible.
-func (o *Owner) RequestLoad(name string) {
-	o.mu.Lock()
-	o.requested[name] = o.cfg.Now()
-	o.mu.Unlock()
-	select {
-	case o.wake <- struct{}{}:
-	default:
-	}
-}
-
-// Serve runs a cycle at every Interval and after each call of RequestLoad, until
-// ctx is done. It implements suture.Service.
+// Serve runs a cycle at every Interval until ctx is done. It implements suture.Service.
 func (o *Owner) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(o.cfg.Interval)
 	defer ticker.Stop()
@@ -218,7 +197,6 @@
 			o.shutdown()
 			return ctx.Err()
 		case <-ticker.C:
-		case <-o.wake:
 		}
 	}
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -17,7 +17,6 @@
 	p.placeUnreachable()
 	p.switchVersions()
 	p.placeMinimum()
-	p.placeRequested()
 	p.placeAdapters()
 	p.placeSecondZone()
 	p.spreadLoad()
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -44,6 +44,22 @@
 }
 
 var _ = Describe("Plan", func() {
+	// The removal of v moves 100 tokens/s to e2, which then has 850: below the
+	// 900 that the relief of the hot endpoint aims at, but not a tenth below it.
+	It("evicts a replica whose other endpoints stay within the load that the relief aims at", func() {
+		hot, v, w := model("hot", 4*gib), model("v", 4*gib), model("w", 4*gib)
+		hot.Demand, v.Demand, w.Demand = 1000, 200, 650
+		in := placement.Input{
+			Zone: "z1", Models: []placement.Model{hot, v, w}, Budget: placement.Budget{ModelLoads: 4},
+			Tuning: placement.Tuning{EndpointTokensPerSecond: 1000},
+			Endpoints: []placement.Endpoint{
+				endpoint("e0", "z1", 4*gib, &hot), endpoint("e1", "z1", 4*gib, &v), endpoint("e2", "z1", 8*gib, &v, &w),
+			},
+		}
+		Expect(placement.Plan(&in)).To(ContainElement(And(
+			HaveField("Endpoint", "e1"), HaveField("Action", engineapi.ActionUnloadModel), HaveField("Item.Model", "v"))))
+	})
+
 	It("keeps the serving version reachable while it changes", func() {
 		m := model("m", 4*gib)
 		old := m
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -99,8 +99,8 @@
 // surplus reports whether the replica can be removed to make room for demand. It
 // must have passed MinResidence, and the demand that would move to each of the
 // other replicas must be negligible, or their endpoints must stay within LowLoad
-// or at least minGain below relieved, the load that the removal helps to relieve.
-func (p *planner) surplus(m *modelState, n *node, relieved float64) bool {
+// or target, the highest load that the relief of another endpoint aims at.
+func (p *planner) surplus(m *modelState, n *node, target float64) bool {
 	if !p.canRemove(m, n) || m.replicas() < 2 || p.withinMinResidence(m, n) {
 		return false
 	}
@@ -108,7 +108,7 @@
 	if extra <= idleFraction*p.tuning.EndpointTokensPerSecond {
 		return true
 	}
-	limit := max(p.tuning.LowLoad*p.tuning.EndpointTokensPerSecond, (1-minGain)*relieved)
+	limit := max(p.tuning.LowLoad*p.tuning.EndpointTokensPerSecond, target)
 	overloaded := func(other *node) bool { return other != n && other.load+extra > limit }
 	return !slices.ContainsFunc(m.local, overloaded) && !slices.ContainsFunc(m.remote, overloaded)
 }
--- a/internal/placement/stages.go
+++ b/internal/placement/stages.go
@@ -54,12 +54,12 @@
 }
 
 // placeUnreachable loads models that are ready in no zone. A zone loads the
-// model if it is the model's recovery zone or a request waits for the model here.
+// model if it is the model's recovery zone.
 func (p *planner) placeUnreachable() {
 	var pending []*modelState
 	for _, m := range p.models {
 		unready := len(m.local) == 0 && !m.remoteReady && !m.oldReady
-		if unready && (m.Requested || recoveryZoneOf(m.Model, p.zones) == p.in.Zone) {
+		if unready && recoveryZoneOf(m.Model, p.zones) == p.in.Zone {
 			pending = append(pending, m)
 		}
 	}
@@ -131,26 +131,9 @@
 	p.placeAll(byPriority(pending), ReasonSpread, false)
 }
 
-// placeRequested loads models that a request of this zone waits for and that only
-// other zones have.
-func (p *planner) placeRequested() {
-	var pending []*modelState
-	for _, m := range p.models {
-		if m.Requested && len(m.local) == 0 && !m.atMaxReplicas() {
-			pending = append(pending, m)
-		}
-	}
-	p.placeAll(byPriority(pending), ReasonRequested, true)
-}
-
+// byPriority sorts models by demand, the highest first.
 func byPriority(models []*modelState) []*modelState {
 	slices.SortStableFunc(models, func(a, b *modelState) int {
-		if a.Requested != b.Requested {
-			if a.Requested {
-				return -1
-			}
-			return 1
-		}
 		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Name, b.Name))
 	})
 	return models
--- a/internal/traffic/config.go
+++ b/internal/traffic/config.go
@@ -43,9 +43,6 @@
 	// LatencyObjective is the objective for the time to the response, or to the
 	// first event of a stream.
 	LatencyObjective time.Duration
-	// EventGapObjective is the objective for the longest time between two
-	// events of a stream.
-	EventGapObjective time.Duration
 	// Priority is the route's priority; 0 is the highest.
 	Priority int
 	Targets  []Target
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -16,9 +16,6 @@
 	Host string
 	Path string
 	Key  string
-	// Arrived is when the host began to handle the request, before it read the
-	// body.
-	Arrived time.Time
 	// Deadline is when the caller stops waiting. Zero means that the caller
 	// declared none.
 	Deadline time.Time
