Reclaim the units of hosts that the platform has removed, and leave no remainder

Cause: units of an entry whose reclaimers all died waited for the long lease (12 h): nobody was left to consent. Change: once the platform's host list has omitted a host for 5 s, in lists that name the reading host, any host marks its entry and frees it after the short and floor leases; a holder that is alive removes the mark. One process below its share takes a small remainder. The host list is read each 6 s, and each 2 s while it omits the reader.

--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +16,11 @@
 const (
 	gossipInterval = time.Second
 	gossipFanOut   = 3
-	listInterval   = 10 * time.Second
-	listTimeout    = 3 * time.Second
+	// listInterval is the time between two reads of the host list, and
+	// listRetryInterval the time while the list does not name this host yet.
+	listInterval      = 6 * time.Second
+	listRetryInterval = 2 * time.Second
+	listTimeout       = 3 * time.Second
 )
 
 // Gossiper sends a gossip message to a peer.
@@ -53,10 +57,13 @@
 // Service keeps a Table up to date by gossip with peers and from the platform's
 // host list. It is safe for concurrent use.
 type Service struct {
-	config     ServiceConfig
-	mu         sync.Mutex
-	table      *Table
-	random     *rand.Rand
+	config ServiceConfig
+	mu     sync.Mutex
+	table  *Table
+	random *rand.Rand
+	// listed are the hosts in the platform's host list, as read at listReadAt.
+	listed     []string
+	listReadAt time.Time
 	extensions []Extension
 	revision   func() int64
 }
@@ -124,9 +131,8 @@
 func (s *Service) Serve(ctx context.Context) error {
 	gossip := time.NewTicker(s.config.Interval)
 	defer gossip.Stop()
-	list := time.NewTicker(listInterval)
+	list := time.NewTimer(0)
 	defer list.Stop()
-	go s.refreshHostList(ctx)
 	s.Round(ctx)
 	for {
 		select {
@@ -134,6 +140,7 @@
 			return ctx.Err()
 		case <-list.C:
 			go s.refreshHostList(ctx)
+			list.Reset(s.listPause())
 		case <-gossip.C:
 			s.Round(ctx)
 		}
@@ -197,24 +204,48 @@
 	}
 }
 
+// listPause returns the time until the next read of the host list.
+func (s *Service) listPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Contains(s.listed, s.table.Self().Name) {
+		return listInterval
+	}
+	return listRetryInterval
+}
+
 func (s *Service) refreshHostList(ctx context.Context) {
 	if s.config.Lister == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	readAt := s.config.Now()
 	listed, err := s.config.Lister.Hosts(ctx)
 	if err != nil {
 		logrus.WithError(err).Debug("host list unavailable")
 		return
 	}
 	urls := make(map[string]string, len(listed))
+	names := make([]string, 0, len(listed))
 	for _, host := range listed {
 		urls[host.Name] = host.PeerURL
+		names = append(names, host.Name)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.SetHostList(urls)
+	if readAt.After(s.listReadAt) {
+		s.listed, s.listReadAt = names, readAt
+	}
+}
+
+// ListedHosts returns the names of the hosts in the platform's host list as last
+// read, and when that read was sent. The time is zero if no read succeeded yet.
+func (s *Service) ListedHosts() (names []string, readAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed, s.listReadAt
 }
 
 // State is the state that DumpState returns.
--- a/internal/ratelimit/edit.go
+++ b/internal/ratelimit/edit.go
@@ -231,6 +231,11 @@
 	if entry.Mark != nil && s.planFree(edit, entry, now) {
 		return
 	}
+	if s.unlisted(entry.Host) && entry.Mark == nil && deadFor >= s.config.DeadAfter {
+		edit.Next.Entry(entry.Incarnation).Mark = &Mark{ID: edit.ID + "/" + entry.Incarnation}
+		edit.changed = true
+		return
+	}
 	if slices.Contains(entry.Reclaimers, s.self.Incarnation) {
 		if deadFor >= s.config.DeadAfter {
 			s.planConsent(edit, entry, now)
@@ -273,12 +278,14 @@
 // planFree frees the units whose leases have expired, counted from when this
 // host first observed the mark, and reports whether it freed any. If all
 // reclaimers have consented, a reclaimer frees the units above the floor after
-// the short lease and the rest after the floor lease. Any host frees all units
-// after the long lease.
+// the short lease and the rest after the floor lease. So does any host if the
+// platform has removed the holder's host. Any host frees all units after the
+// long lease.
 func (s *ShareLease) planFree(edit *Edit, entry *Entry, now time.Time) bool {
 	markedFor := now.Sub(s.markSeenAt[entry.Mark.ID])
 	free := markedFor >= s.config.withDrift(s.config.Long)
-	if entry.AllConsent() && slices.Contains(entry.Reclaimers, s.self.Incarnation) {
+	consented := entry.AllConsent() && slices.Contains(entry.Reclaimers, s.self.Incarnation)
+	if consented || s.unlisted(entry.Host) {
 		free = free || markedFor >= s.config.withDrift(s.config.Floor)
 		if !free && markedFor >= s.config.withDrift(s.config.Short) && entry.Units > entry.Floor {
 			edit.Next.Entry(entry.Incarnation).Units = entry.Floor
--- a/internal/ratelimit/ledger.go
+++ b/internal/ratelimit/ledger.go
@@ -118,7 +118,7 @@
 func (l *Ledger) DesiredUnits(self string, active []string) int64 {
 	target := TotalUnits / int64(max(1, len(active)))
 	units := l.units(self)
-	if gain := min(target-units, l.Free()); gain > 0 && (units == 0 || gain >= target/16) {
+	if gain := min(target-units, l.Free()); gain > 0 && (units == 0 || gain >= target/16 || l.takesRemainder(self, active, target)) {
 		return units + gain
 	}
 	if l.Free() >= target/4 {
@@ -135,6 +135,13 @@
 	return units
 }
 
+// takesRemainder reports whether self is the one process below its equal share
+// that takes free units which are too few for a write by every such process.
+func (l *Ledger) takesRemainder(self string, active []string, target int64) bool {
+	below := l.incarnationsBelow(active, target)
+	return len(below) > 0 && slices.Min(below) == self
+}
+
 func (l *Ledger) units(incarnation string) int64 {
 	if e := l.Entry(incarnation); e != nil {
 		return e.Units
--- a/internal/ratelimit/share_lease.go
+++ b/internal/ratelimit/share_lease.go
@@ -112,6 +112,9 @@
 	// consentedAt is when this host last consented to a reclaim, by the
 	// holder's incarnation.
 	consentedAt map[string]time.Time
+	// absences holds the hosts with ledger entries that the platform's host list
+	// omits, by name.
+	absences map[string]absence
 }
 
 // NewShareLease returns the share lease of the process self, which holds no
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -33,6 +33,9 @@
 type Members interface {
 	Self() membership.Host
 	Hosts() []membership.Host
+	// ListedHosts returns the platform's host list and when it was read. The
+	// time is zero if it was not read yet.
+	ListedHosts() (names []string, readAt time.Time)
 }
 
 // Peers sends requests to other hosts at their base URLs.
--- a/internal/shares/sync.go
+++ b/internal/shares/sync.go
@@ -140,11 +140,13 @@
 // changed.
 func (s *Service) plan() (edit *ratelimit.Edit) {
 	hosts := s.config.Members.Hosts()
+	listed, listedAt := s.config.Members.ListedHosts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.config.Now()
 	minUnits := s.limiter.LentUnits(now)
 	s.limiter.WithShareLease(now, func(lease *ratelimit.ShareLease) {
+		lease.ObserveHostList(listed, listedAt)
 		if edit = lease.Plan(now, hosts, minUnits, newID()); edit != nil {
 			lease.Begin(edit)
 		}
