--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -102,6 +102,7 @@
 		m.SetSourceSelector(func() mirror.Source { return c.source(m.Kind()) })
 	}
 	h.exchange.SetFollowHandler(c.follow)
+	h.adapter.Store().OnRestore(c.handleRestore)
 	h.adapter.SetWatchWait(watcherWait)
 	return c
 }
@@ -125,7 +126,8 @@
 	for kind, m := range c.mirrors {
 		if reading := m.Reading(); !reading.LastResponse.IsZero() {
 			report.Readings = append(report.Readings, &fleetv1.Reading{
-				Kind: string(kind), Changed: int64(reading.Changed), AgeMillis: now.Sub(reading.LastResponse).Milliseconds(),
+				Kind: string(kind), Era: reading.Changed.Era(), Changed: reading.Changed.Revision(),
+				AgeMillis: now.Sub(reading.LastResponse).Milliseconds(),
 			})
 		}
 	}
@@ -135,6 +137,7 @@
 // has seen a change that does not arrive here in time.
 func (c *watchCoordinator) HandleReport(report *fleetv1.Report, _ bool) {
 	now := time.Now()
+	c.observeEra(report)
 	lagging := c.processReport(now, report)
 	if len(lagging) == 0 {
 		return
@@ -145,6 +148,27 @@
 	}
 }
 
+// observeEra passes on the era of the store that a peer has seen, so that this host
+// need not reach the store to learn of a restore.
+func (c *watchCoordinator) observeEra(report *fleetv1.Report) {
+	for _, reading := range report.GetReadings() {
+		if era := reading.GetEra(); era > 0 {
+			c.host.adapter.Store().ObserveEra(era)
+		}
+	}
+}
+
+// handleRestore is called when the store has been restored from an older copy. All
+// kinds are listed again, and endpoints missing from the copy stay usable for a
+// moment, in which live ones write their entries again.
+func (c *watchCoordinator) handleRestore(era int64) {
+	logrus.WithField("era", era).Info("listing all kinds again after the store's restore")
+	c.host.endpoints.StoreRestored()
+	for _, m := range c.served {
+		m.Refresh()
+	}
+}
+
 // processReport processes a peer's report and returns the mirrors that have to
 // list again.
 func (c *watchCoordinator) processReport(now time.Time, report *fleetv1.Report) []*mirror.Mirror {
@@ -155,7 +179,7 @@
 	for _, peerReading := range report.GetReadings() {
 		if m, ok := c.mirrors[objectstore.Kind(peerReading.GetKind())]; ok {
 			oldestAge = max(oldestAge, time.Duration(peerReading.GetAgeMillis())*time.Millisecond)
-			if c.checkLag(now, m, objectstore.Version(peerReading.GetChanged())) != keepWaiting {
+			if c.checkLag(now, m, objectstore.NewVersion(peerReading.GetEra(), peerReading.GetChanged())) != keepWaiting {
 				lagging = append(lagging, m)
 			}
 		}
@@ -180,6 +204,7 @@
 		p = &watcherPeer{zone: report.GetZone()}
 		p.source = &watcherSource{exchange: c.host.exchange, address: report.GetAddress()}
 		p.source.onFailure = func() { c.watcherFailed(p.source) }
+		p.source.observeEra = c.host.adapter.Store().ObserveEra
 		c.watchers[name] = p
 	}
 	p.validUntil = now.Add(maxProofAge + c.host.exchange.Interval() - oldestAge)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,7 +56,7 @@
 // endpoints.
 type Adapter interface {
 	// Store returns the client of the platform's object store.
-	Store() objectstore.Store
+	Store() objectstore.RestorableStore
 	// Collectors returns the adapter's own metrics.
 	Collectors() []prometheus.Collector
 	// SetWatchWait sets how long the store holds a watch open without events.
@@ -175,6 +175,7 @@
 		// the same lease holder.
 		Store: h.adapter.Store(), Name: placementLease, Host: s.Host.Name, Incarnation: s.Host.Name,
 		Duration: duration, RenewalInterval: duration / renewalsPerLease, Now: clock.Boot,
+		Era: h.adapter.Store().Era, FirstStart: s.FirstStart,
 	})
 	h.orders = orders.New(orders.Config{
 		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -29,11 +29,11 @@
 		return nil, twirp.NewError(twirp.Unavailable, "this host is not on lookout; follow another")
 	}
 	wait := min(time.Duration(request.GetWaitMillis())*time.Millisecond, followWait)
-	update := m.Follow(ctx, objectstore.Version(request.GetAfter()), wait)
-	response := &fleetv1.FollowResponse{Covered: int64(update.Covered), Whole: update.Whole}
+	update := m.Follow(ctx, objectstore.NewVersion(request.GetEra(), request.GetAfter()), wait)
+	response := &fleetv1.FollowResponse{Era: update.Covered.Era(), Covered: update.Covered.Revision(), Whole: update.Whole}
 	for _, event := range update.Events {
 		response.Changes = append(response.Changes, &fleetv1.Change{
-			Name: event.Object.Name, Version: int64(event.Version), Removed: event.Type == objectstore.EventDelete, Value: event.Object.Value,
+			Name: event.Object.Name, Version: event.Version.Revision(), Removed: event.Type == objectstore.EventDelete, Value: event.Object.Value,
 		})
 	}
 	return response, nil
@@ -52,24 +52,34 @@
 type watcherSource struct {
 	exchange *exchange.Service
 	address  string
-	// onFailure is called when a call to the peer fails.
-	onFailure func()
+	// onFailure is called when a call to the peer fails, observeEra with the era of
+	// the store that a response shows.
+	onFailure  func()
+	observeEra func(era int64)
 }
 
 func (s *watcherSource) fetchChanges(ctx context.Context, kind objectstore.Kind, after objectstore.Version, wait time.Duration) (*fleetv1.FollowResponse, error) {
 	response, err := s.exchange.FollowPeer(ctx, s.address, &fleetv1.FollowRequest{
-		Kind: string(kind), After: int64(after), WaitMillis: wait.Milliseconds(),
+		Kind: string(kind), Era: after.Era(), After: after.Revision(), WaitMillis: wait.Milliseconds(),
 	})
 	if err != nil && ctx.Err() == nil {
 		s.onFailure()
 	}
+	if era := response.GetEra(); era > 0 {
+		s.observeEra(era)
+	}
 	return response, errors.Wrapf(err, "follow the lookout at %s", s.address)
 }
 
+// covered returns the version up to which a response includes all changes.
+func covered(response *fleetv1.FollowResponse) objectstore.Version {
+	return objectstore.NewVersion(response.GetEra(), response.GetCovered())
+}
+
 func events(kind objectstore.Kind, response *fleetv1.FollowResponse) []objectstore.Event {
 	list := make([]objectstore.Event, 0, len(response.GetChanges()))
 	for _, change := range response.GetChanges() {
-		event := objectstore.Event{Type: objectstore.EventPut, Version: objectstore.Version(change.GetVersion())}
+		event := objectstore.Event{Type: objectstore.EventPut, Version: objectstore.NewVersion(response.GetEra(), change.GetVersion())}
 		event.Object = objectstore.Object{Kind: kind, Name: change.GetName(), Version: event.Version, Value: change.GetValue()}
 		if change.GetRemoved() {
 			event.Type = objectstore.EventDelete
@@ -85,7 +95,7 @@
 	if err != nil {
 		return objectstore.Listing{}, err
 	}
-	listing := objectstore.Listing{Version: objectstore.Version(response.GetCovered())}
+	listing := objectstore.Listing{Version: covered(response)}
 	for _, event := range events(kind, response) {
 		listing.Items = append(listing.Items, event.Object)
 	}
@@ -99,10 +109,9 @@
 		if err != nil {
 			return nil, err
 		}
-		covered := objectstore.Version(response.GetCovered())
-		if response.GetWhole() {
-			return nil, &objectstore.CompactedError{Oldest: covered}
+		if response.GetWhole() || response.GetEra() != after.Era() {
+			return nil, &objectstore.CompactedError{Oldest: covered(response)}
 		}
-		return append(events(kind, response), objectstore.Event{Type: objectstore.EventBookmark, Version: covered}), nil
+		return append(events(kind, response), objectstore.Event{Type: objectstore.EventBookmark, Version: covered(response)}), nil
 	}), nil
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -100,6 +100,8 @@
 	participants []Participant
 	// followHandler serves peers that follow this host; nil rejects them.
 	followHandler func(ctx context.Context, request *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error)
+	// entryLost signals that the store lacks this host's entry.
+	entryLost chan struct{}
 	// placeHandler serves requests for models and adapters; if nil, the
 	// response is empty.
 	placeHandler func(ctx context.Context, request *fleetv1.PlaceRequest) *fleetv1.PlaceResponse
@@ -109,6 +111,8 @@
 	clients map[string]fleetv1.Fleet
 	// inFlight holds the peers to which a report is in flight.
 	inFlight map[string]bool
+	// registered is set once this host's entry was written.
+	registered bool
 	// rounds counts the rounds of reports.
 	rounds int
 	// cachedResponse is the report last built as a response, at cachedAt.
@@ -123,7 +127,8 @@
 	transport := &http.Transport{DialContext: upstream.Dial, MaxIdleConnsPerHost: 2, DisableCompression: true}
 	return &Service{
 		config: cfg, started: time.Now(), client: &http.Client{Transport: transport},
-		roster: newRoster(cfg.Host), clients: make(map[string]fleetv1.Fleet), inFlight: make(map[string]bool),
+		entryLost: make(chan struct{}, 1),
+		roster:    newRoster(cfg.Host), clients: make(map[string]fleetv1.Fleet), inFlight: make(map[string]bool),
 	}
 }
 
@@ -154,7 +159,7 @@
 // Serve registers this host in the store and reports to the peers until ctx is
 // cancelled.
 func (s *Service) Serve(ctx context.Context) error {
-	go s.register(ctx)
+	go s.keepRegistered(ctx)
 	for {
 		s.sendRound(ctx)
 		if !retry.Sleep(ctx, s.Interval()) {
@@ -170,6 +175,21 @@
 	return s.roster.interval()
 }
 
+// keepRegistered writes this host's entry at the start and whenever the store has
+// lost it, until ctx is cancelled.
+func (s *Service) keepRegistered(ctx context.Context) {
+	s.register(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.entryLost:
+			logrus.Info("the store lacks this host's entry; writing it again")
+			s.register(ctx)
+		}
+	}
+}
+
 // register writes this host's entry, replacing one of an earlier incarnation. It
 // retries until it succeeds or ctx is cancelled.
 func (s *Service) register(ctx context.Context) {
@@ -182,6 +202,9 @@
 	for {
 		err := s.writeEntry(ctx, value)
 		if err == nil {
+			s.mu.Lock()
+			s.registered = true
+			s.mu.Unlock()
 			return
 		}
 		logrus.WithError(err).Warn("writing this host's store entry failed; retrying")
@@ -198,7 +221,7 @@
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	if conflict.Current.WriteID == writeID {
+	if conflict.Current.WriteID == writeID || s.isOwnEntry(conflict.Current) {
 		return nil
 	}
 	_, err = store.Update(ctx, KindHost, s.config.Host, conflict.Current.Version, writeID, value)
@@ -209,9 +232,24 @@
 func (s *Service) Replace(listing objectstore.Listing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	ownEntry := false
 	for _, item := range listing.Items {
 		s.applyEntry(item)
+		ownEntry = ownEntry || item.Name == s.config.Host && s.isOwnEntry(item)
 	}
+	// The listing may be older than the entry, so that the write changes nothing.
+	if s.registered && !ownEntry {
+		select {
+		case s.entryLost <- struct{}{}:
+		default: // the entry is about to be written
+		}
+	}
+}
+
+// isOwnEntry reports whether an entry is that of this process.
+func (s *Service) isOwnEntry(object objectstore.Object) bool {
+	var entry hostEntry
+	return json.Unmarshal(object.Value, &entry) == nil && entry.Incarnation == s.config.Incarnation
 }
 
 // Apply implements mirror.Handler.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -22,6 +22,8 @@
 	Incarnation string `json:"incarnation"`
 	// Term increases each time that the holder changes. It starts at 1.
 	Term int64 `json:"term"`
+	// Era is the era of the store in which the value was written.
+	Era int64 `json:"era,omitempty"`
 }
 
 // view is a candidate's copy of the stored lease. The zero value is that of a
@@ -43,23 +45,30 @@
 const (
 	actionWait action = iota
 	actionRenew
+	// actionReacquire writes the lease that the candidate holds since an earlier
+	// era of the store.
+	actionReacquire
 	actionAcquire
 )
 
 // next returns the action that the view calls for. A candidate takes a lease
 // over when its version has not changed for the duration, measured by the
-// candidate's own clock.
-func (v *view) next(self Value, now time.Time, duration time.Duration) action {
+// candidate's own clock. A lease of an earlier era of the store may not be the last
+// one of that era; see eraState.
+func (v *view) next(self Value, now time.Time, duration time.Duration, eras eraState) action {
+	settled := v.exists && v.value.Era == eras.era || eras.settled(now, duration)
 	switch {
-	case !v.exists || v.value.Holder == "":
-		return actionAcquire
-	case v.heldBy(self):
+	case eras.carried(now):
+		return actionReacquire
+	case v.heldBy(self) && settled && (v.value.Era == eras.era || eras.unrestored):
 		return actionRenew
-	case now.Sub(v.unchangedSince) >= duration:
+	case v.exists && v.value.Holder != "" && !v.heldBy(self):
+		settled = settled && now.Sub(v.unchangedSince) >= duration
+	}
+	if settled {
 		return actionAcquire
-	default:
-		return actionWait
 	}
+	return actionWait
 }
 
 // heldBy reports whether self is the stored holder, expired or not.
@@ -72,15 +81,21 @@
 	return v.heldBy(self) && !v.validFrom.IsZero() && now.Sub(v.validFrom) < duration
 }
 
+func decodeValue(obj objectstore.Object) (Value, error) {
+	var value Value
+	err := json.Unmarshal(obj.Value, &value)
+	return value, errors.Wrapf(err, "decode lease %s", obj.Name)
+}
+
 // observe updates the view from an object that was read or written. Versions
 // older than the view's are ignored.
 func (v *view) observe(obj objectstore.Object, now time.Time) error {
 	if v.exists && obj.Version < v.object.Version {
 		return nil
 	}
-	var value Value
-	if err := json.Unmarshal(obj.Value, &value); err != nil {
-		return errors.Wrapf(err, "decode lease %s", obj.Name)
+	value, err := decodeValue(obj)
+	if err != nil {
+		return err
 	}
 	if !v.exists || obj.Version != v.object.Version {
 		v.unchangedSince = now
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -38,6 +38,12 @@
 	RenewalInterval time.Duration
 	// Now returns the current time. Nil means time.Now.
 	Now func() time.Time
+	// Era returns the store's era and whether it is known yet. Nil means that the
+	// store has no eras.
+	Era func() (era int64, known bool)
+	// FirstStart reports that the whole system starts for the first time, so that
+	// a missing lease was not lost in a restore of the store.
+	FirstStart bool
 }
 
 // Status is the state of a lease as seen by a candidate.
@@ -72,6 +78,7 @@
 
 	mu   sync.Mutex
 	view view
+	eras eraState
 	// minTerm is the least term of the next write, as set by RaiseTerm.
 	minTerm int64
 	// changed is the channel that Changed returns.
@@ -106,6 +113,7 @@
 func (l *Lease) Status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.enterCurrentEra()
 	status := Status{
 		Held:    l.view.mayAct(l.self, l.cfg.Now(), l.cfg.Duration),
 		Term:    l.view.value.Term,
@@ -154,8 +162,21 @@
 }
 
 // Step reads the lease if necessary, and acquires or renews it if due. Serve
-// calls it once per renewal interval.
+// calls it once per renewal interval. If a response shows that the store was
+// restored, Step writes the lease again at once if this candidate held it.
 func (l *Lease) Step(ctx context.Context) error {
+	err := l.step(ctx)
+	l.mu.Lock()
+	l.enterCurrentEra()
+	again := l.eras.carried(l.cfg.Now())
+	l.mu.Unlock()
+	if err == nil && again {
+		return l.step(ctx)
+	}
+	return err
+}
+
+func (l *Lease) step(ctx context.Context) error {
 	if !l.heldBySelf() && !l.recentlyReported() {
 		if err := l.read(ctx); err != nil {
 			return err
@@ -163,14 +184,18 @@
 	}
 	startedAt := l.cfg.Now()
 	l.mu.Lock()
-	current, minTerm := l.view, l.minTerm
+	l.enterCurrentEra()
+	current, minTerm, eras := l.view, l.minTerm, l.eras
 	l.mu.Unlock()
-	switch current.next(l.self, startedAt, l.cfg.Duration) {
+	switch current.next(l.self, startedAt, l.cfg.Duration, eras) {
 	case actionRenew:
-		return l.write(ctx, current, max(current.value.Term, minTerm), startedAt)
+		return l.write(ctx, current, eras.era, max(current.value.Term, minTerm), startedAt)
+	case actionReacquire:
+		l.clearPreviousHolder()
+		return l.write(ctx, current, eras.era, max(current.value.Term, minTerm), startedAt)
 	case actionAcquire:
 		l.recordPreviousHolder(current, startedAt)
-		return l.write(ctx, current, max(current.value.Term+1, minTerm), startedAt)
+		return l.write(ctx, current, eras.era, max(current.value.Term+1, minTerm), startedAt)
 	default:
 		return nil
 	}
@@ -183,9 +208,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Now()
-	if version < l.view.object.Version {
+	l.enterCurrentEra()
+	l.enterEra(version.Era())
+	if version < l.view.object.Version || version.Era() < l.eras.era {
 		return
 	}
+	value.Era = version.Era()
 	l.peerReportedAt = now
 	if version == l.view.object.Version {
 		return
@@ -215,6 +243,7 @@
 func (l *Lease) heldBySelf() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.enterCurrentEra()
 	return l.view.heldBy(l.self)
 }
 
@@ -235,12 +264,15 @@
 func (l *Lease) observe(obj objectstore.Object, startedAt time.Time) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.enterEra(obj.Version.Era())
 	previous := l.view.value
 	if err := l.view.observe(obj, l.cfg.Now()); err != nil {
 		return err
 	}
-	if !startedAt.IsZero() {
+	// A write that was planned before a restore of the store grants nothing.
+	if !startedAt.IsZero() && l.view.value.Era == obj.Version.Era() {
 		l.view.validFrom = startedAt
+		l.eras.carriedUntil = time.Time{}
 	}
 	if !l.view.heldBy(l.self) {
 		l.view.validFrom = time.Time{}
@@ -251,6 +283,13 @@
 	return nil
 }
 
+// clearPreviousHolder records that this candidate was itself the last holder.
+func (l *Lease) clearPreviousHolder() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.previousUntil = time.Time{}
+}
+
 // recordPreviousHolder sets the time until which the previous holder may have
 // acted. A holder that released the lease acted until now at the latest; a
 // lease that never existed had no holder.
@@ -258,18 +297,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case !current.exists && current.value.Term == 0:
+	case !current.exists && current.value.Term == 0 && (l.eras.era == 0 || l.eras.unrestored):
 		l.previousUntil = time.Time{}
-	case current.value.Holder == "":
+	case !current.exists, current.value.Holder == "", current.value.Era != l.eras.era:
 		l.previousUntil = now
 	default:
 		l.previousUntil = current.unchangedSince.Add(l.cfg.Duration)
 	}
 }
 
-func (l *Lease) write(ctx context.Context, current view, term int64, startedAt time.Time) error {
+// write writes the lease in place of current, as planned in an era of the store.
+func (l *Lease) write(ctx context.Context, current view, era, term int64, startedAt time.Time) error {
 	value := l.self
-	value.Term = term
+	value.Term, value.Era = term, era
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return errors.Wrap(err, "encode lease")
@@ -306,6 +346,7 @@
 func (l *Lease) markDeleted() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.enterCurrentEra()
 	l.view = view{value: Value{Term: l.view.value.Term}}
 }
 
@@ -338,7 +379,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	raw, err := json.Marshal(Value{Term: current.value.Term})
+	raw, err := json.Marshal(Value{Term: current.value.Term, Era: current.value.Era})
 	if err != nil {
 		return
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -154,6 +154,9 @@
 	for ctx.Err() == nil {
 		source := m.source()
 		listing, err := source.List(ctx, m.kind, "")
+		if reached := m.Reading().Covered; err == nil && listing.Version.Era() < reached.Era() {
+			err = errors.Newf("listing of %s at version %s is older than the store's last restore, which began era %d", m.kind, listing.Version, reached.Era())
+		}
 		if err != nil {
 			m.handleFailure(ctx, "list", err)
 			continue
--- a/internal/mirror/watch_cache.go
+++ b/internal/mirror/watch_cache.go
@@ -43,6 +43,14 @@
 	}
 	c.changes, c.completeAfter = nil, listing.Version
 	c.cover(listing.Version)
+	c.notify()
+}
+
+// notify wakes the followers that wait for a change. It must be called with the
+// mutex held.
+func (c *watchCache) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
 }
 
 func (c *watchCache) apply(event objectstore.Event) {
@@ -59,8 +67,7 @@
 			c.completeAfter = c.changes[0].Version
 			c.changes = slices.Clone(c.changes[1:])
 		}
-		close(c.changed)
-		c.changed = make(chan struct{})
+		c.notify()
 	}
 	c.cover(event.Version)
 }
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -32,10 +32,6 @@
 	KindDecisionSegment Kind = "decision-segments"
 )
 
-// Version is the position of a write in the order of all writes to the platform.
-// A later write has a higher version.
-type Version int64
-
 // Object is one stored value.
 type Object struct {
 	Kind    Kind    `json:"kind"`
@@ -177,7 +173,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s %q is at version %d; read it again and repeat the change", e.Current.Kind, e.Current.Name, e.Current.Version)
+	return fmt.Sprintf("%s %q is at version %s; read it again and repeat the change", e.Current.Kind, e.Current.Name, e.Current.Version)
 }
 
 // CompactedError reports a watch from a version whose events the store has
@@ -190,5 +186,5 @@
 
 // Error implements error.
 func (e *CompactedError) Error() string {
-	return fmt.Sprintf("events before version %d are gone; list the kind and watch from the listing's version", e.Oldest)
+	return fmt.Sprintf("events before version %s are gone; list the kind and watch from the listing's version", e.Oldest)
 }
