--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -38,7 +38,7 @@
 		}
 		for {
 			in := s.planInput(service)
-			if s.changesInProgress() >= max(minConcurrentChanges, len(in.engines)/enginesPerChange) {
+			if s.changesInProgress() >= maxConcurrentChanges(service.Engine) {
 				break
 			}
 			c, ok := nextChange(in)
@@ -49,6 +49,17 @@
 	}
 }
 
+// maxConcurrentChanges returns the number of engines that may change their models at
+// the same time: as many as are loading when the weight store is used at its rate
+// limit. An engine goes on serving the models that it keeps.
+func maxConcurrentChanges(engine *traffic.Engine) int {
+	longest := time.Duration(0)
+	for i := range engine.Models {
+		longest = max(longest, engine.Models[i].LoadTime)
+	}
+	return max(minConcurrentChanges, int(engine.LoadsPerSecond*longest.Seconds()))
+}
+
 // placeModel starts the load of a model that no engine holds, unless the load
 // may not start now.
 func (s *Service) placeModel(item itemKey) {
--- a/internal/orders/plan_test.go
+++ b/internal/orders/plan_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/traffic"
 )
 
 // engines returns engines with memory for two models of 10 MB each, named a, b
@@ -196,3 +199,21 @@
 		Expect(ok).To(BeFalse())
 	})
 })
+
+// Demand for one model jumps and fills its only engine while the weight store could
+// load it on many others. Three changes at a time, each of six seconds, left callers
+// refused for ten seconds.
+var _ = Describe("Changes at the same time", func() {
+	engine := func(loadsPerSecond float64, loadTimes ...time.Duration) *traffic.Engine {
+		e := &traffic.Engine{LoadsPerSecond: loadsPerSecond}
+		for _, t := range loadTimes {
+			e.Models = append(e.Models, traffic.Model{LoadTime: t})
+		}
+		return e
+	}
+	It("are as many as the weight store serves at its rate limit", func() {
+		Expect(maxConcurrentChanges(engine(2.4, 5*time.Second, 6*time.Second))).To(Equal(14))
+		Expect(maxConcurrentChanges(engine(20, 4*time.Second))).To(Equal(80))
+		Expect(maxConcurrentChanges(engine(0.5, time.Second))).To(Equal(minConcurrentChanges), "loads from copies don't use the weight store")
+	})
+})
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -31,11 +31,8 @@
 	// peers. The engines' own entries show it within a heartbeat.
 	announceTTL = 3 * time.Second
 	// minConcurrentChanges is the number of engines that may change their models
-	// at the same time in any deployment, and enginesPerChange the number of
-	// engines for each concurrent change in large ones. Engines that change serve
-	// fewer requests meanwhile.
+	// at the same time in any deployment.
 	minConcurrentChanges = 3
-	enginesPerChange     = 8
 	// loadLimitFraction is the fraction of the weight store's rate limit that
 	// loads may use.
 	loadLimitFraction = 0.85
