Plan on fresh reports, and add replicas where slots are scarce

And a popular model stayed on five full replicas, 40 % of its first events late, while 13 engines were idle: a sixth replica takes less than a quarter off each.

--- a/internal/orders/engines.go
+++ b/internal/orders/engines.go
@@ -115,6 +115,11 @@
 	// order with unknown outcome. The engine's report is read before the next
 	// order.
 	stale bool
+	// reportedBusy is set if the engine last reported that it carries out an order
+	// of another holder, or of this host before it restarted.
+	reportedBusy bool
+	// refreshedAt is when the last refresh of a stale view was started.
+	refreshedAt time.Time
 	// lastUsed is when an adapter was last requested there.
 	lastUsed map[adapterKey]time.Time
 }
@@ -130,7 +135,7 @@
 // reset replaces the view by the engine's entry in the store. The entry doesn't
 // hold the count of accepted orders, so the view is stale.
 func (v *view) reset(e fleet.Endpoint) {
-	v.endpoint, v.orders, v.models, v.stale = e, 0, cloneModels(e.Models), true
+	v.endpoint, v.orders, v.models, v.stale, v.reportedBusy = e, 0, cloneModels(e.Models), true, false
 }
 
 // update sets the engine's entry. It keeps the models of the view, which come
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -36,6 +36,7 @@
 		if service.Engine == nil {
 			continue
 		}
+		s.refreshStaleViews(ctx, service.Name)
 		for {
 			in := s.planInput(service)
 			if s.changesInProgress() >= maxConcurrentChanges(service.Engine) {
@@ -97,7 +98,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var in planInput
+	in := planInput{slots: service.Engine.Slots}
 	for _, m := range service.Engine.Models {
 		in.models = append(in.models, planModel{
 			name: m.Name, memoryMB: m.MemoryMB, demand: s.demand.total(now, itemKey{service: service.Name, model: m.Name}),
@@ -105,7 +106,7 @@
 	}
 	for _, v := range s.currentViews(service.Name) {
 		incoming, changing := s.changing[v.id]
-		e := planEngine{id: v.id, freeMB: v.freeMB(service.Engine), copies: v.endpoint.Copies, busy: changing || s.config.Registry.IsTurnedAway(v.id)}
+		e := planEngine{id: v.id, freeMB: v.freeMB(service.Engine), copies: v.endpoint.Copies, busy: changing || v.reportedBusy || s.config.Registry.IsTurnedAway(v.id)}
 		if v.endpoint.Leaving {
 			continue
 		}
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/retry"
 )
@@ -151,6 +153,54 @@
 	return nil
 }
 
+const (
+	// refreshInterval is the time between two refreshes of a view that stays
+	// stale, such as that of an engine that is busy or unreachable.
+	refreshInterval = time.Second
+	// maxRefreshWait bounds the time for which planning waits for refreshes.
+	maxRefreshWait = 100 * time.Millisecond
+)
+
+// refreshStaleViews reads the reports of a service's engines whose views are stale,
+// so that the plan counts on no memory that is in use and on no engine that is busy.
+// It waits for the reports for up to maxRefreshWait.
+func (s *Service) refreshStaleViews(ctx context.Context, service string) {
+	var group sync.WaitGroup
+	for _, v := range s.viewsToRefresh(service) {
+		group.Go(func() {
+			if _, err := s.readReport(ctx, v); err != nil {
+				logrus.WithError(err).WithField("endpoint", v.id).Info("engine report not received")
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	timer := time.NewTimer(maxRefreshWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+func (s *Service) viewsToRefresh(service string) []*view {
+	now := clock.Boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var stale []*view
+	for _, v := range s.currentViews(service) {
+		_, changing := s.changing[v.id]
+		if v.stale && !changing && !v.endpoint.Leaving && now.Sub(v.refreshedAt) >= refreshInterval {
+			v.refreshedAt = now
+			stale = append(stale, v)
+		}
+	}
+	return stale
+}
+
 // readReport updates the view from the engine's report, unless the report is
 // older than the view. It returns whether the engine is carrying out an order
 // for a model.
@@ -172,7 +222,8 @@
 	defer s.mu.Unlock()
 	if state.AcceptedOrders >= v.orders {
 		v.applyReport(state)
-		v.stale = state.Busy && !v.busy
+		v.reportedBusy = state.Busy && !v.busy
+		v.stale = v.reportedBusy
 	}
 	return state.Busy, nil
 }
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -16,6 +16,10 @@
 	// minRelief is the fraction of the demand on the most loaded replica that a
 	// change must take away, so that small fluctuations cause no loads.
 	minRelief = 0.25
+	// busyDemandPerSlot is the demand on a replica, for each slot of its engine,
+	// above which minReliefBusy is enough: requests then wait for a slot.
+	busyDemandPerSlot = 280
+	minReliefBusy     = 0.12
 	// hotFactor is the demand on a replica, as a multiple of the mean demand on
 	// an engine, above which minReliefHot is enough: with many replicas, one more
 	// takes only a small fraction from each.
@@ -52,6 +56,9 @@
 
 // planInput is the complete input of the planner for one service.
 type planInput struct {
+	// slots is the number of requests that an engine runs at the same time; zero
+	// if unknown.
+	slots   int
 	models  []planModel
 	engines []planEngine
 }
@@ -175,6 +182,9 @@
 	if before > hotFactor*p.meanDemand {
 		return minReliefHot * before
 	}
+	if p.slots > 0 && before > busyDemandPerSlot*float64(p.slots) {
+		return minReliefBusy * before
+	}
 	return minRelief * before
 }
 
--- a/internal/orders/plan_test.go
+++ b/internal/orders/plan_test.go
@@ -217,3 +217,30 @@
 		Expect(maxConcurrentChanges(engine(0.5, time.Second))).To(Equal(minConcurrentChanges), "loads from copies don't use the weight store")
 	})
 })
+
+// A popular model fills the slots of its five replicas for as long as its demand
+// lasts, while most engines are idle: a sixth replica takes a sixth off each, which is
+// less than what is asked of a change in calm times.
+var _ = Describe("A model whose replicas have no free slots", func() {
+	input := func(perReplica float64) planInput {
+		in := planInput{slots: 24, models: []planModel{{name: "a", memoryMB: 10, demand: 5 * perReplica}}}
+		for range 5 {
+			in.engines = append(in.engines, engines([]string{"a"})...)
+		}
+		// The mean demand on an engine is more than half of that on a replica.
+		in.engines = append(in.engines, engines([]string{"b"}, nil)...)
+		for i := range in.engines {
+			in.engines[i].id = fmt.Sprint("e", i)
+			in.engines[i].copies = map[string]bool{"a": true, "b": true}
+		}
+		in.models = append(in.models, planModel{name: "b", memoryMB: 10})
+		return in
+	}
+	It("gets one more replica, unless its demand leaves slots free", func() {
+		c, ok := nextChange(input(1.1 * 24 * busyDemandPerSlot))
+		Expect(ok).To(BeTrue())
+		Expect(c.model).To(Equal("a"))
+		_, ok = nextChange(input(0.9 * 24 * busyDemandPerSlot))
+		Expect(ok).To(BeFalse())
+	})
+})
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -27,6 +27,8 @@
 	adapterSlots int
 	modelSlots   int
 	crashed      bool
+	// busy is set while the engine carries out an order of another holder.
+	busy bool
 	// loseResponses is the number of orders that take effect without a response,
 	// drop the number that are lost, and delay the number that are put into
 	// delayed, from where the test applies them later.
@@ -97,7 +99,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	engine := f.engines[e.ID]
-	return State{AcceptedOrders: engine.orders, Models: cloneModels(engine.models)}, nil
+	return State{AcceptedOrders: engine.orders, Models: cloneModels(engine.models), Busy: engine.busy}, nil
 }
 
 type fakeLease struct{ status lease.Status }
@@ -214,6 +216,25 @@
 		})
 	})
 
+	// After a restart of the holder, an engine goes on with the order that it got
+	// before. The planner used to choose that engine in each cycle, in vain, and to
+	// place the model nowhere else.
+	It("go to an engine that is free, not to one that is busy with an earlier holder's order", func() {
+		engines.engines["e1"].busy = true
+		engines.engines["e2"] = &fakeEngine{models: map[string]fleet.Adapters{"m": {}}, adapterSlots: 2, modelSlots: 2}
+		copies := map[string]bool{"n": true}
+		registry.Replace([]fleet.Endpoint{
+			{ID: "e1", Service: "llm", Address: "127.0.0.1:1", Models: map[string]fleet.Adapters{"m": {}}, Copies: copies},
+			{ID: "e2", Service: "llm", Address: "127.0.0.1:2", Models: map[string]fleet.Adapters{"m": {}}, Copies: map[string]bool{}},
+		})
+		service.RecordDemand("llm", "n", "", 100_000)
+		service.plan(context.Background())
+		Eventually(service.changesInProgress).Should(BeZero())
+		engines.inspect("e2", func(e *fakeEngine) { Expect(e.models).To(HaveKey("n")) })
+		Expect(engines.received).To(HaveEach(HaveField("Model", "n")))
+		Expect(engines.received).To(HaveLen(1))
+	})
+
 	It("keep a peer's demand when a report omits demand", func() {
 		item := itemKey{service: "llm", model: "m"}
 		service.HandleReport(&fleetv1.Report{Host: "h2", Demand: []*fleetv1.Demand{{Service: "llm", Model: "m", TokensPerSecond: 300}}}, false)
