--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -227,7 +227,7 @@
 			{ID: "e1", Service: "llm", Address: "127.0.0.1:1", Models: map[string]fleet.Adapters{"m": {}}, Copies: copies},
 			{ID: "e2", Service: "llm", Address: "127.0.0.1:2", Models: map[string]fleet.Adapters{"m": {}}, Copies: map[string]bool{}},
 		})
-		service.RecordDemand("llm", "n", "", 100_000)
+		service.RecordDemand("llm", "n", "", 12_500) // not enough for two replicas
 		service.plan(context.Background())
 		Eventually(service.changesInProgress).Should(BeZero())
 		engines.inspect("e2", func(e *fakeEngine) { Expect(e.models).To(HaveKey("n")) })
