--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/retry"
 )
 
 // Exchange implements fleetv1.Fleet.
@@ -58,12 +59,18 @@
 	return s.peerClient(address).Follow(ctx, request)
 }
 
+// leaderPollInterval is the time between two checks whether a peer holds the
+// placement lease.
+const leaderPollInterval = 20 * time.Millisecond
+
 // RequestPlacement forwards a request for a model or an adapter to the holder of
-// the placement lease. It returns an error if no reachable peer holds the lease.
+// the placement lease. It returns an error if no reachable peer holds the lease. A
+// process that has recently started waits for the holder's first report.
 func (s *Service) RequestPlacement(ctx context.Context, request *fleetv1.PlaceRequest) (*fleetv1.PlaceResponse, error) {
-	s.mu.Lock()
-	leader := s.roster.leader(time.Now())
-	s.mu.Unlock()
+	leader := s.leader()
+	for leader == nil && s.joining() && retry.Sleep(ctx, leaderPollInterval) {
+		leader = s.leader()
+	}
 	if leader == nil {
 		return nil, errors.New("no holder of the placement lease is in reach; check the hosts' path to the store")
 	}
@@ -71,3 +78,13 @@
 	defer cancel()
 	return s.peerClient(leader.address).Place(ctx, request)
 }
+
+// leader returns the peer that holds the placement lease, or nil.
+func (s *Service) leader() *peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.leader(time.Now())
+}
+
+// joining reports whether this process has recently started.
+func (s *Service) joining() bool { return time.Since(s.started) < joinPeriod }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -385,7 +385,7 @@
 	if !wasReachable {
 		logrus.WithFields(logrus.Fields{"peer": p.name, "address": p.address}).Info("peer in reach")
 	}
-	joining := time.Since(s.started) < joinPeriod
+	joining := s.joining()
 	for _, participant := range s.participants {
 		participant.HandleReport(report, joining)
 	}
--- a/internal/exchange/report_test.go
+++ b/internal/exchange/report_test.go
@@ -19,6 +19,29 @@
 func (demandParticipant) HandleReport(*fleetv1.Report, bool) {}
 func (demandParticipant) SetReachability(Reachability)       {}
 
+// A host that has just started gets callers before it has heard of its peers.
+var _ = Describe("A placement request", func() {
+	lease := &fleetv1.Report{Host: "h2", Address: "127.0.0.1:1", Lease: &fleetv1.Lease{Holder: "h2", LeftMillis: 3000}}
+	It("waits for the lease holder's first report only while the process has recently started", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s := New(Config{Host: "h1"})
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			_, _ = s.Exchange(ctx, lease)
+		}()
+		_, err := s.RequestPlacement(ctx, &fleetv1.PlaceRequest{})
+		Expect(err).To(MatchError(ContainSubstring("connection refused")), "sent to the holder, where nothing listens")
+
+		s = New(Config{Host: "h1"})
+		s.started = time.Now().Add(-joinPeriod)
+		from := time.Now()
+		_, err = s.RequestPlacement(ctx, &fleetv1.PlaceRequest{})
+		Expect(err).To(MatchError(ContainSubstring("no holder of the placement lease is in reach")))
+		Expect(time.Since(from)).To(BeNumerically("<", leaderPollInterval))
+	})
+})
+
 var _ = Describe("Reports to a host that does not hold the placement lease", func() {
 	It("omit demand and are marked as such", func() {
 		s := New(Config{Host: "h1"})
