Send no order with the token of a lease that was lost since the check

Cause: since a restore of the store resets a candidate's view of the lease, the version read for an order could be 0 if the lease was lost between the check and that read. Change: the token comes from one status that says the lease is held. The new spec failed with a token of 0. The race detector finds nothing in orders, lease, fleet, exchange, mirror, edge and platform.

--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -56,7 +56,11 @@
 		if s.config.Registry.IsTurnedAway(v.id) {
 			return errNotAccepted
 		}
-		o.FencingToken = int64(s.config.Lease.Status().Version)
+		status := s.config.Lease.Status()
+		if !status.Held { // lost since mayOrder, and its version with it
+			return errNotHolder
+		}
+		o.FencingToken = int64(status.Version)
 		result, err := s.sendOrder(ctx, v, &o)
 		s.logOrder(v, o, result, err)
 		s.recordResult(v, o, result, err)
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -102,9 +102,22 @@
 	return State{AcceptedOrders: engine.orders, Models: cloneModels(engine.models), Busy: engine.busy}, nil
 }
 
-type fakeLease struct{ status lease.Status }
+type fakeLease struct {
+	status lease.Status
+	// afterCalls, if set, replaces status after so many calls of Status.
+	afterCalls int
+	next       lease.Status
+}
+
+func (f *fakeLease) Status() lease.Status {
+	if f.afterCalls > 0 {
+		if f.afterCalls--; f.afterCalls == 0 {
+			defer func() { f.status = f.next }()
+		}
+	}
+	return f.status
+}
 
-func (f *fakeLease) Status() lease.Status                            { return f.status }
 func (f *fakeLease) UpdateFromPeer(lease.Value, objectstore.Version) {}
 func (f *fakeEngines) inspect(id string, check func(*fakeEngine)) {
 	f.mu.Lock()
@@ -203,6 +216,18 @@
 		Expect(place("a1")).To(Equal("e1"))
 	})
 
+	// A restore of the store voids the lease at any moment, and its version with it.
+	It("never carry the token of a lease that was lost since the last check", func() {
+		for calls := range 8 {
+			holder.status = lease.Status{Held: true, Term: 1, Version: 9, Until: clock.Boot().Add(time.Hour)}
+			holder.afterCalls, holder.next = calls, lease.Status{}
+			place(fmt.Sprint("a", calls))
+			for _, o := range engines.received {
+				Expect(o.FencingToken).To(BeEquivalentTo(9))
+			}
+		}
+	})
+
 	It("check free memory against the engine's report, not against its older entry", func() {
 		engines.engines["e1"].models["n"] = fleet.Adapters{} // loaded after the entry was written, as by another holder
 		c := change{engine: "e1", model: "n"}
