--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// observeEra passes on the era of the store that a peer has seen, so that this host
-// need not reach the store to learn of a restore.
+// observeEra passes on the era of the store that a peer reports, so that this host
+// detects a restore without access to the store.
 func (c *watchCoordinator) observeEra(report *fleetv1.Report) {
 	for _, reading := range report.GetReadings() {
 		if era := reading.GetEra(); era > 0 {
--- a/internal/exchange/report_test.go
+++ b/internal/exchange/report_test.go
@@ -19,7 +19,7 @@
 func (demandParticipant) HandleReport(*fleetv1.Report, bool) {}
 func (demandParticipant) SetReachability(Reachability)       {}
 
-// A host that has just started gets callers before it has heard of its peers.
+// Requests arrive at a restarted host before its peers' first reports do.
 var _ = Describe("A placement request", func() {
 	lease := &fleetv1.Report{Host: "h2", Address: "127.0.0.1:1", Lease: &fleetv1.Lease{Holder: "h2", LeftMillis: 3000}}
 	It("waits for the lease holder's first report only while the process has recently started", func() {
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -46,18 +46,18 @@
 	a.member.runningAtLoad = a.member.running
 }
 
-// AnnounceLeaving must be called when the endpoint's response says that it leaves.
-// The endpoint gets no new requests from then on, and peers are told.
-func (a *Attempt) AnnounceLeaving() {
+// RecordLeaving must be called when the endpoint's response announces that it shuts
+// down. It excludes the endpoint from later choices, here and in the peers.
+func (a *Attempt) RecordLeaving() {
 	a.registry.mu.Lock()
 	defer a.registry.mu.Unlock()
 	a.member.announcedLeaving = true
 	a.registry.markLeaving(a.member, "")
 }
 
-// TurnAway must be called when the endpoint rejects the request and wants none from
-// this host for a time.
-func (a *Attempt) TurnAway(wait time.Duration) { a.registry.TurnAway(a.Endpoint, wait) }
+// RecordBackoff must be called when the endpoint rejects the request and asks this
+// host to send none for a time.
+func (a *Attempt) RecordBackoff(wait time.Duration) { a.registry.BackOff(a.Endpoint, wait) }
 
 // Finish ends the attempt and records its outcome for outlier ejection. Only the
 // first call has an effect.
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -37,9 +37,9 @@
 	// ReasonAdapterNotHeld means that an endpoint holds the model, but none the
 	// adapter.
 	ReasonAdapterNotHeld Reason = "adapter_not_held"
-	// ReasonTurnedAway means that all endpoints that could serve the request want
-	// none from this host for now. See Registry.TurnedAwayFor.
-	ReasonTurnedAway Reason = "turned_away"
+	// ReasonBackoff means that all endpoints that could serve the request asked
+	// this host for a backoff. See Registry.RemainingBackoff.
+	ReasonBackoff Reason = "backoff"
 )
 
 // The weights of the cost function. The unit is prompt tokens: a delay costs as
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -60,15 +60,15 @@
 	return !removedAt.IsZero() && removedAt.Before(r.restoredAt)
 }
 
-// markLeaving stops new requests to an endpoint that has announced that it leaves.
-// Peer is the host that learned it, or empty for this host. It must be called with
-// the mutex held.
+// markLeaving excludes an endpoint that has announced its shutdown from later
+// choices. Peer is the host that received the announcement, or empty for this host.
+// It must be called with the mutex held.
 func (r *Registry) markLeaving(m *member, peer string) {
 	if m.Leaving {
 		return
 	}
 	m.Leaving = true
-	logrus.WithFields(logrus.Fields{"endpoint": m.ID, "service": m.Service, "address": m.Address, "peer": peer}).Info("endpoint announced that it leaves")
+	logrus.WithFields(logrus.Fields{"endpoint": m.ID, "service": m.Service, "address": m.Address, "peer": peer}).Info("endpoint announced its shutdown")
 }
 
 func startedMillis(m *member) int64 {
@@ -77,50 +77,3 @@
 	}
 	return m.Started.UnixMilli()
 }
-
-// TurnAway records that an endpoint wants no request from this host for a time. It
-// does not apply to another incarnation of the endpoint.
-func (r *Registry) TurnAway(e Endpoint, wait time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m, ok := r.members[e.ID]
-	if !ok || !m.sameIncarnation(&e) {
-		return
-	}
-	until := r.config.Clock().Add(wait)
-	if until.Before(m.turnedAwayUntil) {
-		return
-	}
-	m.turnedAwayUntil = until
-	logrus.WithFields(logrus.Fields{"endpoint": e.ID, "service": e.Service, "wait_ms": wait.Milliseconds()}).Info("endpoint turns requests away")
-}
-
-// IsTurnedAway reports whether an endpoint wants no request from this host now.
-func (r *Registry) IsTurnedAway(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m, ok := r.members[id]
-	return ok && r.config.Clock().Before(m.turnedAwayUntil)
-}
-
-// TurnedAwayFor returns the shortest time until an endpoint that could serve the
-// work accepts requests from this host again; zero if one does now or there is none.
-func (r *Registry) TurnedAwayFor(work Work) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.config.Clock()
-	shortest := time.Duration(0)
-	for _, m := range r.members {
-		if m.Service != work.Service || !r.usable(m, now) || !m.holds(now, work.Model, work.Adapter) {
-			continue
-		}
-		wait := m.turnedAwayUntil.Sub(now)
-		if wait <= 0 {
-			return 0
-		}
-		if shortest == 0 || wait < shortest {
-			shortest = wait
-		}
-	}
-	return shortest
-}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -57,11 +57,11 @@
 	// penalty is the number of this host's recent failures there, decaying with
 	// time. It is updated for each choice.
 	penalty float64
-	// announcedLeaving is set if the endpoint told this host in a response that it
-	// leaves.
+	// announcedLeaving is set once a response to this host announced the endpoint's
+	// shutdown.
 	announcedLeaving bool
-	// turnedAwayUntil is until when the endpoint wants no request from this host.
-	turnedAwayUntil time.Time
+	// backoffUntil is until when the endpoint asked this host to send no request.
+	backoffUntil time.Time
 }
 
 // item is a model, or an adapter of it.
@@ -300,7 +300,7 @@
 	ejected := r.ejector.Ejected(now)
 	var holding, healthy, untried []candidate
 	reason := ReasonNoEndpoint
-	turnedAway := false
+	backoff := false
 	for _, m := range r.members {
 		if m.Service != work.Service || !r.usable(m, now) {
 			continue
@@ -309,8 +309,8 @@
 			reason = notHeldReason(reason, m.holds(now, work.Model, ""))
 			continue
 		}
-		if now.Before(m.turnedAwayUntil) {
-			turnedAway = true
+		if now.Before(m.backoffUntil) {
+			backoff = true
 			continue
 		}
 		m.penalty = r.ejector.Penalty(now, m.ID)
@@ -328,8 +328,8 @@
 			return list, ReasonNone
 		}
 	}
-	if turnedAway {
-		reason = ReasonTurnedAway
+	if backoff {
+		reason = ReasonBackoff
 	}
 	return nil, reason
 }
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -57,10 +57,10 @@
 		Expect(chosen(work)).To(Equal(string(ReasonNoEndpoint)))
 	})
 
-	It("chooses no endpoint that has announced that it leaves, nor do the peers", func() {
+	It("chooses no endpoint that has announced its shutdown, nor do the peers", func() {
 		registry.Replace([]Endpoint{engine("e1", "z1", "m")})
 		attempt, _ := registry.Start(work)
-		attempt.AnnounceLeaving()
+		attempt.RecordLeaving()
 		attempt.Finish(endpoint.OutcomeAnswered)
 		Expect(chosen(work)).To(Equal(string(ReasonNoEndpoint)))
 		registry.Put(engine("e1", "z1", "m")) // its entry is still ready
@@ -83,22 +83,22 @@
 
 	// Answers with 503 and a time come from an endpoint that sheds load. A steady
 	// stream of requests to the only engine of a model must not reach it meanwhile.
-	It("leaves out an endpoint that turns requests away, and says when it accepts them again", func() {
+	It("leaves out an endpoint that asked for a backoff, and returns when that ends", func() {
 		registry.Replace([]Endpoint{engine("e1", "z1", "m", "rare"), engine("e2", "z1", "m")})
-		registry.TurnAway(engine("e1", "z1"), 2*time.Second)
+		registry.BackOff(engine("e1", "z1"), 2*time.Second)
 		rare := Work{Service: "llm", Model: "rare"}
 		for range 20 {
 			Expect(chosen(work)).To(Equal("e2"))
-			Expect(chosen(rare)).To(Equal(string(ReasonTurnedAway)))
-			Expect(registry.TurnedAwayFor(work)).To(BeZero())
+			Expect(chosen(rare)).To(Equal(string(ReasonBackoff)))
+			Expect(registry.RemainingBackoff(work)).To(BeZero())
 			now = now.Add(90 * time.Millisecond)
 		}
-		Expect(registry.TurnedAwayFor(rare)).To(Equal(200 * time.Millisecond))
-		registry.TurnAway(engine("e1", "z1"), 50*time.Millisecond)
-		Expect(registry.TurnedAwayFor(rare)).To(Equal(200*time.Millisecond), "a shorter time does not replace a longer one")
+		Expect(registry.RemainingBackoff(rare)).To(Equal(200 * time.Millisecond))
+		registry.BackOff(engine("e1", "z1"), 50*time.Millisecond)
+		Expect(registry.RemainingBackoff(rare)).To(Equal(200*time.Millisecond), "a shorter time does not replace a longer one")
 		now = now.Add(200 * time.Millisecond)
 		Expect(chosen(rare)).To(Equal("e1"))
-		registry.TurnAway(engine("e1", "z1"), time.Minute)
+		registry.BackOff(engine("e1", "z1"), time.Minute)
 		restarted := engine("e1", "z1", "rare")
 		restarted.Started = now
 		registry.Put(restarted)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -60,11 +60,11 @@
 	// Encoded is set if the body has a content encoding, so that its bytes are
 	// not those that the endpoint produced.
 	Encoded bool
-	// Leaving is set if the endpoint says that it leaves.
+	// Leaving is set if the endpoint announces that it shuts down.
 	Leaving bool
-	// TurnedAwayFor is how long the endpoint wants no request from this host; zero
-	// unless it rejected this one for that reason.
-	TurnedAwayFor time.Duration
+	// Backoff is how long this host must send the endpoint no request; zero unless
+	// the endpoint rejected this one and asked for that.
+	Backoff time.Duration
 	// Load is the endpoint's load; nil if the response doesn't report it.
 	Load *fleet.Load
 }
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -153,8 +153,8 @@
 		return nil, ErrTruncated
 	case x.mayHaveRun:
 		return nil, &Failure{Reason: ReasonEndpointFailed}
-	case reason == fleet.ReasonTurnedAway:
-		return nil, newRefusal(ReasonOverloaded, cmp.Or(x.forwarder.config.Endpoints.TurnedAwayFor(x.work()), capacityRetryAfter))
+	case reason == fleet.ReasonBackoff:
+		return nil, newRefusal(ReasonOverloaded, cmp.Or(x.forwarder.config.Endpoints.RemainingBackoff(x.work()), capacityRetryAfter))
 	case reason == fleet.ReasonModelNotHeld || reason == fleet.ReasonAdapterNotHeld:
 		return nil, newRefusal(ReasonNotHeld, loadRetryAfter)
 	default:
@@ -249,10 +249,10 @@
 		attempt.RecordLoad(*reply.Load)
 	}
 	if reply.Leaving {
-		attempt.AnnounceLeaving()
+		attempt.RecordLeaving()
 	}
-	if reply.TurnedAwayFor > 0 {
-		attempt.TurnAway(reply.TurnedAwayFor)
+	if reply.Backoff > 0 {
+		attempt.RecordBackoff(reply.Backoff)
 	}
 	if reply.NotRun {
 		return x.handleRefusal(attempt, exchange, reply)
--- a/internal/lease/era.go
+++ b/internal/lease/era.go
@@ -6,19 +6,18 @@
 // holds, or show one that has since passed to another holder. The candidates handle
 // that by the eras of the store:
 //
-//   - A lease counts only in the era in which it was written. A holder that learns of
-//     a new era no longer acts until it has written the lease again.
-//   - The holder of the previous era may write it at once. Nobody else could acquire
-//     the lease in that era while it was valid, and nobody does in the new one before
-//     the next rule allows it.
-//   - Other candidates wait for a lease's duration after they have learned of the
-//     new era. By then every lease of the previous era has expired.
+//   - A lease is valid only in the era in which it was written. A holder that sees a
+//     new era stops acting until it has written the lease again.
+//   - The holder of the previous era may write it immediately. No other candidate
+//     could acquire the lease in that era while it was valid, and the next rule
+//     excludes it in the new one.
+//   - Other candidates wait for a lease's duration after they first saw the new era. By then every lease of the previous era has expired.
 
-// eraState is what a candidate knows of the store's era.
+// eraState is a candidate's view of the store's era.
 type eraState struct {
 	era   int64
 	known bool
-	// since is when the candidate learned of the era.
+	// since is when the candidate first saw the era.
 	since time.Time
 	// carriedUntil is until when the candidate holds the lease of the previous
 	// era; zero if it did not.
--- a/internal/lease/era_model_test.go
+++ b/internal/lease/era_model_test.go
@@ -15,8 +15,8 @@
 	"bilberryslip.example/bilberryslip/internal/standin/memstore"
 )
 
-// eraClient is one candidate's client of a store that can be restored. It learns of
-// eras from responses, and may be cut off from the store.
+// eraClient is one candidate's client of a store that can be restored. It reads the
+// era from responses, and may be partitioned from the store.
 type eraClient struct {
 	objectstore.Store // nil: a lease calls only the methods below
 	store             *restorableStore
--- a/internal/lease/era_test.go
+++ b/internal/lease/era_test.go
@@ -133,7 +133,7 @@
 
 		older := store.memory.Copy()
 		now = now.Add(duration + time.Second)
-		step(b) // learns of the lease
+		step(b) // reads the lease
 		now = now.Add(duration)
 		step(b)
 		Expect(b.Status().Held).To(BeTrue())
--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -146,7 +146,7 @@
 	least := 0
 	for _, v := range s.currentViews(item.service) {
 		adapters, ok := v.models[item.model]
-		if !ok || v.endpoint.Leaving || v.busy || v.reportedBusy || s.config.Registry.IsTurnedAway(v.id) {
+		if !ok || v.endpoint.Leaving || v.busy || v.reportedBusy || s.config.Registry.InBackoff(v.id) {
 			continue
 		}
 		if adapters[item.adapter] && !v.stale {
--- a/internal/orders/engines.go
+++ b/internal/orders/engines.go
@@ -76,16 +76,16 @@
 	Pending map[string]fleet.Adapters
 }
 
-// TurnedAwayError reports an engine that rejected an order or a request for its
-// report without acting on it, and wants no request from this host for a time.
-type TurnedAwayError struct {
+// BackoffError reports an engine that rejected an order or a request for its report
+// without acting on it, and asked this host to send no request for a time.
+type BackoffError struct {
 	Endpoint string
 	Wait     time.Duration
 }
 
 // Error implements error.
-func (e *TurnedAwayError) Error() string {
-	return fmt.Sprintf("engine %s wants no request from this host for %v; the planning cycles leave it out until then", e.Endpoint, e.Wait)
+func (e *BackoffError) Error() string {
+	return fmt.Sprintf("engine %s asked this host to send no request for %v; the planning cycles skip it until then", e.Endpoint, e.Wait)
 }
 
 // Engines sends orders to engines and reads their reports.
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -106,7 +106,7 @@
 	}
 	for _, v := range s.currentViews(service.Name) {
 		incoming, changing := s.changing[v.id]
-		e := planEngine{id: v.id, freeMB: v.freeMB(service.Engine), copies: v.endpoint.Copies, busy: changing || v.reportedBusy || s.config.Registry.IsTurnedAway(v.id)}
+		e := planEngine{id: v.id, freeMB: v.freeMB(service.Engine), copies: v.endpoint.Copies, busy: changing || v.reportedBusy || s.config.Registry.InBackoff(v.id)}
 		if v.endpoint.Leaving {
 			continue
 		}
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -53,7 +53,7 @@
 		if !s.mayOrder() {
 			return errNotHolder
 		}
-		if s.config.Registry.IsTurnedAway(v.id) {
+		if s.config.Registry.InBackoff(v.id) {
 			return errNotAccepted
 		}
 		status := s.config.Lease.Status()
@@ -89,15 +89,15 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	result, err := s.config.Engines.Order(ctx, endpoint, *o)
-	s.recordTurnedAway(endpoint, err)
+	s.recordBackoff(endpoint, err)
 	return result, err
 }
 
-// recordTurnedAway keeps requests away from an engine that wants none.
-func (s *Service) recordTurnedAway(endpoint fleet.Endpoint, err error) {
-	var turnedAway *TurnedAwayError
-	if errors.As(err, &turnedAway) {
-		s.config.Registry.TurnAway(endpoint, turnedAway.Wait)
+// recordBackoff records the backoff that an engine asked for, if it did.
+func (s *Service) recordBackoff(endpoint fleet.Endpoint, err error) {
+	var backoff *BackoffError
+	if errors.As(err, &backoff) {
+		s.config.Registry.BackOff(endpoint, backoff.Wait)
 	}
 }
 
@@ -214,11 +214,11 @@
 	s.mu.Lock()
 	endpoint := v.endpoint
 	s.mu.Unlock()
-	if s.config.Registry.IsTurnedAway(v.id) {
-		return false, errors.Newf("engine %s wants no request from this host for now; the next planning cycle decides again", v.id)
+	if s.config.Registry.InBackoff(v.id) {
+		return false, errors.Newf("engine %s is in backoff; the planning cycles skip it until it ends", v.id)
 	}
 	state, err := s.config.Engines.Report(ctx, endpoint)
-	s.recordTurnedAway(endpoint, err)
+	s.recordBackoff(endpoint, err)
 	if err != nil {
 		return false, errors.Wrapf(err, "read the report of engine %s", v.id)
 	}
--- a/internal/ratelimit/ledger_test.go
+++ b/internal/ratelimit/ledger_test.go
@@ -9,7 +9,7 @@
 	"bilberryslip.example/bilberryslip/internal/membership"
 )
 
-// Guards against free units that nobody takes: five hosts had divided the ledger
+// Guards against free units that no process takes: five hosts had divided the ledger
 // among themselves before the sixth appeared, and each lacked less than a
 // sixteenth of an equal share.
 func TestSmallRemainderIsTakenByOneProcess(t *testing.T) {
