--- a/internal/objectstore/version.go
+++ b/internal/objectstore/version.go
@@ -35,7 +35,8 @@
 	// Era returns the highest era seen in the store's responses and passed to
 	// ObserveEra, and whether there was any.
 	Era() (era int64, known bool)
-	// ObserveEra records an era of the store that another process has seen. Responses of earlier eras are rejected from then on.
+	// ObserveEra records an era of the store that another process has seen.
+	// Responses of earlier eras are rejected from then on.
 	ObserveEra(era int64)
 	// OnRestore sets a function to call with the new era whenever a higher one is
 	// seen, except for the first. It must be called before the store is used.
