--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,9 +41,6 @@
 	// memoryLimitFraction is the fraction of the host's memory set as the Go
 	// memory limit. The rest is for sockets and other memory outside the heap.
 	memoryLimitFraction = 0.6
-	// gcPercent is Go's default: at several hundred hosts, the connections to peers
-	// take most of the heap, and a larger percentage would multiply them.
-	gcPercent = 100
 	// defaultIdleTimeout is how long idle connections of callers are kept open
 	// while no configuration sets a timeout.
 	defaultIdleTimeout = 15 * time.Second
@@ -107,7 +104,6 @@
 	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	h.applyLog(s)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB) * (1 << 20)))
-	debug.SetGCPercent(gcPercent)
 	if err := h.build(); err != nil {
 		return err
 	}
@@ -135,6 +131,7 @@
 	h.exchange.AddParticipant(h.endpoints)
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
+	h.exchange.AddParticipant(newGCTuner())
 	pool := upstream.NewPool()
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
