--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -131,7 +131,7 @@
 	h.exchange.AddParticipant(h.endpoints)
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
-	h.exchange.AddParticipant(newGCTuner())
+	h.exchange.AddParticipant(newGCTuner(time.Now))
 	pool := upstream.NewPool()
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
--- a/internal/edge/gc.go
+++ b/internal/edge/gc.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime/debug"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -17,23 +18,26 @@
 	largeFleetGCPercent = 100
 	// largeFleetPeers is the number of peers from which a fleet is large.
 	largeFleetPeers = 128
+	// discoveryTime is the time in which a process that has started discovers its
+	// peers. Until then, the fleet counts as large.
+	discoveryTime = 5 * time.Second
 )
 
 // gcTuner sets the garbage collector's target percentage by the number of peers. It
 // implements exchange.Participant.
-type gcTuner struct{ percent int }
-
-// newGCTuner returns a tuner that has set the percentage for a small fleet.
-func newGCTuner() *gcTuner {
-	debug.SetGCPercent(smallFleetGCPercent)
-	return &gcTuner{percent: smallFleetGCPercent}
+type gcTuner struct {
+	now     func() time.Time
+	started time.Time
+	percent int
+	// large is set once the fleet was large. It stays set, since unreachable peers
+	// come back.
+	large bool
 }
 
-func gcPercent(peers int) int {
-	if peers >= largeFleetPeers {
-		return largeFleetGCPercent
-	}
-	return smallFleetGCPercent
+// newGCTuner returns a tuner that has set the percentage for a large fleet.
+func newGCTuner(now func() time.Time) *gcTuner {
+	debug.SetGCPercent(largeFleetGCPercent)
+	return &gcTuner{now: now, started: now(), percent: largeFleetGCPercent}
 }
 
 // FillReport implements exchange.Participant.
@@ -42,14 +46,18 @@
 // HandleReport implements exchange.Participant.
 func (t *gcTuner) HandleReport(*fleetv1.Report, bool) {}
 
-// SetReachability implements exchange.Participant. It does not return to the
-// percentage of a small fleet, since unreachable peers come back.
+// SetReachability implements exchange.Participant.
 func (t *gcTuner) SetReachability(reachability exchange.Reachability) {
-	percent := gcPercent(len(reachability.Reachable) + len(reachability.Unreachable))
-	if percent >= t.percent {
+	peers := len(reachability.Reachable) + len(reachability.Unreachable)
+	t.large = t.large || peers >= largeFleetPeers
+	percent := largeFleetGCPercent
+	if !t.large && t.now().Sub(t.started) >= discoveryTime {
+		percent = smallFleetGCPercent
+	}
+	if percent == t.percent {
 		return
 	}
 	t.percent = percent
 	debug.SetGCPercent(percent)
-	logrus.WithField("percent", percent).Info("garbage collection target lowered for a large fleet")
+	logrus.WithFields(logrus.Fields{"percent": percent, "peers": peers}).Info("garbage collection target set for the size of the fleet")
 }
--- a/internal/edge/gc_test.go
+++ b/internal/edge/gc_test.go
@@ -4,14 +4,16 @@
 	"fmt"
 	"runtime/debug"
 	"testing"
+	"time"
 
 	"bilberryslip.example/bilberryslip/internal/exchange"
 )
 
 // At 295 hosts, four times the live heap took 65 MB of a host with 184 MB.
-func TestGCPercentFallsOnceWithTheNumberOfPeers(t *testing.T) {
+func TestGCPercentFollowsTheSizeOfTheFleet(t *testing.T) {
 	defer debug.SetGCPercent(debug.SetGCPercent(100))
-	tuner := newGCTuner()
+	now := time.Unix(1_700_000_000, 0)
+	tuner := newGCTuner(func() time.Time { return now })
 	set := func(peers int) int {
 		var r exchange.Reachability
 		for i := range peers {
@@ -22,7 +24,11 @@
 		debug.SetGCPercent(current)
 		return current
 	}
-	for _, c := range []struct{ peers, percent int }{{0, 300}, {84, 300}, {294, 100}, {20, 100}} {
+	for _, c := range []struct {
+		after          time.Duration
+		peers, percent int
+	}{{0, 3, 100}, {discoveryTime, 84, 300}, {time.Second, 294, 100}, {time.Minute, 20, 100}} {
+		now = now.Add(c.after)
 		if got := set(c.peers); got != c.percent {
 			t.Errorf("%d peers: %d per cent, want %d", c.peers, got, c.percent)
 		}
