Log and count how the responses of endpoints mark their end

Change: the field framing of 'request ended', and a counter of responses by framing and end. Nothing is decided by it.

--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -65,6 +65,8 @@
 	// lastEventID is the identifier of the last complete event of a stream that
 	// was relayed.
 	lastEventID string
+	// framing is the framing of the last response whose body was read.
+	framing upstream.Framing
 	// status is the status of the relayed response.
 	status int
 	// firstByte is the time from started to the response header; zero before it.
@@ -265,6 +267,7 @@
 		x.logAttempt(attempt, "answer discarded", err)
 		return repeat.Unknown, err
 	}
+	x.framing = exchange.Framing()
 	if x.route.Kind == traffic.Streaming && exchange.Response.StatusCode == http.StatusOK {
 		return x.relayStream(attempt, exchange)
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -4,11 +4,14 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"bilberryslip.example/bilberryslip/internal/upstream"
 )
 
 type metrics struct {
 	requests  *prometheus.CounterVec
 	retries   *prometheus.CounterVec
+	responses *prometheus.CounterVec
 	duration  *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
 }
@@ -27,6 +30,10 @@
 			Name: "bilberryslip_routed_retries_total",
 			Help: "Sends beyond a request's first, by service.",
 		}, []string{"service"}),
+		responses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberryslip_routed_responses_total",
+			Help: "Responses of endpoints whose bodies were read, by service, framing and end.",
+		}, []string{"service", "framing", "end"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "bilberryslip_routed_duration_seconds",
 			Help:    "Time to the end of a routed request, by service.",
@@ -40,8 +47,14 @@
 	}
 }
 
+// Values of the label end of bilberryslip_routed_responses_total.
+const (
+	endComplete = "complete"
+	endCut      = "cut"
+)
+
 func (m *metrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.retries, m.duration, m.firstByte}
+	return []prometheus.Collector{m.requests, m.retries, m.responses, m.duration, m.firstByte}
 }
 
 func (m *metrics) recordRequest(service, outcome string, elapsed, firstByte time.Duration) {
@@ -51,3 +64,7 @@
 		m.firstByte.WithLabelValues(service).Observe(firstByte.Seconds())
 	}
 }
+
+func (m *metrics) recordResponse(service string, framing upstream.Framing, end string) {
+	m.responses.WithLabelValues(service, string(framing), end).Inc()
+}
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -71,6 +71,9 @@
 	if len(x.tried) > 0 {
 		fields["endpoint"] = x.tried[len(x.tried)-1]
 	}
+	if x.framing != "" {
+		fields["framing"] = x.framing
+	}
 	outcome := "served"
 	var failure *Failure
 	switch {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -25,9 +25,9 @@
 		err = errors.Newf("response body exceeds %d bytes", maxBufferedResponse)
 	}
 	if err != nil {
-		return x.handleReadError(attempt, err)
+		return x.handleReadError(attempt, exchange, err)
 	}
-	exchange.MarkBodyRead()
+	x.recordComplete(exchange)
 	if x.responseStarted { // a resumed stream was expected
 		attempt.Finish(endpoint.OutcomeFailed)
 		return repeat.Unknown, errors.Newf("endpoint did not resume the stream: status %d", response.StatusCode)
@@ -77,14 +77,21 @@
 	x.writer.WriteHeader(response.StatusCode)
 }
 
+// recordComplete records that the whole body of a response was read.
+func (x *inflightCall) recordComplete(exchange *upstream.Exchange) {
+	exchange.MarkBodyRead()
+	x.forwarder.metrics.recordResponse(x.service, exchange.Framing(), endComplete)
+}
+
 // handleReadError records the outcome of an attempt whose response ended early or
 // is too large.
-func (x *inflightCall) handleReadError(attempt *fleet.Attempt, err error) (repeat.Outcome, error) {
+func (x *inflightCall) handleReadError(attempt *fleet.Attempt, exchange *upstream.Exchange, err error) (repeat.Outcome, error) {
 	if x.ctx.Err() != nil {
 		attempt.Finish(endpoint.OutcomeCancelled)
 		return repeat.CallerGone, err
 	}
 	attempt.Finish(endpoint.OutcomeFailed)
+	x.forwarder.metrics.recordResponse(x.service, exchange.Framing(), endCut)
 	x.logAttempt(attempt, "answer broke off", err)
 	return repeat.Unknown, err
 }
@@ -111,7 +118,7 @@
 			return x.finishStream(attempt, exchange, events, control)
 		}
 		if err != nil {
-			return x.handleReadError(attempt, err)
+			return x.handleReadError(attempt, exchange, err)
 		}
 	}
 }
@@ -126,7 +133,7 @@
 }
 
 func (x *inflightCall) finishStream(attempt *fleet.Attempt, exchange *upstream.Exchange, events *eventSplitter, control *http.ResponseController) (repeat.Outcome, error) {
-	exchange.MarkBodyRead()
+	x.recordComplete(exchange)
 	attempt.Finish(endpoint.OutcomeAnswered)
 	if !x.responseStarted {
 		x.writeHeader(exchange.Response)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -234,10 +234,29 @@
 // MarkBodyRead records that the whole response body was read.
 func (x *Exchange) MarkBodyRead() { x.bodyRead = true }
 
-// Framed reports whether the end of the response is marked by a length or by
-// chunked encoding, and not only by the end of the connection.
-func (x *Exchange) Framed() bool {
-	return x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0
+// Framing is how the end of a response body is marked.
+type Framing string
+
+// Framings of response bodies.
+const (
+	// FramingLength marks the end by a Content-Length, or by a status without a body.
+	FramingLength Framing = "length"
+	// FramingChunked marks the end by the last chunk.
+	FramingChunked Framing = "chunked"
+	// FramingClose marks the end only by the end of the connection.
+	FramingClose Framing = "close"
+)
+
+// Framing returns how the end of the response body is marked.
+func (x *Exchange) Framing() Framing {
+	switch {
+	case len(x.Response.TransferEncoding) > 0:
+		return FramingChunked
+	case x.Response.ContentLength >= 0:
+		return FramingLength
+	default:
+		return FramingClose
+	}
 }
 
 // Close ends the exchange. The connection returns to the pool if the whole request
@@ -251,7 +270,7 @@
 }
 
 func (x *Exchange) reusable() bool {
-	if !x.bodyRead || x.dedicated || x.Response.Close || !x.Framed() || x.conn.reader.Buffered() > 0 {
+	if !x.bodyRead || x.dedicated || x.Response.Close || x.Framing() == FramingClose || x.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
