Treat a stream that ends inside an event as broken off

Cause: a response with neither a length nor chunks ends with its connection. An orderly close in the middle of an event reads as io.EOF, which the relay took for the end of the stream: the framing of the transport alone decided whether an answer was whole. Change: the relay follows the lines of the stream. Its end is an error if it lies inside an event, whatever the framing, or before the first event where only the connection marks the end. The error takes the path of every cut: the stream is resumed if its route allows that, else the caller's connection is closed in the middle. Ends of events are found for CR, LF and CRLF. Responses of another media type on these routes pass as before. Why it works: the last byte of a whole stream is that of a blank line, which no cut inside an event has. A cut between two events of an unframed stream can't be told from a shorter stream.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -115,6 +115,10 @@
 			x.lastEventID = events.lastID
 		}
 		if errors.Is(err, io.EOF) {
+			err = events.end(exchange.Framing() != upstream.FramingClose)
+			if err != nil && mayBeEventStream(exchange.Response.Header) {
+				return x.handleReadError(attempt, exchange, err)
+			}
 			return x.finishStream(attempt, exchange, events, control)
 		}
 		if err != nil {
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -198,4 +198,15 @@
 			}
 		}
 	})
+
+	It("is passed on unchanged if the response is no stream of events", func() {
+		for _, route := range []string{"plain", "resumable"} {
+			f := newStreamForwarder(startEndpoint(func(int, *http.Request) string {
+				return "HTTP/1.1 200 OK\r\nContent-Type: application/json; charset=utf-8\r\n\r\n{\"choices\":[]}"
+			}))
+			recorder, err := serveStream(f, route)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(recorder.Body.String()).To(Equal(`{"choices":[]}`))
+		}
+	})
 })
--- a/internal/forward/splitter.go
+++ b/internal/forward/splitter.go
@@ -2,13 +2,36 @@
 
 import (
 	"bytes"
+	"mime"
+	"net/http"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
+// errEndInsideEvent means that a stream ended inside an event, so that its endpoint
+// broke it off, whatever its framing says.
+var errEndInsideEvent = errors.New("stream ended inside an event")
+
+// errEndBeforeEvents means that a stream that ends with its connection ended before
+// its first event.
+var errEndBeforeEvents = errors.New("connection closed before the first event of the stream")
+
+// eventStreamType is the media type of a stream of server-sent events.
+const eventStreamType = "text/event-stream"
+
+// mayBeEventStream reports whether a response with the header may be a stream of
+// server-sent events: its media type says so, or is missing or invalid.
+func mayBeEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err != nil || mediaType == eventStreamType
+}
+
 // eventSplitter finds the ends of server-sent events in a stream.
 type eventSplitter struct {
 	// wholeEvents makes feed hold back bytes until their event is complete.
 	wholeEvents bool
+	boundaries  boundaryTracker
 	pending     []byte
 	// lastID is the identifier of the last complete event.
 	lastID string
@@ -17,12 +40,13 @@
 // feed adds bytes of the stream and returns those that may be relayed. The result
 // is valid until the next call.
 func (s *eventSplitter) feed(data []byte) []byte {
+	boundary := s.boundaries.feed(data)
 	if !s.wholeEvents {
 		return data
 	}
+	end := len(s.pending) + boundary
 	s.pending = append(s.pending, data...)
-	end := lastEventEnd(s.pending)
-	if end == 0 {
+	if boundary == 0 {
 		return nil
 	}
 	ready := bytes.Clone(s.pending[:end])
@@ -33,25 +57,26 @@
 	return ready
 }
 
-// remainder returns the bytes after the last complete event.
-func (s *eventSplitter) remainder() []byte { return s.pending }
-
-// lastEventEnd returns the length of the complete events at the start of data, in
-// bytes.
-func lastEventEnd(data []byte) int {
-	if at := bytes.LastIndex(data, []byte("\n\n")); at >= 0 {
-		return at + 2
-	}
-	if at := bytes.LastIndex(data, []byte("\r\n\r\n")); at >= 0 {
-		return at + 4
+// end returns an error if the stream can't be complete with the bytes so far. framed
+// is set if the response marks its end by a length or a last chunk.
+func (s *eventSplitter) end(framed bool) error {
+	switch {
+	case s.boundaries.insideEvent():
+		return errEndInsideEvent
+	case !framed && s.boundaries.events == 0:
+		return errEndBeforeEvents
+	default:
+		return nil
 	}
-	return 0
 }
 
+// remainder returns the bytes after the last complete event.
+func (s *eventSplitter) remainder() []byte { return s.pending }
+
 // lastID returns the identifier of the last event that has one.
 func lastID(events []byte) string {
 	id := ""
-	for line := range strings.Lines(string(events)) {
+	for _, line := range strings.FieldsFunc(string(events), func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if value, ok := strings.CutPrefix(line, "id:"); ok {
 			id = strings.TrimSpace(value)
 		}
