Check event streams that are read whole before they are relayed

A stream of events on a route without streams, or with a status other than 200, is read whole and was taken as complete at the end of its connection. Found by looking for the same cause elsewhere; not seen by callers. Change: the check of the relay also applies there, to responses of the media type of event streams. A cut one fails the attempt, which is repeated where the route allows it.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -24,6 +24,9 @@
 	if err == nil && len(body) > maxBufferedResponse {
 		err = errors.Newf("response body exceeds %d bytes", maxBufferedResponse)
 	}
+	if err == nil && isEventStream(response.Header) {
+		err = checkEvents(body, exchange.Framing())
+	}
 	if err != nil {
 		return x.handleReadError(attempt, exchange, err)
 	}
@@ -115,7 +118,7 @@
 			x.lastEventID = events.lastID
 		}
 		if errors.Is(err, io.EOF) {
-			err = events.end(exchange.Framing() != upstream.FramingClose)
+			err = events.end(exchange.Framing())
 			if err != nil && mayBeEventStream(exchange.Response.Header) {
 				return x.handleReadError(attempt, exchange, err)
 			}
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -74,7 +74,8 @@
 }
 
 // newStreamForwarder returns a forwarder with two streaming routes, /plain/ and the
-// resumable /resumable/, whose service has two endpoints at the same address.
+// resumable /resumable/, and the idempotent route /lookup/, whose service has two
+// endpoints at the same address.
 func newStreamForwarder(address string) *Forwarder {
 	route := func(name string, resumable bool) traffic.Route {
 		return traffic.Route{
@@ -82,13 +83,15 @@
 			Timeout: 2 * time.Second, MaxAttempts: 2, Targets: []traffic.Target{{Service: "s", Weight: 1}},
 		}
 	}
+	lookup := route("lookup", false)
+	lookup.Kind = traffic.Idempotent
 	endpoints := fleet.NewRegistry(fleet.Config{Zone: "z"})
 	for _, id := range []string{"e1", "e2"} {
 		endpoints.Put(fleet.Endpoint{ID: id, Service: "s", Address: address, Zone: "z", Slots: 64})
 	}
 	return New(Config{
 		Source: fixedSource{traffic.NewConfig(traffic.Spec{
-			Routes: []traffic.Route{route("plain", false), route("resumable", true)}, Services: []traffic.Service{{Name: "s"}},
+			Routes: []traffic.Route{route("plain", false), route("resumable", true), lookup}, Services: []traffic.Service{{Name: "s"}},
 		})},
 		Endpoints: endpoints, Upstream: upstream.NewPool(), Codec: plainCodec{},
 		Retry: repeat.NewBudgets(repeat.BudgetConfig{Reserve: 1000}, time.Now),
@@ -209,4 +212,18 @@
 			Expect(recorder.Body.String()).To(Equal(`{"choices":[]}`))
 		}
 	})
+
+	// Guards against passing on as complete a cut stream of events on a route without streams.
+	It("is not passed on by a route without streams, but repeated", func() {
+		body := eventsFrom(1, lastEvent, "\n")
+		f := newStreamForwarder(startEndpoint(func(n int, _ *http.Request) string {
+			if n == 1 {
+				return framed[upstream.FramingClose](body, len(body)-1)
+			}
+			return framed[upstream.FramingClose](body, len(body))
+		}))
+		recorder, err := serveStream(f, "lookup")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(recorder.Body.String()).To(Equal(body))
+	})
 })
--- a/internal/forward/splitter.go
+++ b/internal/forward/splitter.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"bilberryslip.example/bilberryslip/internal/upstream"
 )
 
 // errEndInsideEvent means that a stream ended inside an event, so that its endpoint
@@ -20,11 +22,18 @@
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
-// mayBeEventStream reports whether a response with the header may be a stream of
-// server-sent events: its media type says so, or is missing or invalid.
-func mayBeEventStream(header http.Header) bool {
+// isEventStream reports whether the media type of a response is that of a stream of
+// server-sent events.
+func isEventStream(header http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	return err != nil || mediaType == eventStreamType
+	return err == nil && mediaType == eventStreamType
+}
+
+// mayBeEventStream does the same for a response on a streaming route, where a missing
+// or invalid media type is taken for that of an event stream.
+func mayBeEventStream(header http.Header) bool {
+	_, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err != nil || isEventStream(header)
 }
 
 // eventSplitter finds the ends of server-sent events in a stream.
@@ -57,13 +66,19 @@
 	return ready
 }
 
-// end returns an error if the stream can't be complete with the bytes so far. framed
-// is set if the response marks its end by a length or a last chunk.
-func (s *eventSplitter) end(framed bool) error {
+// checkEvents returns an error if body, a whole response, can't be a complete stream.
+func checkEvents(body []byte, framing upstream.Framing) error {
+	var events eventSplitter
+	events.feed(body)
+	return events.end(framing)
+}
+
+// end returns an error if the stream can't be complete with the bytes so far.
+func (s *eventSplitter) end(framing upstream.Framing) error {
 	switch {
 	case s.boundaries.insideEvent():
 		return errEndInsideEvent
-	case !framed && s.boundaries.events == 0:
+	case framing == upstream.FramingClose && s.boundaries.events == 0:
 		return errEndBeforeEvents
 	default:
 		return nil
