Send streams with a length to callers that can't receive chunks

Change: such a caller's stream is read whole and sent with a Content-Length, or answered with 502 if it was cut. Other responses that are read whole and came without a length get one too.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -27,6 +27,9 @@
 	// Header holds the fields to pass on, without those that this system sets.
 	Header http.Header
 	Body   []byte
+	// NeedsLength is set if the caller can't receive chunks. Its response is sent
+	// with a length, since it can't tell a cut response without one from a whole one.
+	NeedsLength bool
 }
 
 // AttemptParams holds the values of one attempt that are sent to its endpoint in
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -268,7 +268,7 @@
 		return repeat.Unknown, err
 	}
 	x.framing = exchange.Framing()
-	if x.route.Kind == traffic.Streaming && exchange.Response.StatusCode == http.StatusOK {
+	if x.route.Kind == traffic.Streaming && exchange.Response.StatusCode == http.StatusOK && !x.call.NeedsLength {
 		return x.relayStream(attempt, exchange)
 	}
 	return x.relayBuffered(attempt, exchange)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -65,6 +66,9 @@
 
 // writeResponse writes a buffered response to the caller.
 func (x *inflightCall) writeResponse(response *http.Response, body []byte) repeat.Outcome {
+	if len(body) > 0 {
+		response.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	x.writeHeader(response)
 	// The HTTP server detects a caller that has disconnected.
 	_, _ = x.writer.Write(body)
