Propagate resets through the relay of the tests

Change: a connection that is reset resets the other one. Measured: the new spec failed before (end of file) and passes.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -203,6 +204,11 @@
 		if open.blackholed.Load() {
 			return
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			r.drop(open)
+			open.reset()
+			return
+		}
 		_ = to.CloseWrite()
 		if open.closedDirections.Add(1) == 2 {
 			r.drop(open)
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,6 +92,28 @@
 		Eventually(proxy.OpenConnections).Should(BeZero())
 	})
 
+	// Guards against hiding a reset from the client as an orderly close.
+	It("propagates a reset of the target as a reset", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write([]byte("part"))
+			time.Sleep(50 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}()
+		between, err := relay.New(listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(between.Close)
+		text, err := io.ReadAll(dial(between.Addr()))
+		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "read %q, then %v", text, err)
+	})
+
 	It("resets open connections and accepts new ones", func() {
 		conn := dial(proxy.Addr())
 		expectEcho(conn)
