Exchange the reports of two hosts once per interval in large fleets

Cause: from 24 hosts on, each host called each other one in every interval, and a call already exchanges the reports of both. Half of the calls told nobody anything new. Ruled out by a trial: to skip a peer that has called within the interval. Change: one host of each pair calls, chosen by hash; the other one calls if that is overdue by a round, which is half an interval. Reports to the lease holder, the only ones with demand, are sent by all as before. Small fleets are unchanged.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -23,8 +23,8 @@
 const KindHost objectstore.Kind = "bilberryslip-hosts"
 
 const (
-	// minInterval is the time between two rounds of reports in a small fleet.
-	// The amount by which organisations can exceed their rates grows with it.
+	// minInterval is the time between two reports to a peer in a small fleet. The
+	// amount by which organisations can exceed their rates grows with it.
 	minInterval = 200 * time.Millisecond
 	// intervalPerPeer lengthens the interval in large fleets, to bound the CPU
 	// time that a host spends on reports.
@@ -32,7 +32,7 @@
 	// responseCacheTTL is how long one report is reused as the response to
 	// several peers. It is short compared with the interval between rounds.
 	responseCacheTTL = 50 * time.Millisecond
-	// unreachableEvery is the number of rounds per call to an unreachable host.
+	// unreachableEvery is the number of intervals per call to an unreachable host.
 	// Few calls suffice, since that host calls this one as soon as it can.
 	unreachableEvery = 4
 	// callTimeout limits a call to a peer.
@@ -68,7 +68,7 @@
 	// Reachable holds the names of the peers that reported recently, Unreachable
 	// those of peers that did not but may still be serving. Both are sorted.
 	Reachable, Unreachable []string
-	// Interval is the time between two rounds of reports.
+	// Interval is the time between two reports of a peer.
 	Interval time.Duration
 }
 
@@ -162,19 +162,25 @@
 	go s.keepRegistered(ctx)
 	for {
 		s.sendRound(ctx)
-		if !retry.Sleep(ctx, s.Interval()) {
+		if !retry.Sleep(ctx, s.roundInterval()) {
 			return ctx.Err()
 		}
 	}
 }
 
-// Interval returns the time between two rounds of reports.
+// Interval returns the time between two reports of a peer.
 func (s *Service) Interval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.roster.interval()
 }
 
+func (s *Service) roundInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.roundInterval()
+}
+
 // keepRegistered writes this host's entry at the start and whenever the store has
 // lost it, until ctx is cancelled.
 func (s *Service) keepRegistered(ctx context.Context) {
@@ -272,13 +278,13 @@
 	s.roster.addEntry(time.Now(), object.Name, entry.Address, entry.Incarnation)
 }
 
-// sendRound sends a report to all peers in parallel without waiting for their
+// sendRound sends a report to the peers of a round in parallel without waiting for their
 // responses. A peer with a report in flight gets no further one until that call
 // ends.
 func (s *Service) sendRound(ctx context.Context) {
 	now := time.Now()
 	s.mu.Lock()
-	peers := s.roster.reportTargets(now, s.rounds%unreachableEvery == 0)
+	peers := s.roster.roundTargets(now, s.rounds)
 	s.rounds++
 	reachability := s.roster.reachability(now)
 	leader := ""
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
 )
 
@@ -23,6 +25,10 @@
 	// them as seen from one host.
 	singleRetention = 15 * time.Second
 	groupRetention  = 40 * time.Second
+	// largeFleetSize is the minimum number of hosts of a large fleet.
+	largeFleetSize = 24
+	// roundsPerInterval is the number of rounds per interval in a large fleet.
+	roundsPerInterval = 2
 )
 
 // peer is the state of another host.
@@ -34,6 +40,8 @@
 	// reportedAt is when its last report was sent, by this host's clock; see
 	// recordReport.
 	reportedAt time.Time
+	// sentAt is when this host last began to send it a report.
+	sentAt time.Time
 	// leaseUntil is when its hold on the placement lease expires.
 	leaseUntil time.Time
 	report     *fleetv1.Report
@@ -147,6 +155,57 @@
 	return nil
 }
 
+// large reports whether the fleet is so large that the two hosts of a pair take turns
+// in calling each other.
+func (r *roster) large() bool { return len(r.peers)+1 >= largeFleetSize }
+
+// roundInterval returns the time between two rounds of reports. In a large fleet a
+// round calls only some of the peers.
+func (r *roster) roundInterval() time.Duration {
+	if r.large() {
+		return r.interval() / roundsPerInterval
+	}
+	return r.interval()
+}
+
+// roundTargets returns the peers to report to in a round, sorted by name, and records
+// that they are sent a report. round counts the rounds from zero.
+func (r *roster) roundTargets(now time.Time, round int) []peer {
+	if !r.large() {
+		return r.reportTargets(now, round%unreachableEvery == 0)
+	}
+	leader := r.leader(now)
+	targets := r.reportTargets(now, round%(roundsPerInterval*unreachableEvery) == 0)
+	return slices.DeleteFunc(targets, func(p peer) bool {
+		if !r.due(now, &p, leader) {
+			return true
+		}
+		r.peers[p.name].sentAt = now
+		return false
+	})
+}
+
+// due reports whether to report to a peer now. A call exchanges the reports of both
+// hosts, so that one host of each pair calls, and the other one only if no call has
+// come for a round longer. The lease holder is called by all: only reports to it carry
+// demand.
+func (r *roster) due(now time.Time, p, leader *peer) bool {
+	last, wait := p.reportedAt, r.interval()-r.roundInterval()/2
+	switch {
+	case leader == nil || p.name == leader.name:
+		last = p.sentAt
+	case !callsFirst(r.self, p.name):
+		wait += r.roundInterval()
+	}
+	return now.Sub(last) >= wait
+}
+
+// callsFirst reports whether the first of two hosts is the one that calls the other.
+// Each host does so with about half of the others.
+func callsFirst(host, other string) bool {
+	return xxhash.Sum64String(host+"\x00"+other) < xxhash.Sum64String(other+"\x00"+host)
+}
+
 // reportTargets returns the peers to report to, sorted by name, with or without
 // the unreachable ones.
 func (r *roster) reportTargets(now time.Time, includeUnreachable bool) []peer {
