--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -278,9 +278,9 @@
 	s.roster.addEntry(time.Now(), object.Name, entry.Address, entry.Incarnation)
 }
 
-// sendRound sends a report to the peers of a round in parallel without waiting for their
-// responses. A peer with a report in flight gets no further one until that call
-// ends.
+// sendRound sends a report to the peers that are due, in parallel and without waiting
+// for their responses. A peer with a report in flight gets no further one until that
+// call ends.
 func (s *Service) sendRound(ctx context.Context) {
 	now := time.Now()
 	s.mu.Lock()
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -155,8 +155,8 @@
 	return nil
 }
 
-// large reports whether the fleet is so large that the two hosts of a pair take turns
-// in calling each other.
+// large reports whether the fleet is so large that only one host of each pair calls the
+// other.
 func (r *roster) large() bool { return len(r.peers)+1 >= largeFleetSize }
 
 // roundInterval returns the time between two rounds of reports. In a large fleet a
@@ -187,8 +187,8 @@
 
 // due reports whether to report to a peer now. A call exchanges the reports of both
 // hosts, so that one host of each pair calls, and the other one only if no call has
-// come for a round longer. The lease holder is called by all: only reports to it carry
-// demand.
+// come for a round longer. The lease holder is called by all, since only reports to it
+// carry demand; while none is known, any peer may become it.
 func (r *roster) due(now time.Time, p, leader *peer) bool {
 	last, wait := p.reportedAt, r.interval()-r.roundInterval()/2
 	switch {
--- a/internal/exchange/rounds_test.go
+++ b/internal/exchange/rounds_test.go
@@ -23,13 +23,16 @@
 	rounds  []int
 	// inFlight holds the calls that have not arrived, by arrival.
 	inFlight []simulatedCall
-	// calls counts the calls by caller; exchanges is the time of the last exchange
-	// of each pair, maxGap the longest time between two of a pair.
+	// calls counts the calls by caller. exchanges holds the time of the last exchange
+	// of each pair, maxGap the longest time between two exchanges of a pair.
 	calls     []int
 	exchanges map[[2]int]time.Time
 	maxGap    time.Duration
 	// fails reports whether a call is lost.
 	fails func(from, to int) bool
+	// previousBuild reports whether a host calls every peer in every interval, as the
+	// builds did that had no rounds by pairs.
+	previousBuild func(host int) bool
 	// leader is the index of the holder of the placement lease.
 	leader int
 	// reportsToLeader counts the calls to the leader, by caller.
@@ -51,7 +54,7 @@
 	f := &simulatedFleet{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), exchanges: make(map[[2]int]time.Time),
 		calls: make([]int, size), rounds: make([]int, size), reportsToLeader: make([]int, size),
-		fails: func(int, int) bool { return false },
+		fails: func(int, int) bool { return false }, previousBuild: func(int) bool { return false },
 	}
 	for i := range size {
 		r := newRoster(hostName(i))
@@ -89,14 +92,28 @@
 		}
 		f.now = f.next[caller]
 		f.round(caller)
-		f.next[caller] = f.now.Add(f.rosters[caller].roundInterval())
+		f.next[caller] = f.now.Add(f.roundInterval(caller))
 	}
 }
 
 func (f *simulatedFleet) delay() time.Duration { return time.Duration(f.rng.Int64N(int64(maxDelay))) }
 
+func (f *simulatedFleet) roundInterval(host int) time.Duration {
+	if f.previousBuild(host) {
+		return f.rosters[host].interval()
+	}
+	return f.rosters[host].roundInterval()
+}
+
+func (f *simulatedFleet) roundTargets(host int) []peer {
+	if f.previousBuild(host) {
+		return f.rosters[host].reportTargets(f.now, f.rounds[host]%unreachableEvery == 0)
+	}
+	return f.rosters[host].roundTargets(f.now, f.rounds[host])
+}
+
 func (f *simulatedFleet) round(caller int) {
-	targets := f.rosters[caller].roundTargets(f.now, f.rounds[caller])
+	targets := f.roundTargets(caller)
 	f.rounds[caller]++
 	for _, p := range targets {
 		var callee int
@@ -184,6 +201,17 @@
 		Expect(f.maxGap).To(BeNumerically("<", reachableFor))
 	})
 
+	It("come in time beside hosts of a build in which both sides call", func() {
+		f := newSimulatedFleet(64, maxDelay, 4)
+		f.previousBuild = func(host int) bool { return host%2 == 0 }
+		f.leader = 3
+		f.run(2 * time.Second)
+		f.maxGap = 0
+		f.run(length)
+		interval := f.rosters[0].interval()
+		Expect(f.maxGap).To(BeNumerically("<", interval+interval/2))
+	})
+
 	It("call a host that was cut off again soon after the cut", func() {
 		f := newSimulatedFleet(64, time.Second, 3)
 		f.leader = 0
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// Values of the label end of bilberryslip_routed_responses_total.
+// Values of the label end of bilberryslip_routed_responses_total. Responses that are
+// too large to relay count as cut.
 const (
 	endComplete = "complete"
 	endCut      = "cut"
@@ -65,6 +66,7 @@
 	}
 }
 
+// recordResponse counts a response of an endpoint by the end of its body.
 func (m *metrics) recordResponse(service string, framing upstream.Framing, end string) {
 	m.responses.WithLabelValues(service, string(framing), end).Inc()
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -64,7 +64,8 @@
 	return x.writeResponse(response, body), nil
 }
 
-// writeResponse writes a buffered response to the caller.
+// writeResponse writes a buffered response to the caller, with its length, so that the
+// caller notices a cut whatever its protocol version.
 func (x *inflightCall) writeResponse(response *http.Response, body []byte) repeat.Outcome {
 	if len(body) > 0 {
 		response.Header.Set("Content-Length", strconv.Itoa(len(body)))
@@ -122,11 +123,10 @@
 			x.lastEventID = events.lastID
 		}
 		if errors.Is(err, io.EOF) {
-			err = events.end(exchange.Framing())
-			if err != nil && mayBeEventStream(exchange.Response.Header) {
-				return x.handleReadError(attempt, exchange, err)
+			err = events.checkEnd(exchange.Framing())
+			if err == nil || !mayBeEventStream(exchange.Response.Header) {
+				return x.finishStream(attempt, exchange, events, control)
 			}
-			return x.finishStream(attempt, exchange, events, control)
 		}
 		if err != nil {
 			return x.handleReadError(attempt, exchange, err)
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -22,7 +22,8 @@
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
 
-// plainCodec forwards the headers of calls and signs every response.
+// plainCodec sends only where to resume, and takes every response for a signed one of
+// the call.
 type plainCodec struct{}
 
 func (plainCodec) Encode(_ *Call, params AttemptParams) http.Header {
@@ -30,10 +31,18 @@
 }
 func (plainCodec) Belongs(*Call, http.Header) bool { return true }
 func (plainCodec) Decode(*http.Response) Reply     { return Reply{Signed: true} }
-func (plainCodec) CopyHeader(to, from http.Header) { to.Set("Content-Type", from.Get("Content-Type")) }
-func (s fixedSource) Current() *traffic.Config     { return s.config }
-func testEvent(n int, end string) string {
-	return fmt.Sprintf("id: %d%sdata: piece %d%s%s", n, end, n, end, end)
+func (plainCodec) CopyHeader(to, from http.Header) {
+	to.Set("Content-Type", from.Get("Content-Type"))
+}
+
+// fixedSource is a Source whose configuration never changes.
+type fixedSource struct{ config *traffic.Config }
+
+func (s fixedSource) Current() *traffic.Config { return s.config }
+
+// testEvent returns the n-th event of a stream with the given line end.
+func testEvent(n int, lineEnd string) string {
+	return fmt.Sprintf("id: %d%sdata: piece %d%s%s", n, lineEnd, n, lineEnd, lineEnd)
 }
 
 func eventsFrom(first, last int, lineEnd string) string {
@@ -44,8 +53,6 @@
 	return text
 }
 
-type fixedSource struct{ config *traffic.Config }
-
 // startEndpoint starts an endpoint that passes each request to respond and then
 // closes the connection. respond gets the number of the request, from one, and
 // returns the bytes of the response.
--- a/internal/forward/splitter.go
+++ b/internal/forward/splitter.go
@@ -29,8 +29,8 @@
 	return err == nil && mediaType == eventStreamType
 }
 
-// mayBeEventStream does the same for a response on a streaming route, where a missing
-// or invalid media type is taken for that of an event stream.
+// mayBeEventStream reports whether a response on a streaming route is to be taken for a
+// stream of events: its media type says so, or is missing or invalid.
 func mayBeEventStream(header http.Header) bool {
 	_, _, err := mime.ParseMediaType(header.Get("Content-Type"))
 	return err != nil || isEventStream(header)
@@ -70,11 +70,11 @@
 func checkEvents(body []byte, framing upstream.Framing) error {
 	var events eventSplitter
 	events.feed(body)
-	return events.end(framing)
+	return events.checkEnd(framing)
 }
 
-// end returns an error if the stream can't be complete with the bytes so far.
-func (s *eventSplitter) end(framing upstream.Framing) error {
+// checkEnd returns an error if the stream can't be complete with the bytes so far.
+func (s *eventSplitter) checkEnd(framing upstream.Framing) error {
 	switch {
 	case s.boundaries.insideEvent():
 		return errEndInsideEvent
