Tell the specs of whole streams from those of cut ones

Whole streams stood under 'A stream that its endpoint breaks off'. The endpoint of the resumed stream hands over where it resumed by a channel. No check changed.

--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -113,28 +113,30 @@
 
 const eventStreamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 
-var _ = Describe("A stream that its endpoint breaks off", func() {
-	const lastEvent = 3
-
-	// framed returns a response whose body is cut after that many bytes.
-	framed := map[upstream.Framing]func(body string, cut int) string{
-		upstream.FramingLength: func(body string, cut int) string {
-			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", eventStreamHead, len(body), body[:cut])
-		},
-		upstream.FramingChunked: func(body string, cut int) string {
-			return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", eventStreamHead, len(body), body[:cut])
-		},
-		upstream.FramingClose: func(body string, cut int) string {
-			return eventStreamHead + "\r\n" + body[:cut]
-		},
-	}
+// lastEvent is the number of the last event of the streams in these specs.
+const lastEvent = 3
+
+// framedResponses returns a response whose body is cut after that many bytes, by
+// framing.
+var framedResponses = map[upstream.Framing]func(body string, cut int) string{
+	upstream.FramingLength: func(body string, cut int) string {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", eventStreamHead, len(body), body[:cut])
+	},
+	upstream.FramingChunked: func(body string, cut int) string {
+		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", eventStreamHead, len(body), body[:cut])
+	},
+	upstream.FramingClose: func(body string, cut int) string {
+		return eventStreamHead + "\r\n" + body[:cut]
+	},
+}
 
+var _ = Describe("A stream that its endpoint breaks off", func() {
 	// Guards against passing on as complete a stream that ended inside an event.
 	It("never ends as complete for the caller, wherever it is cut and however it is framed", func() {
 		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
 			body := eventsFrom(1, lastEvent, lineEnd)
 			eventLength := len(testEvent(1, lineEnd))
-			for framing, response := range framed {
+			for framing, response := range framedResponses {
 				for cut := range body {
 					if framing == upstream.FramingClose && cut > 0 && cut%eventLength == 0 {
 						continue // can't be told from the end of a shorter stream
@@ -169,29 +171,47 @@
 			if cut%eventLength == 0 {
 				continue
 			}
-			resumedAfter := ""
+			resumedAfter := make(chan string, 1)
 			f := newStreamForwarder(startEndpoint(func(n int, request *http.Request) string {
 				if n == 1 {
-					return framed[upstream.FramingClose](body, cut)
+					return framedResponses[upstream.FramingClose](body, cut)
 				}
-				resumedAfter = request.Header.Get("Resume-After")
+				resumedAfter <- request.Header.Get("Resume-After")
 				rest := eventsFrom(cut/eventLength+1, lastEvent, "\n")
-				return framed[upstream.FramingLength](rest, len(rest))
+				return framedResponses[upstream.FramingLength](rest, len(rest))
 			}))
 			recorder, err := serveStream(f, "resumable")
 			Expect(err).NotTo(HaveOccurred(), "cut after %d bytes", cut)
 			Expect(recorder.Body.String()).To(Equal(body))
+			lastID := ""
 			if complete := cut / eventLength; complete > 0 {
-				Expect(resumedAfter).To(Equal(fmt.Sprint(complete)))
+				lastID = fmt.Sprint(complete)
 			}
+			Expect(resumedAfter).To(Receive(Equal(lastID)))
 		}
 	})
 
-	It("is passed on unchanged if it is whole, however it is framed", func() {
+	// Guards against passing on as complete a cut stream of events on a route without streams.
+	It("is not passed on by a route without streams, but repeated", func() {
+		body := eventsFrom(1, lastEvent, "\n")
+		f := newStreamForwarder(startEndpoint(func(n int, _ *http.Request) string {
+			if n == 1 {
+				return framedResponses[upstream.FramingClose](body, len(body)-1)
+			}
+			return framedResponses[upstream.FramingClose](body, len(body))
+		}))
+		recorder, err := serveStream(f, "lookup")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(recorder.Body.String()).To(Equal(body))
+	})
+})
+
+var _ = Describe("A stream that its endpoint completes", func() {
+	It("is passed on unchanged, however it is framed", func() {
 		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
 			for _, tail := range []string{"", ": keep-alive" + lineEnd, ": keep-alive" + lineEnd + lineEnd, lineEnd} {
 				body := ": start" + lineEnd + lineEnd + eventsFrom(1, lastEvent, lineEnd) + tail
-				for framing, response := range framed {
+				for framing, response := range framedResponses {
 					for _, route := range []string{"plain", "resumable"} {
 						f := newStreamForwarder(startEndpoint(func(int, *http.Request) string {
 							whole := response(body, len(body))
@@ -219,18 +239,4 @@
 			Expect(recorder.Body.String()).To(Equal(`{"choices":[]}`))
 		}
 	})
-
-	// Guards against passing on as complete a cut stream of events on a route without streams.
-	It("is not passed on by a route without streams, but repeated", func() {
-		body := eventsFrom(1, lastEvent, "\n")
-		f := newStreamForwarder(startEndpoint(func(n int, _ *http.Request) string {
-			if n == 1 {
-				return framed[upstream.FramingClose](body, len(body)-1)
-			}
-			return framed[upstream.FramingClose](body, len(body))
-		}))
-		recorder, err := serveStream(f, "lookup")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(recorder.Body.String()).To(Equal(body))
-	})
 })
