--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -139,7 +139,7 @@
 			for framing, response := range framedResponses {
 				for cut := range body {
 					if framing == upstream.FramingClose && cut > 0 && cut%eventLength == 0 {
-						continue // can't be told from the end of a shorter stream
+						continue // a cut between events looks like the end of a shorter stream
 					}
 					f := newStreamForwarder(startEndpoint(func(int, *http.Request) string { return response(body, cut) }))
 					recorder, err := serveStream(f, "plain")
