Log the shared prompt segments and events of failed attempts

Change: two fields in the log lines of failed attempts. No logic changes. go test ./internal/forward passes.

--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -65,6 +65,8 @@
 	// lastEventID is the identifier of the last complete event of a stream that
 	// was relayed.
 	lastEventID string
+	// events is the number of complete events in the stream of the last attempt.
+	events int
 	// framing is the framing of the last response whose body was read.
 	framing upstream.Framing
 	// status is the status of the relayed response.
@@ -181,6 +183,7 @@
 // send sends the request to one endpoint and relays the response.
 func (x *inflightCall) send(attempt *fleet.Attempt) (repeat.Outcome, error) {
 	x.tried = append(x.tried, attempt.Endpoint.ID)
+	x.events = 0
 	codec := x.forwarder.config.Codec
 	message := upstream.Message{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/repeat"
+	"bilberryslip.example/bilberryslip/internal/traffic"
 )
 
 // shouldRetry reports whether the request is to be sent again after an attempt
@@ -52,9 +54,19 @@
 func (x *inflightCall) logAttempt(attempt *fleet.Attempt, event string, err error) {
 	x.log().WithError(err).WithFields(logrus.Fields{
 		"endpoint": attempt.Endpoint.ID, "address": attempt.Endpoint.Address, "send": x.attempts.Sent,
+		"events": x.events, "shared_segments": segmentIDs(x.call.SharedSegments()),
 	}).Info(event)
 }
 
+// segmentIDs returns the identifiers of prompt segments, separated by commas.
+func segmentIDs(segments []traffic.PromptSegment) string {
+	ids := make([]string, len(segments))
+	for i, segment := range segments {
+		ids[i] = segment.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 // finish logs the outcome of the call and counts it in the metrics.
 func (x *inflightCall) finish(err error) {
 	elapsed := x.forwarder.config.Clock().Sub(x.started)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -112,7 +112,9 @@
 	buffer := make([]byte, streamReadSize)
 	for {
 		n, err := exchange.Response.Body.Read(buffer)
-		if ready := events.feed(buffer[:n]); len(ready) > 0 {
+		ready := events.feed(buffer[:n])
+		x.events = events.boundaries.events
+		if len(ready) > 0 {
 			if !x.responseStarted {
 				x.writeHeader(exchange.Response)
 			}
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -45,3 +45,9 @@
 	}
 	return float64(r.PromptTokens + r.OutputTokens)
 }
+
+// SharedSegments returns the prompt segments that other requests may share: all but
+// the last.
+func (r *Request) SharedSegments() []PromptSegment {
+	return r.PromptSegments[:max(0, len(r.PromptSegments)-1)]
+}
