Hold back requests with prompt segments that crash endpoints

Cause: a failed attempt counts against its endpoint and is forgotten. Nothing ties the crashes to the part of the prompt that they have in common, and each host sees only its own requests of a crash. Ruled out: repeats (send=1 in all lines), load (no alert before the first crash; the requests that broke off without an event have one segment in common). Change: internal/quarantine collects, over all hosts, the prompt segments that were in flight at confirmed crashes, drops those that survived elsewhere, and holds back the ones that explain three crashes better than any other. Unit specs of internal/quarantine pass.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	"bilberryslip.example/bilberryslip/internal/mirror"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/orders"
+	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/quota"
 	"bilberryslip.example/bilberryslip/internal/settings"
 	"bilberryslip.example/bilberryslip/internal/supervise"
@@ -83,16 +84,17 @@
 	path string
 	logs *logsink.Sink
 
-	source    forward.Source
-	endpoints *fleet.Registry
-	quota     *quota.Service
-	exchange  *exchange.Service
-	lease     *lease.Lease
-	orders    *orders.Service
-	forwarder *forward.Forwarder
-	callers   *httpserver.Server
-	tree      *suture.Supervisor
-	draining  atomic.Bool
+	source     forward.Source
+	endpoints  *fleet.Registry
+	quarantine *quarantine.Quarantine
+	quota      *quota.Service
+	exchange   *exchange.Service
+	lease      *lease.Lease
+	orders     *orders.Service
+	forwarder  *forward.Forwarder
+	callers    *httpserver.Server
+	tree       *suture.Supervisor
+	draining   atomic.Bool
 }
 
 // Run runs a host until SIGINT or SIGTERM, and then shuts it down gracefully.
@@ -120,7 +122,10 @@
 func (h *host) build() error {
 	s := h.settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
-	h.endpoints = fleet.NewRegistry(fleet.Config{Zone: s.Host.Zone})
+	h.quarantine = quarantine.New(time.Now)
+	h.endpoints = fleet.NewRegistry(fleet.Config{Zone: s.Host.Zone, OnVanished: func(e fleet.Endpoint) {
+		h.quarantine.RecordGone(quarantine.Incarnation{Endpoint: e.ID, StartedMillis: e.StartedMillis()})
+	}})
 	h.quota = quota.NewService(s.Host.Name, s.Bounds.QuotaWindow.Std(), s.FirstStart)
 	source, configMirror := h.adapter.Configuration(func(c *traffic.Config) { h.quota.Configure(c) })
 	h.source = source
@@ -129,6 +134,7 @@
 	})
 	h.exchange.AddParticipant(h.quota)
 	h.exchange.AddParticipant(h.endpoints)
+	h.exchange.AddParticipant(h.quarantine)
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
 	h.exchange.AddParticipant(newGCTuner(time.Now))
@@ -136,7 +142,7 @@
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
-		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets,
+		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine,
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
@@ -225,6 +231,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
 	registry.MustRegister(h.adapter.Collectors()...)
 	registry.MustRegister(h.forwarder.Collectors()...)
+	registry.MustRegister(h.quarantine.Collectors()...)
 	registry.MustRegister(h.orders.Collectors()...)
 	return registry
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -18,6 +18,7 @@
 		return c.JSON(http.StatusOK, map[string]any{
 			"endpoints": h.endpoints.DumpState(),
 			"peers":     h.exchange.DumpState(),
+			"crashes":   h.quarantine.DumpState(),
 			"quota":     h.quota.DumpState(),
 			"lease":     h.lease.DumpState(),
 			"orders":    h.orders.DumpState(),
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -37,6 +37,15 @@
 	return e.ID == other.ID && e.Started.Equal(other.Started) && e.Address == other.Address
 }
 
+// StartedMillis returns when the endpoint started, in Unix milliseconds; zero if that
+// is unknown.
+func (e *Endpoint) StartedMillis() int64 {
+	if e.Started.IsZero() {
+		return 0
+	}
+	return e.Started.UnixMilli()
+}
+
 // Holds reports whether the endpoint holds a model and its adapter. Either name
 // may be empty, for no requirement.
 func (e *Endpoint) Holds(model, adapter string) bool {
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -70,10 +70,3 @@
 	m.Leaving = true
 	logrus.WithFields(logrus.Fields{"endpoint": m.ID, "service": m.Service, "address": m.Address, "peer": peer}).Info("endpoint announced its shutdown")
 }
-
-func startedMillis(m *member) int64 {
-	if m.Started.IsZero() {
-		return 0
-	}
-	return m.Started.UnixMilli()
-}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -52,7 +52,7 @@
 	now := r.config.Clock()
 	for id, m := range r.members {
 		if m.announcedLeaving {
-			report.Leaving = append(report.Leaving, &fleetv1.LeavingEndpoint{Endpoint: id, StartedMillis: startedMillis(m)})
+			report.Leaving = append(report.Leaving, &fleetv1.LeavingEndpoint{Endpoint: id, StartedMillis: m.StartedMillis()})
 		}
 		tenths := int32(10 * r.ejector.Penalty(now, id))
 		if m.running > 0 || tenths > 0 {
@@ -83,7 +83,7 @@
 	r.peers[report.GetHost()] = load
 	r.addPeerLoad(load, 1)
 	for _, l := range report.GetLeaving() {
-		if m, ok := r.members[l.GetEndpoint()]; ok && startedMillis(m) == l.GetStartedMillis() {
+		if m, ok := r.members[l.GetEndpoint()]; ok && m.StartedMillis() == l.GetStartedMillis() {
 			r.markLeaving(m, report.GetHost())
 		}
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -33,6 +33,10 @@
 	Ejector endpoint.EjectorConfig
 	// Clock returns the current time. Nil means time.Now.
 	Clock func() time.Time
+	// OnVanished is called with each endpoint whose entry is removed or replaced by
+	// that of another incarnation although it had not announced its shutdown. It must
+	// not call the Registry. Nil does nothing.
+	OnVanished func(Endpoint)
 }
 
 // member is one endpoint in the Registry.
@@ -101,6 +105,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
+	if cfg.OnVanished == nil {
+		cfg.OnVanished = func(Endpoint) {}
+	}
 	if cfg.Ejector == (endpoint.EjectorConfig{}) {
 		cfg.Ejector = endpoint.DefaultEjectorConfig()
 	}
@@ -152,6 +159,9 @@
 		known.removedAt = time.Time{}
 		return
 	}
+	if ok && known.removedAt.IsZero() && !known.Leaving {
+		r.config.OnVanished(known.Endpoint)
+	}
 	if r.hasLeft(&e) {
 		e.Leaving = true
 	}
@@ -186,6 +196,9 @@
 	}
 	known.removedAt = r.config.Clock()
 	r.logChange("endpoint vanished", &known.Endpoint)
+	if !known.Leaving {
+		r.config.OnVanished(known.Endpoint)
+	}
 }
 
 // StoreUnavailable must be called when the store becomes unavailable. Endpoints
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -21,6 +21,7 @@
 	ReasonNoEndpoint      Reason = "no_endpoint"
 	ReasonNotHeld         Reason = "model_not_held"
 	ReasonOverloaded      Reason = "overloaded"
+	ReasonSegmentHeld     Reason = "segment_held"
 	ReasonEndpointFailed  Reason = "endpoint_failed"
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "caller_gone"
@@ -36,6 +37,7 @@
 	ReasonNoEndpoint:      "retry; check that the service's endpoints are listed and healthy",
 	ReasonNotHeld:         "retry once the model is loaded; check placement in the state dump",
 	ReasonOverloaded:      "retry after the time given; add endpoints if this persists",
+	ReasonSegmentHeld:     "leave out the prompt segment; endpoints crashed under requests with it",
 	ReasonEndpointFailed:  "check the endpoint's log for the request's identifier",
 	ReasonTimeout:         "check the endpoint's load; the request may have run",
 	ReasonCallerGone:      "none; the caller closed its connection",
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/quota"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/traffic"
@@ -119,6 +120,9 @@
 	Holdings Placer
 	// Retry limits the retries per service.
 	Retry *repeat.Budgets
+	// Quarantine holds back requests with prompt segments under which endpoints
+	// crash. Nil means one that learns from this host's requests alone.
+	Quarantine *quarantine.Quarantine
 	// Clock defaults to time.Now.
 	Clock func() time.Time
 }
@@ -129,11 +133,14 @@
 	metrics *metrics
 }
 
-// New returns a forwarder. A nil cfg.Clock is replaced by its default.
+// New returns a forwarder. A nil cfg.Clock or cfg.Quarantine is replaced by its default.
 func New(cfg Config) *Forwarder {
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantine.New(cfg.Clock)
+	}
 	return &Forwarder{config: cfg, metrics: newMetrics()}
 }
 
@@ -158,7 +165,7 @@
 // prepare finds the route of a call, authenticates the caller and sets the
 // deadline.
 func (f *Forwarder) prepare(call *Call) (*inflightCall, error) {
-	x := &inflightCall{forwarder: f, call: call, started: f.config.Clock()}
+	x := &inflightCall{forwarder: f, call: call, started: f.config.Clock(), segments: sharedSegments(call)}
 	config := f.config.Source.Current()
 	if config == nil {
 		return x, newRefusal(ReasonNoConfiguration, configurationRetryAfter)
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -11,6 +11,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
@@ -53,6 +54,8 @@
 	organisation *traffic.Organisation
 	// deadline is when the caller stops waiting.
 	deadline time.Time
+	// segments are the hashes of the shared prompt segments.
+	segments []quarantine.Segment
 
 	// tried holds the identifiers of the endpoints tried.
 	tried []string
@@ -81,6 +84,9 @@
 // serve charges the quota, then attempts the call on endpoints until it succeeds
 // or may not be retried.
 func (x *inflightCall) serve() error {
+	if refusal := x.checkHeld(); refusal != nil {
+		return refusal
+	}
 	refund, failure := x.takeQuota()
 	if failure != nil {
 		return failure
@@ -150,13 +156,20 @@
 		}
 	}
 	x.lastReason = reason
+	// A segment may have been held back since the last attempt or during the wait.
+	refusal := x.checkHeld()
+	if refusal != nil && attempt != nil {
+		attempt.Finish(endpoint.OutcomeCancelled)
+	}
 	switch {
-	case reason == fleet.ReasonNone:
+	case refusal == nil && reason == fleet.ReasonNone:
 		return attempt, nil
 	case x.responseStarted:
 		return nil, ErrTruncated
 	case x.mayHaveRun:
 		return nil, &Failure{Reason: ReasonEndpointFailed}
+	case refusal != nil:
+		return nil, refusal
 	case reason == fleet.ReasonBackoff:
 		return nil, newRefusal(ReasonOverloaded, cmp.Or(x.forwarder.config.Endpoints.RemainingBackoff(x.work()), capacityRetryAfter))
 	case reason == fleet.ReasonModelNotHeld || reason == fleet.ReasonAdapterNotHeld:
@@ -190,12 +203,14 @@
 		Header: codec.Encode(x.call, x.attemptParams(attempt)), Body: x.call.Body, Dedicated: !x.route.MayRepeat(),
 	}
 	belongs := func(header http.Header) bool { return codec.Belongs(x.call, header) }
+	sentAt := x.forwarder.config.Clock()
 	exchange, err := x.forwarder.config.Upstream.Send(x.ctx, attempt.Endpoint.Address, message, belongs)
 	if err != nil {
 		return x.handleSendError(attempt, err)
 	}
 	defer exchange.Close()
 	x.attempts.Sent++
+	x.recordAnswer(attempt, sentAt)
 	return x.handleResponse(attempt, exchange)
 }
 
@@ -242,8 +257,10 @@
 	x.logAttempt(attempt, "endpoint failed", err)
 	if wasNotSent {
 		x.attempts.DialFailures++
+		x.recordUnreached(attempt, err)
 		return repeat.NotReached, err
 	}
+	x.recordBreak(attempt)
 	return repeat.Unknown, err
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -9,6 +9,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
@@ -32,6 +33,9 @@
 		return x.handleReadError(attempt, exchange, err)
 	}
 	x.recordComplete(exchange)
+	if response.StatusCode < http.StatusMultipleChoices {
+		x.recordSurvival()
+	}
 	if x.responseStarted { // a resumed stream was expected
 		attempt.Finish(endpoint.OutcomeFailed)
 		return repeat.Unknown, errors.Newf("endpoint did not resume the stream: status %d", response.StatusCode)
@@ -100,6 +104,7 @@
 	}
 	attempt.Finish(endpoint.OutcomeFailed)
 	x.forwarder.metrics.recordResponse(x.service, exchange.Framing(), endCut)
+	x.recordBreak(attempt)
 	x.logAttempt(attempt, "answer broke off", err)
 	return repeat.Unknown, err
 }
@@ -113,6 +118,9 @@
 	for {
 		n, err := exchange.Response.Body.Read(buffer)
 		ready := events.feed(buffer[:n])
+		if x.events < quarantine.SurvivedEvents && events.boundaries.events >= quarantine.SurvivedEvents {
+			x.recordSurvival()
+		}
 		x.events = events.boundaries.events
 		if len(ready) > 0 {
 			if !x.responseStarted {
@@ -147,6 +155,7 @@
 
 func (x *inflightCall) finishStream(attempt *fleet.Attempt, exchange *upstream.Exchange, events *eventSplitter, control *http.ResponseController) (repeat.Outcome, error) {
 	x.recordComplete(exchange)
+	x.recordSurvival()
 	attempt.Finish(endpoint.OutcomeAnswered)
 	if !x.responseStarted {
 		x.writeHeader(exchange.Response)
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,203 @@
+package quarantine
+
+import (
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// evidenceTTL is how long a crash counts. Requests with a segment that is held
+	// back are tried again after it.
+	evidenceTTL = 10 * time.Minute
+	// confirmWithin is the maximum time from the first request that breaks off at an
+	// endpoint to the sign that the endpoint is gone. Its entry in the store expires
+	// within that time.
+	confirmWithin = 5 * time.Second
+	// clockTolerance is by how much the times that hosts compute from each other's
+	// reports may differ.
+	clockTolerance = time.Second
+	// clearedFor is how long before a crash a request with a segment must have
+	// survived for the segment not to be suspected.
+	clearedFor = time.Minute
+	// maxSurvived is the number of segments of which the last survival is kept.
+	maxSurvived = 4096
+	// maxCrashes and maxSuspects bound the crashes that are kept and the suspects of
+	// each.
+	maxCrashes, maxSuspects = 128, 64
+)
+
+// crash is what is known of the crash of an endpoint.
+type crash struct {
+	// at is when the first request broke off there.
+	at time.Time
+	// confirmed is set once the endpoint is known to be gone.
+	confirmed bool
+	// suspects are the segments of requests that were in flight at the start of
+	// their responses, with the time at which this host learned of them. ownSuspects
+	// are those of this host's requests.
+	suspects    map[Segment]time.Time
+	ownSuspects map[Segment]bool
+}
+
+// evidence is what this host and its peers have seen of crashes. It is not safe for
+// concurrent use.
+type evidence struct {
+	crashes map[Incarnation]*crash
+	// gone are the endpoints that are known to be gone, with the time at which they
+	// were seen to be.
+	gone *lru.Cache[Incarnation, time.Time]
+	// survived is when a request of this host with the segment last survived the
+	// start of its response; peersSurvived is the same for peers' requests and
+	// suspected segments.
+	survived, peersSurvived *lru.Cache[Segment, time.Time]
+	// disputedAt is when a peer last suspected a segment that survived here.
+	disputedAt *lru.Cache[Segment, time.Time]
+}
+
+func newEvidence() *evidence {
+	return &evidence{
+		crashes: make(map[Incarnation]*crash), gone: newCache[Incarnation](maxCrashes),
+		survived: newCache[Segment](maxSurvived), peersSurvived: newCache[Segment](maxSurvived), disputedAt: newCache[Segment](maxSuspects),
+	}
+}
+
+func newCache[K comparable](size int) *lru.Cache[K, time.Time] {
+	cache, err := lru.New[K, time.Time](size)
+	if err != nil {
+		panic(err) // returned only for a size below one
+	}
+	return cache
+}
+
+// addSuspects records segments of requests that broke off at an endpoint at a time.
+func (e *evidence) addSuspects(now, at time.Time, endpoint Incarnation, segments []Segment, own bool) {
+	c, ok := e.crashes[endpoint]
+	if !ok {
+		if len(e.crashes) >= maxCrashes {
+			e.dropOldest()
+		}
+		c = &crash{at: at, suspects: make(map[Segment]time.Time), ownSuspects: make(map[Segment]bool)}
+		e.crashes[endpoint] = c
+	}
+	if at.Before(c.at) {
+		c.at = at
+	}
+	for _, s := range segments {
+		if e.cleared(s, at) {
+			if !own {
+				e.disputedAt.Add(s, now)
+			}
+			continue
+		}
+		if _, known := c.suspects[s]; !known && len(c.suspects) < maxSuspects {
+			c.suspects[s] = now
+		}
+		if own {
+			c.ownSuspects[s] = true
+		}
+	}
+	if goneAt, ok := e.gone.Peek(endpoint); ok {
+		e.confirm(endpoint, goneAt)
+	}
+}
+
+func (e *evidence) dropOldest() {
+	var oldest Incarnation
+	var oldestAt time.Time
+	for endpoint, c := range e.crashes {
+		if oldestAt.IsZero() || c.at.Before(oldestAt) {
+			oldest, oldestAt = endpoint, c.at
+		}
+	}
+	delete(e.crashes, oldest)
+}
+
+// recordGone records that an endpoint is gone.
+func (e *evidence) recordGone(now time.Time, endpoint Incarnation) {
+	if known, ok := e.gone.Peek(endpoint); !ok || now.Sub(known) > confirmWithin {
+		e.gone.Add(endpoint, now)
+	}
+	e.confirm(endpoint, now)
+}
+
+// confirm marks the endpoint as crashed if it was gone soon after requests broke off.
+func (e *evidence) confirm(endpoint Incarnation, goneAt time.Time) {
+	if c, ok := e.crashes[endpoint]; ok {
+		since := goneAt.Sub(c.at)
+		c.confirmed = c.confirmed || since >= -clockTolerance && since <= confirmWithin
+	}
+}
+
+// recordAnswer drops a crash if the endpoint answered a request that was sent after it.
+func (e *evidence) recordAnswer(endpoint Incarnation, sentAt time.Time) {
+	if c, ok := e.crashes[endpoint]; ok && sentAt.After(c.at) {
+		delete(e.crashes, endpoint)
+	}
+}
+
+// recordSurvival records that a request of this host survived the start of its
+// response.
+func (e *evidence) recordSurvival(now time.Time, segments []Segment) {
+	for _, s := range segments {
+		e.survived.Add(s, now)
+	}
+}
+
+// cleared reports whether a segment is not to be suspected of a crash at a time,
+// because a request with it survived after that or shortly before.
+func (e *evidence) cleared(s Segment, crashAt time.Time) bool {
+	since := crashAt.Add(-clearedFor)
+	own, _ := e.survived.Peek(s)
+	peers, _ := e.peersSurvived.Peek(s)
+	return own.After(since) || peers.After(since)
+}
+
+// prune drops crashes that are too old or were not confirmed in time, and suspects
+// that were cleared.
+func (e *evidence) prune(now time.Time) {
+	for endpoint, c := range e.crashes {
+		age := now.Sub(c.at)
+		if age > evidenceTTL || !c.confirmed && age > confirmWithin+clockTolerance {
+			delete(e.crashes, endpoint)
+			continue
+		}
+		for s := range c.suspects {
+			if e.cleared(s, c.at) {
+				delete(c.suspects, s)
+				delete(c.ownSuspects, s)
+			}
+		}
+	}
+}
+
+// hold is a segment whose requests are held back.
+type hold struct {
+	// crashes is the number of crashes that the segment explains.
+	crashes int
+	// until is when the evidence no longer suffices.
+	until time.Time
+}
+
+// holds returns the segments to hold back. Suspects count once they have been known
+// for settle, in which peers can clear them.
+func (e *evidence) holds(now time.Time, settle time.Duration) map[Segment]hold {
+	var crashes []suspicion
+	for _, c := range e.crashes {
+		if !c.confirmed {
+			continue
+		}
+		settled := suspicion{at: c.at}
+		for s, knownAt := range c.suspects {
+			if now.Sub(knownAt) >= settle {
+				settled.suspects = append(settled.suspects, s)
+			}
+		}
+		crashes = append(crashes, settled)
+	}
+	holds := make(map[Segment]hold)
+	for s, times := range attribute(crashes) {
+		holds[s] = hold{crashes: len(times), until: times[len(times)-minCrashes].Add(evidenceTTL)}
+	}
+	return holds
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,194 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/exchange"
+)
+
+// testInterval is the time between reports in these specs.
+const testInterval = 200 * time.Millisecond
+
+// testHosts are the quarantines of several hosts with one clock.
+type testHosts struct {
+	now   time.Time
+	hosts []*Quarantine
+	// startedAt is when each host started.
+	startedAt map[int]time.Time
+}
+
+func newTestHosts(count int) *testHosts {
+	t := &testHosts{now: time.Unix(1_000_000, 0), hosts: make([]*Quarantine, count), startedAt: make(map[int]time.Time)}
+	for i := range count {
+		t.start(i)
+	}
+	t.exchange(int(time.Minute / testInterval))
+	return t
+}
+
+// start starts a host, or restarts it.
+func (t *testHosts) start(i int) {
+	t.hosts[i] = New(func() time.Time { return t.now })
+	t.startedAt[i] = t.now
+}
+
+// exchange lets time pass and has each host report to each other.
+func (t *testHosts) exchange(rounds int) {
+	for range rounds {
+		t.now = t.now.Add(testInterval)
+		for i, from := range t.hosts {
+			from.SetReachability(exchange.Reachability{Interval: testInterval})
+			report := &fleetv1.Report{Host: fmt.Sprint("h", i), AgeMillis: t.now.Sub(t.startedAt[i]).Milliseconds()}
+			from.FillReport(report)
+			for j, to := range t.hosts {
+				if i != j {
+					to.HandleReport(report, false)
+				}
+			}
+		}
+	}
+}
+
+// crash lets an endpoint crash under requests of hosts, by their segments.
+func (t *testHosts) crash(endpoint Incarnation, inFlight map[int][]Segment) {
+	for host, segments := range inFlight {
+		t.hosts[host].RecordBreak(endpoint, segments)
+	}
+	t.exchange(2)
+	t.hosts[0].RecordGone(endpoint)
+	t.exchange(3)
+}
+
+// held returns the hosts that hold the segment back.
+func (t *testHosts) held(s Segment) int {
+	count := 0
+	for _, host := range t.hosts {
+		if _, held := host.Held(s); held {
+			count++
+		}
+	}
+	return count
+}
+
+func incarnationNumber(n int) Incarnation {
+	return Incarnation{Endpoint: fmt.Sprint("e", n), StartedMillis: int64(n)}
+}
+
+var _ = Describe("Quarantine", func() {
+	const bad, shared, rare = Segment(1), Segment(2), Segment(3)
+
+	It("is in force on all hosts after three crashes that each saw in part", func() {
+		t := newTestHosts(4)
+		for n := range 3 {
+			t.crash(incarnationNumber(n), map[int][]Segment{n: {bad, shared}})
+			t.hosts[3].RecordSurvival([]Segment{shared})
+		}
+		t.exchange(3)
+		Expect(t.held(bad)).To(Equal(4))
+		Expect(t.held(shared)).To(BeZero())
+	})
+
+	It("does not count requests that break off at an endpoint that goes on answering", func() {
+		t := newTestHosts(2)
+		for n := range 5 {
+			t.hosts[0].RecordBreak(incarnationNumber(n), []Segment{bad})
+			t.now = t.now.Add(50 * time.Millisecond)
+			t.hosts[0].RecordAnswer(incarnationNumber(n), t.now)
+			t.hosts[0].RecordGone(incarnationNumber(n))
+		}
+		t.exchange(5)
+		Expect(t.held(bad)).To(BeZero())
+	})
+
+	It("does not count requests that broke off long before the endpoint left", func() {
+		t := newTestHosts(2)
+		for n := range 5 {
+			t.hosts[0].RecordBreak(incarnationNumber(n), []Segment{bad})
+		}
+		t.exchange(40)
+		for n := range 5 {
+			t.hosts[1].RecordGone(incarnationNumber(n))
+		}
+		t.exchange(5)
+		Expect(t.held(bad)).To(BeZero())
+	})
+
+	It("holds a segment back only until a request with it survives on any host", func() {
+		t := newTestHosts(3)
+		for n := range 3 {
+			t.crash(incarnationNumber(n), map[int][]Segment{0: {rare}})
+		}
+		t.exchange(3)
+		Expect(t.held(rare)).To(Equal(3))
+		t.hosts[2].RecordSurvival([]Segment{rare}) // it was sent before
+		t.exchange(3)
+		Expect(t.held(rare)).To(BeZero())
+	})
+
+	It("never holds back a segment that survived on a host whose reports are awaited", func() {
+		t := newTestHosts(3)
+		t.hosts[2].RecordSurvival([]Segment{shared})
+		for n := range 3 {
+			t.hosts[0].RecordBreak(incarnationNumber(n), []Segment{shared})
+			t.hosts[0].RecordGone(incarnationNumber(n))
+			for range 3 {
+				Expect(t.held(shared)).To(BeZero())
+				t.exchange(1)
+			}
+		}
+	})
+
+	It("passes the evidence on to a host that starts later", func() {
+		t := newTestHosts(3)
+		for n := range 3 {
+			t.crash(incarnationNumber(n), map[int][]Segment{0: {bad}})
+		}
+		t.exchange(3)
+		for range 6 { // longer than crashes are reported in general
+			t.exchange(int(reportedFor/testInterval) / 4)
+		}
+		for i := range t.hosts { // all hosts are restarted, one after the other
+			t.start(i)
+			t.exchange(3 + int(maxSettle/testInterval))
+		}
+		Expect(t.held(bad)).To(Equal(3))
+	})
+
+	It("ends after the evidence has expired", func() {
+		t := newTestHosts(2)
+		for n := range 3 {
+			t.crash(incarnationNumber(n), map[int][]Segment{0: {bad}})
+		}
+		t.exchange(3)
+		left, held := t.hosts[1].Held(bad)
+		Expect(held).To(BeTrue())
+		Expect(left).To(BeNumerically("~", evidenceTTL, 10*time.Second))
+		t.now = t.now.Add(evidenceTTL)
+		t.exchange(1)
+		Expect(t.held(bad)).To(BeZero())
+	})
+
+	It("bounds its memory and its reports", func() {
+		t := newTestHosts(1)
+		for n := range 4 * maxCrashes {
+			segments := make([]Segment, 2*maxSuspects)
+			for i := range segments {
+				segments[i] = Segment(n*1000 + i)
+			}
+			t.hosts[0].RecordBreak(incarnationNumber(n), segments)
+			t.hosts[0].RecordGone(incarnationNumber(n))
+		}
+		Expect(len(t.hosts[0].evidence.crashes)).To(BeNumerically("<=", maxCrashes))
+		report := &fleetv1.Report{}
+		t.hosts[0].FillReport(report)
+		Expect(len(report.GetCrashes())).To(BeNumerically("<=", maxReported))
+		for _, c := range report.GetCrashes() {
+			Expect(len(c.GetSegments())).To(BeNumerically("<=", maxSuspects))
+		}
+	})
+})
