Decode and log the limits that endpoints name

Change: the header is decoded, and changes of the limit are logged. No decision uses it. go test of platform, internal/fleet and internal/forward passes.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -64,6 +64,8 @@
 	// announcedLeaving is set once a response to this host announced the endpoint's
 	// shutdown.
 	announcedLeaving bool
+	// limit is what the last response to this host said of the endpoint's limit.
+	limit LimitStatement
 	// backoffUntil is until when the endpoint asked this host to send no request.
 	backoffUntil time.Time
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -69,6 +69,8 @@
 	// Backoff is how long this host must send the endpoint no request; zero unless
 	// the endpoint rejected this one and asked for that.
 	Backoff time.Duration
+	// Limit is what the response says of the endpoint's limit.
+	Limit fleet.LimitStatement
 	// Load is the endpoint's load; nil if the response doesn't report it.
 	Load *fleet.Load
 }
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -270,6 +270,7 @@
 	if reply.Load != nil {
 		attempt.RecordLoad(*reply.Load)
 	}
+	attempt.RecordLimit(reply.Limit)
 	if reply.Leaving {
 		attempt.RecordLeaving()
 	}
