Divide the limits that endpoints name over the hosts

Cause: no host read the header with the limit, and none knew what the others sent. Ruled out: a limit that each host keeps by itself (the endpoint got 2.8 requests a second before it named 1, and 3.2 after); repeats (sends=1).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -123,7 +123,7 @@
 	s := h.settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	h.quarantine = quarantine.New(time.Now)
-	h.endpoints = fleet.NewRegistry(fleet.Config{Zone: s.Host.Zone, OnVanished: func(e fleet.Endpoint) {
+	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, OnVanished: func(e fleet.Endpoint) {
 		h.quarantine.RecordGone(quarantine.Incarnation{Endpoint: e.ID, StartedMillis: e.StartedMillis()})
 	}})
 	h.quota = quota.NewService(s.Host.Name, s.Bounds.QuotaWindow.Std(), s.FirstStart)
--- a/internal/fleet/backoff.go
+++ b/internal/fleet/backoff.go
@@ -44,7 +44,7 @@
 		if m.Service != work.Service || !r.usable(m, now) || !m.holds(now, work.Model, work.Adapter) {
 			continue
 		}
-		wait := m.backoffUntil.Sub(now)
+		wait := max(m.backoffUntil.Sub(now), m.limitWait(now))
 		if wait <= 0 {
 			return 0
 		}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -38,7 +38,8 @@
 	// adapter.
 	ReasonAdapterNotHeld Reason = "adapter_not_held"
 	// ReasonBackoff means that all endpoints that could serve the request asked
-	// this host for a backoff. See Registry.RemainingBackoff.
+	// this host for a backoff, or that its part of their limits is used. See
+	// Registry.RemainingBackoff.
 	ReasonBackoff Reason = "backoff"
 )
 
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -12,6 +12,10 @@
 	// time. PeerFailures is the weighted number reported by peers.
 	Penalty      float64 `json:"penalty"`
 	PeerFailures float64 `json:"told"`
+	// LimitPerSecond is the rate that the endpoint takes from all hosts together; zero
+	// if it names none. LimitDemand is this host's demand for it.
+	LimitPerSecond float64 `json:"limitPerSecond"`
+	LimitDemand    float64 `json:"limitDemand"`
 }
 
 // DumpState returns the state of all endpoints, for the state dump.
@@ -21,10 +25,14 @@
 	now := r.config.Clock()
 	states := make([]endpointState, 0, len(r.members))
 	for _, m := range r.members {
-		states = append(states, endpointState{
+		state := endpointState{
 			Endpoint: m.Endpoint, Removed: !m.removedAt.IsZero(), Running: m.running, UnreadTokens: m.unreadTokens,
 			Load: m.load, LoadAgeMS: now.Sub(m.loadAt).Milliseconds(), Penalty: r.ejector.Penalty(now, m.ID), PeerFailures: r.peerTotals[m.ID].failures(),
-		})
+		}
+		if limit := m.limit.inForce; limit != nil {
+			state.LimitPerSecond, state.LimitDemand = limit.PerSecond(), limit.Demand(now)
+		}
+		states = append(states, state)
 	}
 	return states
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -54,6 +54,9 @@
 		if m.announcedLeaving {
 			report.Leaving = append(report.Leaving, &fleetv1.LeavingEndpoint{Endpoint: id, StartedMillis: m.StartedMillis()})
 		}
+		if limit := m.reportLimit(now); limit != nil {
+			report.Limits = append(report.Limits, limit)
+		}
 		tenths := int32(10 * r.ejector.Penalty(now, id))
 		if m.running > 0 || tenths > 0 {
 			report.Loads = append(report.Loads, &fleetv1.EndpointLoad{
@@ -82,6 +85,7 @@
 	r.addPeerLoad(r.peers[report.GetHost()], -1)
 	r.peers[report.GetHost()] = load
 	r.addPeerLoad(load, 1)
+	r.handleLimits(report.GetHost(), report.GetLimits())
 	for _, l := range report.GetLeaving() {
 		if m, ok := r.members[l.GetEndpoint()]; ok && m.StartedMillis() == l.GetStartedMillis() {
 			r.markLeaving(m, report.GetHost())
@@ -91,9 +95,10 @@
 
 // SetReachability implements exchange.Participant. It drops the load of peers whose
 // last report is older than peerLoadTTL.
-func (r *Registry) SetReachability(exchange.Reachability) {
+func (r *Registry) SetReachability(reachability exchange.Reachability) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.setLimitPeers(reachability)
 	now := r.config.Clock()
 	for host, load := range r.peers {
 		if now.Sub(load.at) > peerLoadTTL {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -26,6 +26,8 @@
 
 // Config configures a Registry.
 type Config struct {
+	// Host is this host's name.
+	Host string
 	// Zone is this host's availability zone, whose endpoints are preferred.
 	Zone string
 	// Ejector configures outlier ejection. The zero value means
@@ -64,8 +66,8 @@
 	// announcedLeaving is set once a response to this host announced the endpoint's
 	// shutdown.
 	announcedLeaving bool
-	// limit is what the last response to this host said of the endpoint's limit.
-	limit LimitStatement
+	// limit is the limit that the endpoint names.
+	limit memberLimit
 	// backoffUntil is until when the endpoint asked this host to send no request.
 	backoffUntil time.Time
 }
@@ -100,6 +102,10 @@
 	// peers is the load of each peer, peerTotals the sum by endpoint ID.
 	peers      map[string]peerLoad
 	peerTotals map[string]endpointWork
+	// hosts are the names of the peers that limits of endpoints are divided among.
+	// limitSettle is how long hosts take to learn of a limit.
+	hosts       []string
+	limitSettle time.Duration
 }
 
 // NewRegistry returns a Registry without endpoints.
@@ -116,7 +122,7 @@
 	return &Registry{
 		config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector),
 		peers: make(map[string]peerLoad), peerTotals: make(map[string]endpointWork),
-		departed: make(map[string]departure),
+		departed: make(map[string]departure), limitSettle: maxSettle,
 	}
 }
 
@@ -299,18 +305,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.config.Clock()
-	candidates, reason := r.candidates(work, now)
-	if reason != ReasonNone {
-		return nil, reason
+	var limited []*member
+	for {
+		candidates, reason := r.candidates(work, now, limited)
+		if reason != ReasonNone {
+			return nil, reason
+		}
+		chosen := cheapest(candidates, work, r.config.Zone)
+		if chosen.takeLimit(now) {
+			return r.start(chosen, work), ReasonNone
+		}
+		limited = append(limited, chosen)
 	}
-	chosen := cheapest(candidates, work, r.config.Zone)
-	return r.start(chosen, work), ReasonNone
 }
 
 // candidates returns the endpoints to choose from, or the reason why there are
 // none: those not ejected that the request has not tried, or else all not
-// ejected, or else all that hold the model and adapter.
-func (r *Registry) candidates(work Work, now time.Time) ([]candidate, Reason) {
+// ejected, or else all that hold the model and adapter. Those in limited are left out.
+func (r *Registry) candidates(work Work, now time.Time, limited []*member) ([]candidate, Reason) {
 	r.sweep(now)
 	ejected := r.ejector.Ejected(now)
 	var holding, healthy, untried []candidate
@@ -324,7 +336,7 @@
 			reason = notHeldReason(reason, m.holds(now, work.Model, ""))
 			continue
 		}
-		if now.Before(m.backoffUntil) {
+		if now.Before(m.backoffUntil) || slices.Contains(limited, m) {
 			backoff = true
 			continue
 		}
