--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -5,6 +5,7 @@
 package cluster
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -65,6 +66,21 @@
 // Hangup sends SIGHUP, on which the edge daemon reloads its settings.
 func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
 
+// PeakMemory returns the largest resident set of the process so far, in bytes.
+func (p *Process) PeakMemory() int64 {
+	ginkgo.GinkgoHelper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, line := range strings.Split(string(status), "\n") {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10
+		}
+	}
+	ginkgo.Fail("no VmHWM in the status of process " + p.Name)
+	return 0
+}
+
 // Exited returns a channel that is closed once the process has exited.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
 
