Bound what is read of each part of an endpoint's response

Cause: heads, stray responses and events were read until their end, and bodies that are read completely had no common bound. Change: a bound for each part, an error that names it, a metric; informational responses are skipped instead of counted as strays.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,6 +42,9 @@
 	// memoryLimitFraction is the fraction of the host's memory set as the Go
 	// memory limit. The rest is for sockets and other memory outside the heap.
 	memoryLimitFraction = 0.6
+	// bufferFraction is the fraction of the host's memory for responses that are read
+	// completely before they are relayed.
+	bufferFraction = 0.125
 	// defaultIdleTimeout is how long idle connections of callers are kept open
 	// while no configuration sets a timeout.
 	defaultIdleTimeout = 15 * time.Second
@@ -143,6 +146,7 @@
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
 		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine,
+		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,6 +5,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -125,6 +126,9 @@
 	// Quarantine holds back requests with prompt segments under which endpoints
 	// crash. Nil means one that learns from this host's requests alone.
 	Quarantine *quarantine.Quarantine
+	// BufferBytes bounds the responses that are held at the same time because they are
+	// read completely before they are relayed. Zero means 32 MiB.
+	BufferBytes int64
 	// Clock defaults to time.Now.
 	Clock func() time.Time
 }
@@ -133,6 +137,7 @@
 type Forwarder struct {
 	config  Config
 	metrics *metrics
+	buffers bufferBudget
 }
 
 // New returns a forwarder. A nil cfg.Clock or cfg.Quarantine is replaced by its default.
@@ -143,7 +148,7 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New(cfg.Clock)
 	}
-	return &Forwarder{config: cfg, metrics: newMetrics()}
+	return &Forwarder{config: cfg, metrics: newMetrics(), buffers: bufferBudget{limit: cmp.Or(cfg.BufferBytes, defaultBufferBudget)}}
 }
 
 // Collectors returns the forwarder's metrics.
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -31,9 +31,6 @@
 	loadRetryAfter = 1500 * time.Millisecond
 	// maxDials limits the number of endpoints tried that could not be reached.
 	maxDials = 4
-	// maxBufferedResponse limits the body of a response that is read completely
-	// before it is relayed, in bytes.
-	maxBufferedResponse = 4 << 20
 )
 
 // errDeadline is the cancellation cause once the caller's deadline has passed.
@@ -260,7 +257,9 @@
 		x.recordUnreached(attempt, err)
 		return repeat.NotReached, err
 	}
-	x.recordBreak(attempt)
+	if !x.recordOversized(err) {
+		x.recordBreak(attempt)
+	}
 	return repeat.Unknown, err
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -12,6 +12,7 @@
 	requests  *prometheus.CounterVec
 	retries   *prometheus.CounterVec
 	responses *prometheus.CounterVec
+	oversized *prometheus.CounterVec
 	duration  *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
 }
@@ -34,6 +35,10 @@
 			Name: "bilberryslip_routed_responses_total",
 			Help: "Responses of endpoints whose bodies were read, by service, framing and end.",
 		}, []string{"service", "framing", "end"}),
+		oversized: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberryslip_routed_oversized_total",
+			Help: "Responses of endpoints that exceeded a bound, by service and part of the response.",
+		}, []string{"service", "part"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "bilberryslip_routed_duration_seconds",
 			Help:    "Time to the end of a routed request, by service.",
@@ -55,7 +60,7 @@
 )
 
 func (m *metrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.retries, m.responses, m.duration, m.firstByte}
+	return []prometheus.Collector{m.requests, m.retries, m.responses, m.oversized, m.duration, m.firstByte}
 }
 
 func (m *metrics) recordRequest(service, outcome string, elapsed, firstByte time.Duration) {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -22,10 +22,8 @@
 // caller, so that the request can still be retried if the response is cut short.
 func (x *inflightCall) relayBuffered(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.Outcome, error) {
 	response := exchange.Response
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
-	if err == nil && len(body) > maxBufferedResponse {
-		err = errors.Newf("response body exceeds %d bytes", maxBufferedResponse)
-	}
+	body, release, err := x.forwarder.buffers.readBody(response.Body)
+	defer release()
 	if err == nil && isEventStream(response.Header) {
 		err = checkEvents(body, exchange.Framing())
 	}
@@ -104,20 +102,39 @@
 	}
 	attempt.Finish(endpoint.OutcomeFailed)
 	x.forwarder.metrics.recordResponse(x.service, exchange.Framing(), endCut)
-	x.recordBreak(attempt)
+	if !x.recordOversized(err) {
+		x.recordBreak(attempt)
+	}
 	x.logAttempt(attempt, "answer broke off", err)
 	return repeat.Unknown, err
 }
 
+// recordOversized counts a response that exceeds a bound, and reports whether err means
+// that.
+func (x *inflightCall) recordOversized(err error) bool {
+	var tooLarge *upstream.TooLargeError
+	if !errors.As(err, &tooLarge) {
+		return false
+	}
+	x.forwarder.metrics.oversized.WithLabelValues(x.service, tooLarge.Part).Inc()
+	return true
+}
+
 // relayStream relays events as they arrive. For a resumable stream it relays only
 // complete events, so that another endpoint can resume it.
 func (x *inflightCall) relayStream(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.Outcome, error) {
-	events := &eventSplitter{wholeEvents: x.route.Resumable}
+	events := &eventSplitter{wholeEvents: x.route.Resumable, bound: upstream.TooLargeError{Part: upstream.PartEvent, Limit: maxEventBytes}}
+	if !mayBeEventStream(exchange.Response.Header) {
+		events.bound = upstream.TooLargeError{Part: upstream.PartBody, Limit: maxBufferedResponse}
+	}
 	control := http.NewResponseController(x.writer)
 	buffer := make([]byte, streamReadSize)
 	for {
 		n, err := exchange.Response.Body.Read(buffer)
 		ready := events.feed(buffer[:n])
+		if err == nil {
+			err = events.checkOpen()
+		}
 		if x.events < quarantine.SurvivedEvents && events.boundaries.events >= quarantine.SurvivedEvents {
 			x.recordSurvival()
 		}
--- a/internal/forward/splitter.go
+++ b/internal/forward/splitter.go
@@ -36,12 +36,18 @@
 	return err != nil || isEventStream(header)
 }
 
+// maxEventBytes bounds one event of a stream, in bytes, with the comments before it.
+const maxEventBytes = 64 << 10
+
 // eventSplitter finds the ends of server-sent events in a stream.
 type eventSplitter struct {
 	// wholeEvents makes feed hold back bytes until their event is complete.
 	wholeEvents bool
-	boundaries  boundaryTracker
-	pending     []byte
+	// bound bounds the bytes that follow the last complete event, open counts them.
+	bound      upstream.TooLargeError
+	open       int
+	boundaries boundaryTracker
+	pending    []byte
 	// lastID is the identifier of the last complete event.
 	lastID string
 }
@@ -49,7 +55,11 @@
 // feed adds bytes of the stream and returns those that may be relayed. The result
 // is valid until the next call.
 func (s *eventSplitter) feed(data []byte) []byte {
+	events := s.boundaries.events
 	boundary := s.boundaries.feed(data)
+	if s.open += len(data); s.boundaries.events > events {
+		s.open = len(data) - boundary
+	}
 	if !s.wholeEvents {
 		return data
 	}
@@ -85,6 +95,14 @@
 	}
 }
 
+// checkOpen returns an error if too many bytes follow the last complete event.
+func (s *eventSplitter) checkOpen() error {
+	if s.open > s.bound.Limit {
+		return &s.bound
+	}
+	return nil
+}
+
 // remainder returns the bytes after the last complete event.
 func (s *eventSplitter) remainder() []byte { return s.pending }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,7 +9,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -79,7 +78,7 @@
 
 // conn is a connection to an endpoint.
 type conn struct {
-	net.Conn
+	*boundedConn
 	reader *bufio.Reader
 	// expires is when the idle connection may no longer be used.
 	expires time.Time
@@ -180,7 +179,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, false, nil
+	bounded := &boundedConn{Conn: raw, left: unbounded}
+	return &conn{boundedConn: bounded, reader: bufio.NewReaderSize(bounded, readBuffer)}, false, nil
 }
 
 func newRequest(address string, m Message) *http.Request {
@@ -214,16 +214,29 @@
 	send()
 }
 
+// readHeader reads the head of the response, and skips informational responses and
+// responses to other requests before it.
 func (x *Exchange) readHeader(request *http.Request, belongs func(http.Header) bool) error {
-	for range maxStrayResponses {
+	informational := 0
+	for strays := 0; strays < maxStrayResponses; {
+		x.conn.bound(PartHead, maxHeadBytes)
 		response, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
 			return err
 		}
+		if response.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformational {
+				return errors.Newf("more than %d informational responses; check what the endpoint sends", maxInformational)
+			}
+			continue
+		}
 		if belongs(response.Header) {
+			x.conn.left = unbounded
 			x.Response = response
 			return nil
 		}
+		strays++
+		x.conn.bound(PartStray, maxStrayBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return err
 		}
