Check at once whether an endpoint crashed

Requests with the segment must stop 3 s after the fifth crash, so that five crashes in a row could come too fast. Change: after the first break at an endpoint the host opens one connection to it and closes it; a refused one confirms the crash.

--- a/internal/forward/poisoned.go
+++ b/internal/forward/poisoned.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"syscall"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/quarantine"
+	"bilberryslip.example/bilberryslip/internal/upstream"
 )
 
 // maxSharedSegments bounds the shared prompt segments of a request that may be blamed
@@ -43,8 +45,24 @@
 // tells nothing about the prompt's segments if the endpoint survived the start of the
 // response.
 func (x *inflightCall) recordBreak(attempt *fleet.Attempt) {
-	if x.events < quarantine.SurvivedEvents {
-		x.forwarder.config.Quarantine.RecordBreak(incarnation(attempt), x.segments)
+	if x.events >= quarantine.SurvivedEvents {
+		return
+	}
+	if x.forwarder.config.Quarantine.RecordBreak(incarnation(attempt), x.segments) {
+		go x.forwarder.checkGone(attempt.Endpoint.Address, incarnation(attempt))
+	}
+}
+
+// checkGone finds out whether an endpoint crashed, so that this need not wait for the
+// next request to it or for its entry to expire.
+func (f *Forwarder) checkGone(address string, endpoint quarantine.Incarnation) {
+	conn, err := upstream.Dial(context.Background(), "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		f.config.Quarantine.RecordGone(endpoint)
 	}
 }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -70,8 +70,9 @@
 	return cache
 }
 
-// addSuspects records segments of requests that broke off at an endpoint at a time.
-func (e *evidence) addSuspects(now, at time.Time, endpoint Incarnation, segments []Segment, own bool) {
+// addSuspects records segments of requests that broke off at an endpoint at a time. It
+// returns true for the first suspects of this host if nothing confirms the crash yet.
+func (e *evidence) addSuspects(now, at time.Time, endpoint Incarnation, segments []Segment, own bool) bool {
 	c, ok := e.crashes[endpoint]
 	if !ok {
 		if len(e.crashes) >= maxCrashes {
@@ -83,6 +84,7 @@
 	if at.Before(c.at) {
 		c.at = at
 	}
+	known := len(c.ownSuspects)
 	for _, s := range segments {
 		if e.cleared(s, at) {
 			if !own {
@@ -100,6 +102,7 @@
 	if goneAt, ok := e.gone.Peek(endpoint); ok {
 		e.confirm(endpoint, goneAt)
 	}
+	return known == 0 && len(c.ownSuspects) > 0 && !c.confirmed
 }
 
 func (e *evidence) dropOldest() {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -83,16 +83,18 @@
 }
 
 // RecordBreak records that a request with the segments broke off at an endpoint before
-// the endpoint had survived the start of the response.
-func (q *Quarantine) RecordBreak(endpoint Incarnation, segments []Segment) {
+// the endpoint had survived the start of the response. It returns true if the caller
+// should check whether the endpoint is gone.
+func (q *Quarantine) RecordBreak(endpoint Incarnation, segments []Segment) bool {
 	if len(segments) == 0 {
-		return
+		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	q.evidence.addSuspects(now, now, endpoint, segments, true)
+	first := q.evidence.addSuspects(now, now, endpoint, segments, true)
 	q.update(now)
+	return first
 }
 
 // RecordGone records that an endpoint is gone: its address refuses connections, or its
