Bound what is read of responses of the store and of peers

Cause: as for endpoints, responses of the store were decoded until the call's limit, and heads read up to 10 MiB, the default of net/http.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
 )
@@ -49,11 +50,12 @@
 func newTransport(dialTimeout time.Duration, dedicated bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
 	return &http.Transport{
-		DialContext:         netmeter.Dial(netmeter.Endpoints, dialer.DialContext),
-		DisableKeepAlives:   dedicated,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerEndpoint,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            netmeter.Dial(netmeter.Endpoints, dialer.DialContext),
+		DisableKeepAlives:      dedicated,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
 	}
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/retry"
 	"bilberryslip.example/bilberryslip/internal/upstream"
@@ -35,6 +36,9 @@
 	// unreachableEvery is the number of intervals per call to an unreachable host.
 	// Few calls suffice, since that host calls this one as soon as it can.
 	unreachableEvery = 4
+	// maxPeerResponse bounds a peer's response, in bytes. The largest ones are listings
+	// of a kind for followers.
+	maxPeerResponse = 8 << 20
 	// callTimeout limits a call to a peer.
 	callTimeout = 600 * time.Millisecond
 	// registerMinBackoff and registerMaxBackoff bound the backoff between
@@ -124,9 +128,12 @@
 
 // New returns a service that sends no reports until Serve is called.
 func New(cfg Config) *Service {
-	transport := &http.Transport{DialContext: upstream.Dial, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	transport := &http.Transport{
+		DialContext: upstream.Dial, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
+	}
 	return &Service{
-		config: cfg, started: time.Now(), client: &http.Client{Transport: transport},
+		config: cfg, started: time.Now(),
+		client:    &http.Client{Transport: &boundedhttp.Transport{Base: transport, Limit: maxPeerResponse}},
 		entryLost: make(chan struct{}, 1),
 		roster:    newRoster(cfg.Host), clients: make(map[string]fleetv1.Fleet), inFlight: make(map[string]bool),
 	}
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
 )
 
@@ -99,10 +100,11 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         netmeter.Dial(netmeter.Platform, dialer.DialContext),
-		MaxIdleConnsPerHost: maxIdlePerAddress,
-		IdleConnTimeout:     idleTimeout,
-		TLSHandshakeTimeout: dialTimeout,
+		DialContext:            netmeter.Dial(netmeter.Platform, dialer.DialContext),
+		MaxIdleConnsPerHost:    maxIdlePerAddress,
+		IdleConnTimeout:        idleTimeout,
+		TLSHandshakeTimeout:    dialTimeout,
+		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
 	}
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -13,6 +13,7 @@
 
 	peerv1 "bilberryslip.example/bilberryslip/api/peer/v1"
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
 )
 
@@ -126,11 +127,12 @@
 		return c
 	}
 	transport := &http.Transport{
-		DialContext:         netmeter.Dial(netmeter.Peers, (&net.Dialer{Timeout: dialTimeout}).DialContext),
-		TLSClientConfig:     p.config.TLS,
-		MaxIdleConnsPerHost: maxIdlePerPeer,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            netmeter.Dial(netmeter.Peers, (&net.Dialer{Timeout: dialTimeout}).DialContext),
+		TLSClientConfig:        p.config.TLS,
+		MaxIdleConnsPerHost:    maxIdlePerPeer,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
 	}
 	authenticated := &http.Client{Transport: &secretTransport{secret: p.config.Secret, next: transport}}
 	c := &client{transport: transport, peer: peerv1.NewPeerProtobufClient(baseURL, authenticated)}
