--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -82,6 +82,20 @@
 	return float64(len(r.Reachable)+1) / float64(len(r.Reachable)+len(r.Unreachable)+1)
 }
 
+const (
+	// settleIntervals is the number of intervals in which a report reaches all peers
+	// and their answers to it come back.
+	settleIntervals = 2
+	// MaxSettleTime bounds Reachability.SettleTime.
+	MaxSettleTime = 2 * time.Second
+)
+
+// SettleTime returns the time in which peers learn what this host reports, and this
+// host learns what they say to it; at most MaxSettleTime.
+func (r Reachability) SettleTime() time.Duration {
+	return min(settleIntervals*r.Interval, MaxSettleTime)
+}
+
 // Config configures a Service.
 type Config struct {
 	Store objectstore.Store
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -10,14 +10,8 @@
 	"bilberryslip.example/bilberryslip/internal/exchange"
 )
 
-const (
-	// droppedFor is how long a host reports that an endpoint names no limit any more.
-	droppedFor = 10 * time.Second
-	// settleIntervals is the number of intervals between reports in which hosts learn
-	// of a limit and of each other's demand; maxSettle bounds that time.
-	settleIntervals = 2
-	maxSettle       = 2 * time.Second
-)
+// droppedFor is how long a host reports that an endpoint names no limit any more.
+const droppedFor = 10 * time.Second
 
 // LimitStatement is what a response says of the limit of its endpoint: the requests
 // that the endpoint takes from all hosts together.
@@ -100,7 +94,7 @@
 // the mutex held.
 func (r *Registry) setLimitPeers(reachability exchange.Reachability) {
 	r.hosts = append(append([]string(nil), reachability.Reachable...), reachability.Unreachable...)
-	r.limitSettle = min(settleIntervals*reachability.Interval, maxSettle)
+	r.limitSettle = reachability.SettleTime()
 	now := r.config.Clock()
 	for _, m := range r.members {
 		if m.limit.inForce != nil {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/endpoint"
+	"bilberryslip.example/bilberryslip/internal/exchange"
 )
 
 const (
@@ -103,7 +104,7 @@
 	peers      map[string]peerLoad
 	peerTotals map[string]endpointWork
 	// hosts are the names of the peers that limits of endpoints are divided among.
-	// limitSettle is how long hosts take to learn of a limit.
+	// limitSettle is how long hosts take to learn of a limit and of each other's demand.
 	hosts       []string
 	limitSettle time.Duration
 }
@@ -122,7 +123,7 @@
 	return &Registry{
 		config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector),
 		peers: make(map[string]peerLoad), peerTotals: make(map[string]endpointWork),
-		departed: make(map[string]departure), limitSettle: maxSettle,
+		departed: make(map[string]departure), limitSettle: exchange.MaxSettleTime,
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -14,6 +14,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/exchange"
 )
 
 // Segment is the hash of the identifier of a prompt segment.
@@ -46,7 +48,7 @@
 
 	mu       sync.Mutex
 	evidence *evidence
-	// settle is how long suspects must be known to count.
+	// settle is how long suspects must be known to count, so that peers can clear them.
 	settle time.Duration
 	// peersAt is when each peer last reported. fullUntil is the end of the time in
 	// which reports have the evidence of all hosts, for peers that lack it.
@@ -60,7 +62,7 @@
 		clock = time.Now
 	}
 	q := &Quarantine{
-		clock: clock, evidence: newEvidence(), settle: maxSettle, peersAt: make(map[string]time.Time),
+		clock: clock, evidence: newEvidence(), settle: exchange.MaxSettleTime, peersAt: make(map[string]time.Time),
 		gauge: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "bilberryslip_held_segments",
 			Help: "Prompt segments whose requests are held back because endpoints crashed under them.",
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -154,7 +154,7 @@
 		}
 		for i := range t.hosts { // all hosts are restarted, one after the other
 			t.start(i)
-			t.exchange(3 + int(maxSettle/testInterval))
+			t.exchange(3 + int(exchange.MaxSettleTime/testInterval))
 		}
 		Expect(t.held(bad)).To(Equal(3))
 	})
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -16,10 +16,6 @@
 	// Peers that started less than newPeerAge ago, or were silent for longer than
 	// silentPeer, lack the evidence of earlier reports. It is sent again for resendFor.
 	newPeerAge, silentPeer, resendFor = 10 * time.Second, 5 * time.Second, 10 * time.Second
-	// settleIntervals is the number of intervals between reports in which suspects
-	// are reported and peers clear them; maxSettle bounds that time.
-	settleIntervals = 2
-	maxSettle       = 2 * time.Second
 )
 
 // FillReport implements exchange.Participant. It reports the crashes that this host
@@ -103,7 +99,7 @@
 func (q *Quarantine) SetReachability(reachability exchange.Reachability) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.settle = min(settleIntervals*reachability.Interval, maxSettle)
+	q.settle = reachability.SettleTime()
 	q.update(q.clock())
 }
 
