Report survivals of suspects that are cleared late

Cause: a host tells its peers that a segment survived only when they report the segment, which they do for a minute. A hold that was wrong and older than that stayed on the peers. Change: a suspect that is dropped because it survived is reported as survived.

--- a/internal/endpointlimit/endpointlimit.go
+++ b/internal/endpointlimit/endpointlimit.go
@@ -28,8 +28,8 @@
 	minBurst  = 1.5
 	// demandWindow is the time constant of a host's demand.
 	demandWindow = 4 * time.Second
-	// shareTTL is how long a computed part is used.
-	shareTTL = 100 * time.Millisecond
+	// partTTL is how long a computed part is used.
+	partTTL = 100 * time.Millisecond
 	// Hosts with at least eligibleFraction of an even part as their demand are members
 	// before others. An idle member counts with idleFraction of an even part, so that
 	// it can send a first request.
@@ -137,7 +137,7 @@
 // advance adds the tokens that have accrued. A host that is no member keeps none, so
 // that a change of members allows no extra requests.
 func (l *Limit) advance(now time.Time) {
-	if now.Sub(l.partAt) >= shareTTL {
+	if now.Sub(l.partAt) >= partTTL {
 		l.part, l.partAt = l.computePart(now), now
 	}
 	from := l.tokensAt
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -51,7 +51,7 @@
 	// start of its response; peersSurvived is the same for peers' requests and
 	// suspected segments.
 	survived, peersSurvived *lru.Cache[Segment, time.Time]
-	// disputedAt is when a peer last suspected a segment that survived here.
+	// disputedAt is when a segment that survived was last suspected.
 	disputedAt *lru.Cache[Segment, time.Time]
 }
 
@@ -169,6 +169,7 @@
 			if e.cleared(s, c.at) {
 				delete(c.suspects, s)
 				delete(c.ownSuspects, s)
+				e.disputedAt.Add(s, now)
 			}
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -130,6 +130,18 @@
 		Expect(t.held(rare)).To(BeZero())
 	})
 
+	It("hears of a survival long after the crashes were reported", func() {
+		t := newTestHosts(3)
+		for n := range 3 {
+			t.crash(incarnationNumber(n), map[int][]Segment{0: {rare}})
+		}
+		t.exchange(2 * int(reportedFor/testInterval))
+		Expect(t.held(rare)).To(Equal(3))
+		t.hosts[2].RecordSurvival([]Segment{rare}) // a host that had not heard of the hold sent it
+		t.exchange(3)
+		Expect(t.held(rare)).To(BeZero())
+	})
+
 	It("never holds back a segment that survived on a host whose reports are awaited", func() {
 		t := newTestHosts(3)
 		t.hosts[2].RecordSurvival([]Segment{shared})
