--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -137,7 +137,7 @@
 		}
 		t.exchange(2 * int(reportedFor/testInterval))
 		Expect(t.held(rare)).To(Equal(3))
-		t.hosts[2].RecordSurvival([]Segment{rare}) // a host that had not heard of the hold sent it
+		t.hosts[2].RecordSurvival([]Segment{rare}) // in flight since before the hold
 		t.exchange(3)
 		Expect(t.held(rare)).To(BeZero())
 	})
