--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -27,6 +28,15 @@
 	return segments
 }
 
+// requestHash returns the hash of the request, which is the same for all its repeats.
+func (x *inflightCall) requestHash() string {
+	key := quarantine.RequestKey{Method: x.call.Method, Host: x.call.Host, Target: x.call.Target, Body: x.call.Body}
+	if x.organisation != nil {
+		key.Organisation = x.organisation.Name
+	}
+	return fmt.Sprintf("%016x", key.Hash())
+}
+
 // checkHeld returns a refusal if one of the prompt's segments is held back.
 func (x *inflightCall) checkHeld() *Failure {
 	for i, segment := range x.segments {
