Hold back requests that crash whatever runs them

Cause: what is remembered of a crash are the shared prompt segments in flight. A request without any, or whose segments others share, left no trace. Change: the request itself is a suspect beside its segments: a hash over organisation, method, host, target and body. Evidence, reports, settling, survivals, expiry, refusal and metrics are those of segments. A request is held back after three crashes that nothing clears. Ties between a segment and a request with it go to the request, since the segment explains more as soon as another request crashes. The organisation is part of a cryptographic hash, so that nobody can have another one's requests held back (spec). A spec of segments sent the same request three times; its requests differ now, as it says of them.

--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -22,6 +22,7 @@
 	ReasonNotHeld         Reason = "model_not_held"
 	ReasonOverloaded      Reason = "overloaded"
 	ReasonSegmentHeld     Reason = "segment_held"
+	ReasonRequestHeld     Reason = "request_held"
 	ReasonEndpointFailed  Reason = "endpoint_failed"
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "caller_gone"
@@ -38,6 +39,7 @@
 	ReasonNotHeld:         "retry once the model is loaded; check placement in the state dump",
 	ReasonOverloaded:      "retry after the time given; add endpoints if this persists",
 	ReasonSegmentHeld:     "leave out the prompt segment; endpoints crashed under requests with it",
+	ReasonRequestHeld:     "do not send the request again; endpoints crashed each time that it ran",
 	ReasonEndpointFailed:  "check the endpoint's log for the request's identifier",
 	ReasonTimeout:         "check the endpoint's load; the request may have run",
 	ReasonCallerGone:      "none; the caller closed its connection",
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -123,8 +123,8 @@
 	Holdings Placer
 	// Retry limits the retries per service.
 	Retry *repeat.Budgets
-	// Quarantine holds back requests with prompt segments under which endpoints
-	// crash. Nil means one that learns from this host's requests alone.
+	// Quarantine holds back requests under which, or under whose prompt segments,
+	// endpoints crash. Nil means one that learns from this host's requests alone.
 	Quarantine *quarantine.Quarantine
 	// BufferBytes bounds the responses that are held at the same time because they are
 	// read completely before they are relayed. Zero means 32 MiB.
@@ -172,7 +172,7 @@
 // prepare finds the route of a call, authenticates the caller and sets the
 // deadline.
 func (f *Forwarder) prepare(call *Call) (*inflightCall, error) {
-	x := &inflightCall{forwarder: f, call: call, started: f.config.Clock(), segments: sharedSegments(call)}
+	x := &inflightCall{forwarder: f, call: call, started: f.config.Clock()}
 	config := f.config.Source.Current()
 	if config == nil {
 		return x, newRefusal(ReasonNoConfiguration, configurationRetryAfter)
@@ -189,6 +189,7 @@
 	if call.ID == "" {
 		return x, &Failure{Reason: ReasonBadRequest}
 	}
+	x.suspects = suspectsOf(call, x.organisation)
 	x.service = x.route.SelectService(call.ID)
 	if service := config.Service(x.service); service != nil {
 		x.engine = service.Engine != nil
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"syscall"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/quarantine"
+	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
 
@@ -18,47 +18,52 @@
 // for crashes.
 const maxSharedSegments = 64
 
-// sharedSegments returns the hashes of the call's shared prompt segments.
-func sharedSegments(call *Call) []quarantine.Segment {
+// suspectsOf returns what may be to blame if an endpoint crashes under a call: the call
+// itself, which is the same suspect in all its repeats, then its shared prompt segments.
+func suspectsOf(call *Call, organisation *traffic.Organisation) []quarantine.Suspect {
+	key := quarantine.RequestKey{Method: call.Method, Host: call.Host, Target: call.Target, Body: call.Body}
+	if organisation != nil {
+		key.Organisation = organisation.Name
+	}
+	suspects := []quarantine.Suspect{quarantine.RequestOf(key)}
 	shared := call.SharedSegments()
-	segments := make([]quarantine.Segment, 0, len(shared))
 	for _, segment := range shared[:min(len(shared), maxSharedSegments)] {
-		segments = append(segments, quarantine.SegmentOf(segment.ID))
+		suspects = append(suspects, quarantine.SegmentOf(segment.ID))
 	}
-	return segments
+	return suspects
 }
 
-// requestHash returns the hash of the request, which is the same for all its repeats.
-func (x *inflightCall) requestHash() string {
-	key := quarantine.RequestKey{Method: x.call.Method, Host: x.call.Host, Target: x.call.Target, Body: x.call.Body}
-	if x.organisation != nil {
-		key.Organisation = x.organisation.Name
-	}
-	return fmt.Sprintf("%016x", key.Hash())
-}
-
-// checkHeld returns a refusal if one of the prompt's segments is held back.
+// checkHeld returns a refusal if the call, or one of its prompt's segments, is held
+// back.
 func (x *inflightCall) checkHeld() *Failure {
-	for i, segment := range x.segments {
-		if left, held := x.forwarder.config.Quarantine.Held(segment); held {
-			id := x.call.PromptSegments[i].ID
-			x.log().WithFields(logrus.Fields{"segment": id, "segment_hash": segment, "left_ms": left.Milliseconds()}).Info("request held back")
-			refusal := newRefusal(ReasonSegmentHeld, left)
-			refusal.Cause = errors.Newf("prompt segment %s", id)
+	for i, suspect := range x.suspects {
+		left, held := x.forwarder.config.Quarantine.Held(suspect)
+		if !held {
+			continue
+		}
+		log := x.log().WithFields(logrus.Fields{suspect.Kind.String() + "_hash": suspect.HashText(), "left_ms": left.Milliseconds()})
+		if suspect.Kind == quarantine.KindRequest {
+			log.Info("request held back")
+			refusal := newRefusal(ReasonRequestHeld, left)
+			refusal.Cause = errors.Newf("request hash %s", suspect.HashText())
 			return refusal
 		}
+		id := x.call.PromptSegments[i-1].ID // the first suspect is the request
+		log.WithField("segment", id).Info("request held back")
+		refusal := newRefusal(ReasonSegmentHeld, left)
+		refusal.Cause = errors.Newf("prompt segment %s", id)
+		return refusal
 	}
 	return nil
 }
 
 // recordBreak records an attempt that broke off after it may have started to run. It
-// tells nothing about the prompt's segments if the endpoint survived the start of the
-// response.
+// tells nothing about the request if the endpoint survived the start of the response.
 func (x *inflightCall) recordBreak(attempt *fleet.Attempt) {
 	if x.events >= quarantine.SurvivedEvents {
 		return
 	}
-	if x.forwarder.config.Quarantine.RecordBreak(incarnation(attempt), x.segments) {
+	if x.forwarder.config.Quarantine.RecordBreak(incarnation(attempt), x.suspects) {
 		go x.forwarder.checkGone(attempt.Endpoint.Address, incarnation(attempt))
 	}
 }
@@ -90,7 +95,7 @@
 
 // recordSurvival records that the endpoint survived the start of its response.
 func (x *inflightCall) recordSurvival() {
-	x.forwarder.config.Quarantine.RecordSurvival(x.segments)
+	x.forwarder.config.Quarantine.RecordSurvival(x.suspects)
 }
 
 func incarnation(attempt *fleet.Attempt) quarantine.Incarnation {
--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -67,7 +67,7 @@
 			Retry: repeat.NewBudgets(repeat.BudgetConfig{}, time.Now),
 		})
 		send := func(n int, segments ...string) error {
-			call := &Call{Request: traffic.Request{ID: fmt.Sprint(n), Host: "h", Path: "/x"}, Method: "GET", Target: "/x"}
+			call := &Call{Request: traffic.Request{ID: fmt.Sprint(n), Host: "h", Path: "/x"}, Method: "POST", Target: "/x", Body: []byte(fmt.Sprint("body ", n))}
 			for _, id := range append(segments, fmt.Sprint("own-", n)) {
 				call.PromptSegments = append(call.PromptSegments, traffic.PromptSegment{ID: id, Tokens: 1})
 			}
@@ -82,7 +82,7 @@
 			endpoints.Replace(nil)
 			time.Sleep(apart)
 		}
-		held.RecordSurvival([]quarantine.Segment{quarantine.SegmentOf("system")})
+		held.RecordSurvival([]quarantine.Suspect{quarantine.SegmentOf("system")})
 		Eventually(func() bool {
 			held.SetReachability(reach)
 			_, isHeld := held.Held(quarantine.SegmentOf("bad"))
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -51,8 +51,8 @@
 	organisation *traffic.Organisation
 	// deadline is when the caller stops waiting.
 	deadline time.Time
-	// segments are the hashes of the shared prompt segments.
-	segments []quarantine.Segment
+	// suspects are what may be to blame for crashes, as suspectsOf returns them.
+	suspects []quarantine.Suspect
 
 	// tried holds the identifiers of the endpoints tried.
 	tried []string
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -54,7 +54,7 @@
 func (x *inflightCall) logAttempt(attempt *fleet.Attempt, event string, err error) {
 	x.log().WithError(err).WithFields(logrus.Fields{
 		"endpoint": attempt.Endpoint.ID, "address": attempt.Endpoint.Address, "send": x.attempts.Sent,
-		"events": x.events, "shared_segments": segmentIDs(x.call.SharedSegments()), "request_hash": x.requestHash(),
+		"events": x.events, "shared_segments": segmentIDs(x.call.SharedSegments()), "request_hash": x.suspects[0].HashText(),
 	}).Info(event)
 }
 
--- a/internal/quarantine/attribute.go
+++ b/internal/quarantine/attribute.go
@@ -1,14 +1,14 @@
 package quarantine
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// minCrashes is the number of crashes after which a segment is held back if it
-	// explains more of them than any other segment.
+	// minCrashes is the number of crashes after which a request is held back, and a
+	// segment if it explains more of them than any other suspect.
 	minCrashes = 3
 	// minAmbiguousCrashes is that number for segments that explain equally many
 	// crashes, all of which are held back then. Those that explain
@@ -20,33 +20,61 @@
 	massLossGap = 50 * time.Millisecond
 )
 
-// suspicion is a crash with the segments that may have caused it.
+// suspicion is a crash with what may have caused it.
 type suspicion struct {
 	at       time.Time
-	suspects []Segment
+	suspects []Suspect
 }
 
-// attribute returns the segments that explain the crashes, each with the times of
-// those that it explains, in order. Segments are chosen greedily: the one that
-// explains most of the crashes that no chosen segment explains comes first. A segment
-// that is merely in flight beside a bad one at each crash is thus not chosen.
-func attribute(crashes []suspicion) map[Segment][]time.Time {
-	crashes = mergeMassLosses(crashes)
-	blamed := make(map[Segment][]time.Time)
+// attribute returns the suspects to blame for the crashes, each with the times of
+// those that it explains, in order.
+func attribute(crashes []suspicion) map[Suspect][]time.Time {
+	crashes = slices.SortedFunc(slices.Values(crashes), func(a, b suspicion) int { return a.at.Compare(b.at) })
+	blamed := blameRequests(crashes)
+	maps.Copy(blamed, blameSegments(mergeMassLosses(crashes)))
+	return blamed
+}
+
+// blameRequests returns the requests that were in flight at minCrashes crashes and more.
+// A sound one among them is rare, and a hold affects its repeats alone. A mass loss
+// counts in full: a request is at one endpoint at a time, unless it is frequent, in
+// which case it has survived before.
+func blameRequests(crashes []suspicion) map[Suspect][]time.Time {
+	blamed := make(map[Suspect][]time.Time)
+	for _, c := range crashes {
+		for _, s := range c.suspects {
+			if s.Kind == KindRequest {
+				blamed[s] = append(blamed[s], c.at)
+			}
+		}
+	}
+	maps.DeleteFunc(blamed, func(_ Suspect, times []time.Time) bool { return len(times) < minCrashes })
+	return blamed
+}
+
+// blameSegments returns the segments that explain the crashes. Suspects are chosen
+// greedily: the one that explains most of the crashes that no chosen one explains comes
+// first. A segment that is merely in flight beside a bad one at each crash is thus not
+// chosen. Nor is one that explains no more than a request with it.
+func blameSegments(crashes []suspicion) map[Suspect][]time.Time {
+	blamed := make(map[Suspect][]time.Time)
 	for {
 		best := mostCrashes(crashes)
 		if len(best) == 0 || len(best[0].crashes) < minCrashes {
 			return blamed
 		}
-		chosen := distinctExplanations(best)
-		unambiguous := len(chosen) > 0
-		if !unambiguous {
-			chosen = best
-		}
-		if unambiguous || len(best[0].crashes) >= minAmbiguousCrashes {
-			for _, e := range chosen {
-				for _, i := range e.crashes {
-					blamed[e.segment] = append(blamed[e.segment], crashes[i].at)
+		chosen := requestsOf(best)
+		if len(chosen) == 0 {
+			chosen = distinctExplanations(best)
+			unambiguous := len(chosen) > 0
+			if !unambiguous {
+				chosen = best
+			}
+			if unambiguous || len(best[0].crashes) >= minAmbiguousCrashes {
+				for _, e := range chosen {
+					for _, i := range e.crashes {
+						blamed[e.suspect] = append(blamed[e.suspect], crashes[i].at)
+					}
 				}
 			}
 		}
@@ -54,15 +82,26 @@
 	}
 }
 
-// explanation is a segment with the indices of the crashes that it explains.
+// explanation is a suspect with the indices of the crashes that it explains.
 type explanation struct {
-	segment Segment
+	suspect Suspect
 	crashes []int
 }
 
-// mostCrashes returns the segments that explain most crashes.
+// requestsOf returns the explanations that are requests.
+func requestsOf(all []explanation) []explanation {
+	var requests []explanation
+	for _, e := range all {
+		if e.suspect.Kind == KindRequest {
+			requests = append(requests, e)
+		}
+	}
+	return requests
+}
+
+// mostCrashes returns the suspects that explain most crashes.
 func mostCrashes(crashes []suspicion) []explanation {
-	explains := make(map[Segment][]int)
+	explains := make(map[Suspect][]int)
 	most := 0
 	for i, c := range crashes {
 		for _, s := range c.suspects {
@@ -103,10 +142,10 @@
 	return distinct
 }
 
-// unexplained returns the crashes that none of the segments explains.
-func unexplained(crashes []suspicion, segments []explanation) []suspicion {
+// unexplained returns the crashes that none of the explanations covers.
+func unexplained(crashes []suspicion, explanations []explanation) []suspicion {
 	explained := make(map[int]bool)
-	for _, e := range segments {
+	for _, e := range explanations {
 		for _, i := range e.crashes {
 			explained[i] = true
 		}
@@ -120,10 +159,9 @@
 	return rest
 }
 
-// mergeMassLosses returns the crashes in order of time, with those of each mass loss
-// merged into one.
-func mergeMassLosses(crashes []suspicion) []suspicion {
-	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b suspicion) int { return a.at.Compare(b.at) })
+// mergeMassLosses returns the crashes, which must be in order of time, with those of
+// each mass loss merged into one.
+func mergeMassLosses(sorted []suspicion) []suspicion {
 	var merged []suspicion
 	for start := 0; start < len(sorted); {
 		end := start + 1
@@ -140,11 +178,12 @@
 	return merged
 }
 
-func unionOfSuspects(crashes []suspicion) []Segment {
-	var union []Segment
+func unionOfSuspects(crashes []suspicion) []Suspect {
+	union := make(map[Suspect]bool)
 	for _, c := range crashes {
-		union = append(union, c.suspects...)
+		for _, s := range c.suspects {
+			union[s] = true
+		}
 	}
-	slices.SortFunc(union, cmp.Compare)
-	return slices.Compact(union)
+	return slices.Collect(maps.Keys(union))
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// evidenceTTL is how long a crash counts. Requests with a segment that is held
-	// back are tried again after it.
+	// evidenceTTL is how long a crash counts. What is held back is tried again after
+	// it.
 	evidenceTTL = 10 * time.Minute
 	// confirmWithin is the maximum time from the first request that breaks off at an
 	// endpoint to the sign that the endpoint is gone. Its entry in the store expires
@@ -17,27 +17,45 @@
 	// clockTolerance is by how much the times that hosts compute from each other's
 	// reports may differ.
 	clockTolerance = time.Second
-	// clearedFor is how long before a crash a request with a segment must have
-	// survived for the segment not to be suspected.
+	// clearedFor is how long before a crash a request, or one with a segment, must have
+	// survived for the request or segment not to be suspected.
 	clearedFor = time.Minute
-	// maxSurvived is the number of segments of which the last survival is kept.
+	// maxSurvived is the number of suspects of each kind of which the last survival is
+	// kept.
 	maxSurvived = 4096
-	// maxCrashes and maxSuspects bound the crashes that are kept and the suspects of
-	// each.
-	maxCrashes, maxSuspects = 128, 64
+	// maxCrashes bounds the crashes that are kept.
+	maxCrashes = 128
 )
 
+// maxSuspects bounds the suspects of each kind of a crash: an engine may run some
+// hundred requests, which have few segments that are not cleared.
+var maxSuspects = [kinds]int{KindSegment: 64, KindRequest: 256}
+
 // crash is what is known of the crash of an endpoint.
 type crash struct {
 	// at is when the first request broke off there.
 	at time.Time
 	// confirmed is set once the endpoint is known to be gone.
 	confirmed bool
-	// suspects are the segments of requests that were in flight at the start of
-	// their responses, with the time at which this host learned of them. ownSuspects
-	// are those of this host's requests.
-	suspects    map[Segment]time.Time
-	ownSuspects map[Segment]bool
+	// suspects are the requests that were in flight at the start of their responses,
+	// and their segments, with the time at which this host learned of them.
+	// ownSuspects are those of this host's requests, counts the numbers by kind.
+	suspects    map[Suspect]time.Time
+	ownSuspects map[Suspect]bool
+	counts      [kinds]int
+}
+
+func (c *crash) add(now time.Time, s Suspect) {
+	if _, known := c.suspects[s]; !known && c.counts[s.Kind] < maxSuspects[s.Kind] {
+		c.suspects[s] = now
+		c.counts[s.Kind]++
+	}
+}
+
+func (c *crash) remove(s Suspect) {
+	delete(c.suspects, s)
+	delete(c.ownSuspects, s)
+	c.counts[s.Kind]--
 }
 
 // evidence is what this host and its peers have seen of crashes. It is not safe for
@@ -47,19 +65,23 @@
 	// gone are the endpoints that are known to be gone, with the time at which they
 	// were seen to be.
 	gone *lru.Cache[Incarnation, time.Time]
-	// survived is when a request of this host with the segment last survived the
-	// start of its response; peersSurvived is the same for peers' requests and
-	// suspected segments.
-	survived, peersSurvived *lru.Cache[Segment, time.Time]
-	// disputedAt is when a segment that survived was last suspected.
-	disputedAt *lru.Cache[Segment, time.Time]
+	// survived is when a request of this host last survived the start of its response,
+	// by kind of suspect; peersSurvived is the same for peers' requests, as far as they
+	// are suspected.
+	survived, peersSurvived [kinds]*lru.Cache[Suspect, time.Time]
+	// disputedAt is when what survived was last suspected.
+	disputedAt *lru.Cache[Suspect, time.Time]
 }
 
 func newEvidence() *evidence {
-	return &evidence{
+	e := &evidence{
 		crashes: make(map[Incarnation]*crash), gone: newCache[Incarnation](maxCrashes),
-		survived: newCache[Segment](maxSurvived), peersSurvived: newCache[Segment](maxSurvived), disputedAt: newCache[Segment](maxSuspects),
+		disputedAt: newCache[Suspect](maxSuspects[KindSegment] + maxSuspects[KindRequest]),
 	}
+	for kind := range kinds {
+		e.survived[kind], e.peersSurvived[kind] = newCache[Suspect](maxSurvived), newCache[Suspect](maxSurvived)
+	}
+	return e
 }
 
 func newCache[K comparable](size int) *lru.Cache[K, time.Time] {
@@ -70,32 +92,30 @@
 	return cache
 }
 
-// addSuspects records segments of requests that broke off at an endpoint at a time. It
+// addSuspects records suspects of requests that broke off at an endpoint at a time. It
 // returns true for the first suspects of this host if nothing confirms the crash yet.
-func (e *evidence) addSuspects(now, at time.Time, endpoint Incarnation, segments []Segment, own bool) bool {
+func (e *evidence) addSuspects(now, at time.Time, endpoint Incarnation, suspects []Suspect, own bool) bool {
 	c, ok := e.crashes[endpoint]
 	if !ok {
 		if len(e.crashes) >= maxCrashes {
 			e.dropOldest()
 		}
-		c = &crash{at: at, suspects: make(map[Segment]time.Time), ownSuspects: make(map[Segment]bool)}
+		c = &crash{at: at, suspects: make(map[Suspect]time.Time), ownSuspects: make(map[Suspect]bool)}
 		e.crashes[endpoint] = c
 	}
 	if at.Before(c.at) {
 		c.at = at
 	}
 	known := len(c.ownSuspects)
-	for _, s := range segments {
+	for _, s := range suspects {
 		if e.cleared(s, at) {
 			if !own {
 				e.disputedAt.Add(s, now)
 			}
 			continue
 		}
-		if _, known := c.suspects[s]; !known && len(c.suspects) < maxSuspects {
-			c.suspects[s] = now
-		}
-		if own {
+		c.add(now, s)
+		if _, added := c.suspects[s]; added && own {
 			c.ownSuspects[s] = true
 		}
 	}
@@ -141,18 +161,25 @@
 
 // recordSurvival records that a request of this host survived the start of its
 // response.
-func (e *evidence) recordSurvival(now time.Time, segments []Segment) {
-	for _, s := range segments {
-		e.survived.Add(s, now)
+func (e *evidence) recordSurvival(now time.Time, suspects []Suspect) {
+	for _, s := range suspects {
+		e.survived[s.Kind].Add(s, now)
+	}
+}
+
+// recordPeerSurvival records that a request of a peer survived at a time.
+func (e *evidence) recordPeerSurvival(at time.Time, s Suspect) {
+	if known, _ := e.peersSurvived[s.Kind].Peek(s); at.After(known) {
+		e.peersSurvived[s.Kind].Add(s, at)
 	}
 }
 
-// cleared reports whether a segment is not to be suspected of a crash at a time,
+// cleared reports whether something is not to be suspected of a crash at a time,
 // because a request with it survived after that or shortly before.
-func (e *evidence) cleared(s Segment, crashAt time.Time) bool {
+func (e *evidence) cleared(s Suspect, crashAt time.Time) bool {
 	since := crashAt.Add(-clearedFor)
-	own, _ := e.survived.Peek(s)
-	peers, _ := e.peersSurvived.Peek(s)
+	own, _ := e.survived[s.Kind].Peek(s)
+	peers, _ := e.peersSurvived[s.Kind].Peek(s)
 	return own.After(since) || peers.After(since)
 }
 
@@ -167,25 +194,24 @@
 		}
 		for s := range c.suspects {
 			if e.cleared(s, c.at) {
-				delete(c.suspects, s)
-				delete(c.ownSuspects, s)
+				c.remove(s)
 				e.disputedAt.Add(s, now)
 			}
 		}
 	}
 }
 
-// hold is a segment whose requests are held back.
+// hold tells why requests are held back.
 type hold struct {
-	// crashes is the number of crashes that the segment explains.
+	// crashes is the number of crashes that the suspect explains.
 	crashes int
 	// until is when the evidence no longer suffices.
 	until time.Time
 }
 
-// holds returns the segments to hold back. Suspects count once they have been known
-// for settle, in which peers can clear them.
-func (e *evidence) holds(now time.Time, settle time.Duration) map[Segment]hold {
+// holds returns what to hold back. Suspects count once they have been known for settle,
+// in which peers can clear them.
+func (e *evidence) holds(now time.Time, settle time.Duration) map[Suspect]hold {
 	var crashes []suspicion
 	for _, c := range e.crashes {
 		if !c.confirmed {
@@ -199,7 +225,7 @@
 		}
 		crashes = append(crashes, settled)
 	}
-	holds := make(map[Segment]hold)
+	holds := make(map[Suspect]hold)
 	for s, times := range attribute(crashes) {
 		holds[s] = hold{crashes: len(times), until: times[len(times)-minCrashes].Add(evidenceTTL)}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -55,7 +55,7 @@
 }
 
 // crash lets an endpoint crash under requests of hosts, by their segments.
-func (t *testHosts) crash(endpoint Incarnation, inFlight map[int][]Segment) {
+func (t *testHosts) crash(endpoint Incarnation, inFlight map[int][]Suspect) {
 	for host, segments := range inFlight {
 		t.hosts[host].RecordBreak(endpoint, segments)
 	}
@@ -65,7 +65,7 @@
 }
 
 // held returns the hosts that hold the segment back.
-func (t *testHosts) held(s Segment) int {
+func (t *testHosts) held(s Suspect) int {
 	count := 0
 	for _, host := range t.hosts {
 		if _, held := host.Held(s); held {
@@ -80,23 +80,47 @@
 }
 
 var _ = Describe("Quarantine", func() {
-	const bad, shared, rare = Segment(1), Segment(2), Segment(3)
+	bad, shared, rare := segment(1), segment(2), segment(3)
 
 	It("is in force on all hosts after three crashes that each saw in part", func() {
 		t := newTestHosts(4)
 		for n := range 3 {
-			t.crash(incarnationNumber(n), map[int][]Segment{n: {bad, shared}})
-			t.hosts[3].RecordSurvival([]Segment{shared})
+			t.crash(incarnationNumber(n), map[int][]Suspect{n: {bad, shared}})
+			t.hosts[3].RecordSurvival([]Suspect{shared})
 		}
 		t.exchange(3)
 		Expect(t.held(bad)).To(Equal(4))
 		Expect(t.held(shared)).To(BeZero())
 	})
 
+	It("holds a request back on all hosts after three crashes that each saw in part, and clears one that survived", func() {
+		t := newTestHosts(4)
+		for n := range 3 {
+			t.crash(incarnationNumber(n), map[int][]Suspect{n: {request(1)}, (n + 1) % 4: {request(2), shared}})
+			t.hosts[3].RecordSurvival([]Suspect{request(2), shared})
+		}
+		t.exchange(3)
+		Expect(t.held(request(1))).To(Equal(4))
+		Expect(t.held(request(2))).To(BeZero())
+	})
+
+	It("does not let an organisation have another one's requests held back", func() {
+		key := RequestKey{Organisation: "good", Method: "POST", Host: "api.example", Target: "/read/x", Body: []byte("b")}
+		copied := key
+		copied.Organisation = "bad"
+		t := newTestHosts(2)
+		for n := range 3 {
+			t.crash(incarnationNumber(n), map[int][]Suspect{0: {RequestOf(copied)}})
+		}
+		t.exchange(3)
+		Expect(t.held(RequestOf(copied))).To(Equal(2))
+		Expect(t.held(RequestOf(key))).To(BeZero())
+	})
+
 	It("does not count requests that break off at an endpoint that goes on answering", func() {
 		t := newTestHosts(2)
 		for n := range 5 {
-			t.hosts[0].RecordBreak(incarnationNumber(n), []Segment{bad})
+			t.hosts[0].RecordBreak(incarnationNumber(n), []Suspect{bad})
 			t.now = t.now.Add(50 * time.Millisecond)
 			t.hosts[0].RecordAnswer(incarnationNumber(n), t.now)
 			t.hosts[0].RecordGone(incarnationNumber(n))
@@ -108,7 +132,7 @@
 	It("does not count requests that broke off long before the endpoint left", func() {
 		t := newTestHosts(2)
 		for n := range 5 {
-			t.hosts[0].RecordBreak(incarnationNumber(n), []Segment{bad})
+			t.hosts[0].RecordBreak(incarnationNumber(n), []Suspect{bad})
 		}
 		t.exchange(40)
 		for n := range 5 {
@@ -121,11 +145,11 @@
 	It("holds a segment back only until a request with it survives on any host", func() {
 		t := newTestHosts(3)
 		for n := range 3 {
-			t.crash(incarnationNumber(n), map[int][]Segment{0: {rare}})
+			t.crash(incarnationNumber(n), map[int][]Suspect{0: {rare}})
 		}
 		t.exchange(3)
 		Expect(t.held(rare)).To(Equal(3))
-		t.hosts[2].RecordSurvival([]Segment{rare}) // it was sent before
+		t.hosts[2].RecordSurvival([]Suspect{rare}) // it was sent before
 		t.exchange(3)
 		Expect(t.held(rare)).To(BeZero())
 	})
@@ -133,20 +157,20 @@
 	It("hears of a survival long after the crashes were reported", func() {
 		t := newTestHosts(3)
 		for n := range 3 {
-			t.crash(incarnationNumber(n), map[int][]Segment{0: {rare}})
+			t.crash(incarnationNumber(n), map[int][]Suspect{0: {rare}})
 		}
 		t.exchange(2 * int(reportedFor/testInterval))
 		Expect(t.held(rare)).To(Equal(3))
-		t.hosts[2].RecordSurvival([]Segment{rare}) // in flight since before the hold
+		t.hosts[2].RecordSurvival([]Suspect{rare}) // in flight since before the hold
 		t.exchange(3)
 		Expect(t.held(rare)).To(BeZero())
 	})
 
 	It("never holds back a segment that survived on a host whose reports are awaited", func() {
 		t := newTestHosts(3)
-		t.hosts[2].RecordSurvival([]Segment{shared})
+		t.hosts[2].RecordSurvival([]Suspect{shared})
 		for n := range 3 {
-			t.hosts[0].RecordBreak(incarnationNumber(n), []Segment{shared})
+			t.hosts[0].RecordBreak(incarnationNumber(n), []Suspect{shared})
 			t.hosts[0].RecordGone(incarnationNumber(n))
 			for range 3 {
 				Expect(t.held(shared)).To(BeZero())
@@ -158,7 +182,7 @@
 	It("passes the evidence on to a host that starts later", func() {
 		t := newTestHosts(3)
 		for n := range 3 {
-			t.crash(incarnationNumber(n), map[int][]Segment{0: {bad}})
+			t.crash(incarnationNumber(n), map[int][]Suspect{0: {bad}})
 		}
 		t.exchange(3)
 		for range 6 { // longer than crashes are reported in general
@@ -174,7 +198,7 @@
 	It("ends after the evidence has expired", func() {
 		t := newTestHosts(2)
 		for n := range 3 {
-			t.crash(incarnationNumber(n), map[int][]Segment{0: {bad}})
+			t.crash(incarnationNumber(n), map[int][]Suspect{0: {bad}})
 		}
 		t.exchange(3)
 		left, held := t.hosts[1].Held(bad)
@@ -188,11 +212,11 @@
 	It("bounds its memory and its reports", func() {
 		t := newTestHosts(1)
 		for n := range 4 * maxCrashes {
-			segments := make([]Segment, 2*maxSuspects)
-			for i := range segments {
-				segments[i] = Segment(n*1000 + i)
+			var suspects []Suspect
+			for i := range 2 * max(maxSuspects[KindSegment], maxSuspects[KindRequest]) {
+				suspects = append(suspects, segment(n*1000+i), request(n*1000+i))
 			}
-			t.hosts[0].RecordBreak(incarnationNumber(n), segments)
+			t.hosts[0].RecordBreak(incarnationNumber(n), suspects)
 			t.hosts[0].RecordGone(incarnationNumber(n))
 		}
 		Expect(len(t.hosts[0].evidence.crashes)).To(BeNumerically("<=", maxCrashes))
@@ -200,7 +224,8 @@
 		t.hosts[0].FillReport(report)
 		Expect(len(report.GetCrashes())).To(BeNumerically("<=", maxReported))
 		for _, c := range report.GetCrashes() {
-			Expect(len(c.GetSegments())).To(BeNumerically("<=", maxSuspects))
+			Expect(len(c.GetSegments())).To(BeNumerically("<=", maxSuspects[KindSegment]))
+			Expect(len(c.GetRequests())).To(BeNumerically("<=", maxSuspects[KindRequest]))
 		}
 	})
 })
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -20,7 +20,7 @@
 )
 
 // FillReport implements exchange.Participant. It reports the crashes that this host
-// saw, and which of the segments that peers suspect survived here.
+// saw, and what survived here of that which peers suspect.
 func (q *Quarantine) FillReport(report *fleetv1.Report) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -31,33 +31,52 @@
 			break
 		}
 		recent := now.Sub(c.at) < reportedFor
-		segments := c.reportedSuspects(recent, full)
-		if len(segments) > 0 || recent && c.confirmed && len(c.suspects) > 0 {
+		suspects := c.reportedSuspects(recent, full)
+		segments, requests := suspects[KindSegment], suspects[KindRequest]
+		if len(segments)+len(requests) > 0 || recent && c.confirmed && len(c.suspects) > 0 {
 			report.Crashes = append(report.Crashes, &fleetv1.Crash{
 				Endpoint: endpoint.Endpoint, StartedMillis: endpoint.StartedMillis,
-				AgeMillis: now.Sub(c.at).Milliseconds(), Confirmed: c.confirmed, Segments: segments,
+				AgeMillis: now.Sub(c.at).Milliseconds(), Confirmed: c.confirmed, Segments: segments, Requests: requests,
 			})
 		}
 	}
 	for _, s := range q.evidence.disputedAt.Keys() {
 		disputedAt, _ := q.evidence.disputedAt.Peek(s)
-		survivedAt, ok := q.evidence.survived.Peek(s)
+		survivedAt, ok := q.evidence.survived[s.Kind].Peek(s)
 		if ok && now.Sub(disputedAt) < reportedFor {
-			report.Survivals = append(report.Survivals, &fleetv1.SegmentSurvival{Segment: uint64(s), AgeMillis: now.Sub(survivedAt).Milliseconds()})
+			report.Survivals = append(report.Survivals, survivalMessage(s, now.Sub(survivedAt)))
 		}
 	}
 }
 
-// reportedSuspects returns the suspects to report: those of all hosts if full is set,
-// else this host's if the crash is recent.
-func (c *crash) reportedSuspects(recent, full bool) []uint64 {
-	var segments []uint64
+// reportedSuspects returns the hashes of the suspects to report by kind: those of all
+// hosts if full is set, else this host's if the crash is recent.
+func (c *crash) reportedSuspects(recent, full bool) [kinds][]uint64 {
+	var hashes [kinds][]uint64
 	for s := range c.suspects {
 		if full || recent && c.ownSuspects[s] {
-			segments = append(segments, uint64(s))
+			hashes[s.Kind] = append(hashes[s.Kind], s.Hash)
 		}
 	}
-	return segments
+	return hashes
+}
+
+func survivalMessage(s Suspect, age time.Duration) *fleetv1.Survival {
+	message := &fleetv1.Survival{AgeMillis: age.Milliseconds()}
+	if s.Kind == KindRequest {
+		message.Request = s.Hash
+	} else {
+		message.Segment = s.Hash
+	}
+	return message
+}
+
+// survivor returns what survived by a message.
+func survivor(message *fleetv1.Survival) Suspect {
+	if message.GetRequest() != 0 {
+		return Suspect{KindRequest, message.GetRequest()}
+	}
+	return Suspect{KindSegment, message.GetSegment()}
 }
 
 // HandleReport implements exchange.Participant.
@@ -70,29 +89,33 @@
 		q.fullUntil = now.Add(resendFor)
 	}
 	q.peersAt[report.GetHost()] = now
+	if len(report.GetSurvivals())+len(report.GetCrashes()) == 0 {
+		return
+	}
 	for _, survival := range report.GetSurvivals() {
-		s, at := Segment(survival.GetSegment()), now.Add(-time.Duration(survival.GetAgeMillis())*time.Millisecond)
-		if known, _ := q.evidence.peersSurvived.Peek(s); at.After(known) {
-			q.evidence.peersSurvived.Add(s, at)
-		}
+		at := now.Add(-time.Duration(survival.GetAgeMillis()) * time.Millisecond)
+		q.evidence.recordPeerSurvival(at, survivor(survival))
 	}
 	for _, c := range report.GetCrashes() {
 		endpoint := Incarnation{c.GetEndpoint(), c.GetStartedMillis()}
 		at := now.Add(-time.Duration(c.GetAgeMillis()) * time.Millisecond)
-		q.evidence.addSuspects(now, at, endpoint, segmentsOf(c.GetSegments()), false)
+		q.evidence.addSuspects(now, at, endpoint, suspectsOf(c), false)
 		if c.GetConfirmed() {
 			q.evidence.crashes[endpoint].confirmed = true
 		}
 	}
-	q.update(now)
+	q.updateOften(now)
 }
 
-func segmentsOf(hashes []uint64) []Segment {
-	segments := make([]Segment, len(hashes))
-	for i, hash := range hashes {
-		segments[i] = Segment(hash)
+func suspectsOf(c *fleetv1.Crash) []Suspect {
+	suspects := make([]Suspect, 0, len(c.GetSegments())+len(c.GetRequests()))
+	for _, hash := range c.GetSegments() {
+		suspects = append(suspects, Suspect{KindSegment, hash})
+	}
+	for _, hash := range c.GetRequests() {
+		suspects = append(suspects, Suspect{KindRequest, hash})
 	}
-	return segments
+	return suspects
 }
 
 // SetReachability implements exchange.Participant. It computes the holds, whose
@@ -101,7 +124,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.settle = reachability.SettleTime()
-	q.update(q.clock())
+	now := q.clock()
+	if now.Sub(q.changedAt) <= q.settle+reachability.Interval || now.Sub(q.updatedAt) >= expiryInterval {
+		q.update(now)
+	}
 }
 
 // State is the evidence in the state dump.
@@ -110,17 +136,20 @@
 	Held    []HeldState  `json:"held"`
 }
 
-// CrashState is a crash in the state dump. Suspects are segment hashes.
+// CrashState is a crash in the state dump. Segments and Requests are the hashes of its
+// suspects.
 type CrashState struct {
 	Endpoint  string   `json:"endpoint"`
 	AgeMS     int64    `json:"ageMillis"`
 	Confirmed bool     `json:"confirmed"`
-	Suspects  []string `json:"suspects"`
+	Segments  []string `json:"segments"`
+	Requests  []string `json:"requests"`
 }
 
-// HeldState is a segment that is held back in the state dump.
+// HeldState is what is held back in the state dump: a "segment" or "request".
 type HeldState struct {
-	Segment string `json:"segment"`
+	Kind    string `json:"kind"`
+	Hash    string `json:"hash"`
 	Crashes int    `json:"crashes"`
 	LeftMS  int64  `json:"leftMillis"`
 }
@@ -132,14 +161,18 @@
 	now := q.clock()
 	state := State{Crashes: []CrashState{}, Held: []HeldState{}}
 	for endpoint, c := range q.evidence.crashes {
-		dumped := CrashState{Endpoint: endpoint.Endpoint, AgeMS: now.Sub(c.at).Milliseconds(), Confirmed: c.confirmed, Suspects: []string{}}
+		dumped := CrashState{Endpoint: endpoint.Endpoint, AgeMS: now.Sub(c.at).Milliseconds(), Confirmed: c.confirmed, Segments: []string{}, Requests: []string{}}
 		for s := range c.suspects {
-			dumped.Suspects = append(dumped.Suspects, s.String())
+			if s.Kind == KindRequest {
+				dumped.Requests = append(dumped.Requests, s.HashText())
+			} else {
+				dumped.Segments = append(dumped.Segments, s.HashText())
+			}
 		}
 		state.Crashes = append(state.Crashes, dumped)
 	}
 	for s, h := range *q.holds.Load() {
-		state.Held = append(state.Held, HeldState{Segment: s.String(), Crashes: h.crashes, LeftMS: h.until.Sub(now).Milliseconds()})
+		state.Held = append(state.Held, HeldState{Kind: s.Kind.String(), Hash: s.HashText(), Crashes: h.crashes, LeftMS: h.until.Sub(now).Milliseconds()})
 	}
 	return state
 }
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -19,8 +19,9 @@
 	hosts, endpoints int
 	// soundPerSecond and badPerSecond are the requests per second of the whole fleet.
 	soundPerSecond, badPerSecond float64
-	// badSegments is the number of segments that crash endpoints.
-	badSegments int
+	// badSegments is the number of segments that crash endpoints, badRequests that of
+	// whole requests, each of which is sent again and again.
+	badSegments, badRequests int
 	// lostReports is the fraction of reports that are lost.
 	lostReports float64
 	// plainCrashes, rackLosses and restarts are per second: crashes of endpoints for
@@ -28,6 +29,8 @@
 	plainCrashes, rackLosses, restarts float64
 	// herdRestarts are restarts of all hosts at once, per second.
 	herdRestarts float64
+	// repeated is the fraction of broken requests that their host sends once more.
+	repeated float64
 }
 
 const (
@@ -37,16 +40,23 @@
 	startTime = 300 * time.Millisecond
 	runTime   = 1500 * time.Millisecond
 	downTime  = 4 * time.Second
-	// contactTime is the time within which all hosts must know of a bad segment after
-	// its fifth crash.
+	// contactTime is the time within which all hosts must know of what is bad after
+	// crashesAllowed.
 	contactTime = 5 * time.Second
+	// popularRequests are sound requests that organisations send again and again, one in
+	// popularEvery.
+	popularRequests, popularEvery = 10, 4
 )
 
+// crashesAllowed is the number of crashes, by kind of suspect, after which requests must
+// stop.
+var crashesAllowed = [kinds]int{KindSegment: 5, KindRequest: 3}
+
 // simulatedRequest is a request in flight at an endpoint.
 type simulatedRequest struct {
 	host     int
-	segments []Segment
-	bad      Segment
+	suspects []Suspect
+	bad      *Suspect
 	sentAt   time.Time
 	survived bool
 }
@@ -66,19 +76,20 @@
 	endpoints []*simulatedEndpoint
 	interval  time.Duration
 
-	// crashes are the times of the crashes by bad segment. late counts the bad requests
-	// that were sent later than contactTime after the fifth, by hosts that had been up
-	// for that long.
-	crashes      map[Segment][]time.Time
-	late         map[Segment]int
+	// crashes are the times of the crashes by what is bad. late counts the bad requests
+	// that were sent later than contactTime after crashesAllowed, by hosts that had been
+	// up for that long.
+	crashes      map[Suspect][]time.Time
+	late         map[Suspect]int
 	sound, wrong int
+	requests     int
 }
 
 func newSimulation(seed uint64, s schedule) *simulation {
 	sim := &simulation{
 		schedule: s, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0),
 		interval: max(testInterval, time.Duration(s.hosts)*8*time.Millisecond),
-		crashes:  make(map[Segment][]time.Time), late: make(map[Segment]int),
+		crashes:  make(map[Suspect][]time.Time), late: make(map[Suspect]int),
 	}
 	sim.hosts, sim.startedAt = make([]*Quarantine, s.hosts), make([]time.Time, s.hosts)
 	for i := range s.hosts {
@@ -104,11 +115,12 @@
 	for until := s.now.Add(length); s.now.Before(until); s.now = s.now.Add(simulatedTick) {
 		for rate := s.soundPerSecond; rate > 0; rate -= 1 / simulatedTick.Seconds() {
 			if s.happens(min(rate, 1/simulatedTick.Seconds())) {
-				s.send(0)
+				s.send(nil)
 			}
 		}
 		if s.happens(s.badPerSecond) {
-			s.send(Segment(1 + s.rng.IntN(s.badSegments)))
+			bad := s.bad()[s.rng.IntN(len(s.bad()))]
+			s.send(&bad)
 		}
 		if s.happens(s.plainCrashes) {
 			s.crash(s.rng.IntN(len(s.endpoints)))
@@ -131,19 +143,42 @@
 	}
 }
 
+// bad returns what crashes endpoints.
+func (s *simulation) bad() []Suspect {
+	var list []Suspect
+	for n := range s.badSegments {
+		list = append(list, segment(1+n))
+	}
+	for n := range s.badRequests {
+		list = append(list, request(1+n))
+	}
+	return list
+}
+
 // send sends a request with a segment that all of its organisation share, one of many
-// that some do, and the bad one, if any.
-func (s *simulation) send(bad Segment) {
-	segments := []Segment{Segment(100 + s.rng.IntN(5)), Segment(1000 + int(300*s.rng.ExpFloat64()))}
-	if bad != 0 {
-		segments = append(segments, bad)
-	} else {
+// that some do, and the bad one, if any. A bad request is the same each time.
+func (s *simulation) send(bad *Suspect) {
+	s.requests++
+	same := request(1000 + s.requests)
+	if s.rng.IntN(popularEvery) == 0 {
+		same = request(100 + s.rng.IntN(popularRequests))
+	}
+	suspects := []Suspect{same, segment(100 + s.rng.IntN(5)), segment(1000 + int(300*s.rng.ExpFloat64()))}
+	switch {
+	case bad == nil:
 		s.sound++
+	case bad.Kind == KindSegment:
+		suspects = append(suspects, *bad)
+	default:
+		suspects = []Suspect{*bad, segment(100), segment(1000 + int(bad.Hash))}
 	}
-	host := s.rng.IntN(len(s.hosts))
-	for _, segment := range segments {
-		if _, held := s.hosts[host].Held(segment); held {
-			if bad == 0 {
+	s.sendTo(s.rng.IntN(len(s.hosts)), suspects, bad)
+}
+
+func (s *simulation) sendTo(host int, suspects []Suspect, bad *Suspect) {
+	for _, suspect := range suspects {
+		if _, held := s.hosts[host].Held(suspect); held {
+			if bad == nil {
 				s.wrong++
 			}
 			return
@@ -153,10 +188,13 @@
 	if s.now.Before(target.downUntil) {
 		return // refused, and sent elsewhere
 	}
-	if crashes := s.crashes[bad]; bad != 0 && len(crashes) >= 5 && s.now.Sub(crashes[4]) > contactTime && s.now.Sub(s.startedAt[host]) > contactTime {
-		s.late[bad]++
+	if bad != nil {
+		crashes, allowed := s.crashes[*bad], crashesAllowed[bad.Kind]
+		if len(crashes) >= allowed && s.now.Sub(crashes[allowed-1]) > contactTime && s.now.Sub(s.startedAt[host]) > contactTime {
+			s.late[*bad]++
+		}
 	}
-	target.inFlight = append(target.inFlight, &simulatedRequest{host: host, segments: segments, bad: bad, sentAt: s.now})
+	target.inFlight = append(target.inFlight, &simulatedRequest{host: host, suspects: suspects, bad: bad, sentAt: s.now})
 }
 
 // progress lets endpoints start and end responses, and crash under bad requests.
@@ -165,15 +203,15 @@
 		var rest []*simulatedRequest
 		for _, r := range e.inFlight {
 			age := s.now.Sub(r.sentAt)
-			if age >= startTime && r.bad != 0 {
-				s.crashes[r.bad] = append(s.crashes[r.bad], s.now)
+			if age >= startTime && r.bad != nil {
+				s.crashes[*r.bad] = append(s.crashes[*r.bad], s.now)
 				s.crash(i)
 				rest = nil
 				break
 			}
 			if age >= startTime && !r.survived {
 				r.survived = true
-				s.hosts[r.host].RecordSurvival(r.segments)
+				s.hosts[r.host].RecordSurvival(r.suspects)
 			}
 			if age < runTime {
 				rest = append(rest, r)
@@ -191,12 +229,18 @@
 	}
 	endpoint := Incarnation{fmt.Sprint("e", i), int64(e.incarnation)}
 	for _, r := range e.inFlight {
-		if !r.survived && s.hosts[r.host].RecordBreak(endpoint, r.segments) {
+		if !r.survived && s.hosts[r.host].RecordBreak(endpoint, r.suspects) {
 			s.hosts[r.host].RecordGone(endpoint)
 		}
 	}
+	broken := e.inFlight
 	e.inFlight, e.downUntil = nil, s.now.Add(downTime)
 	e.incarnation++
+	for _, r := range broken {
+		if s.rng.Float64() < s.repeated {
+			s.sendTo(r.host, r.suspects, r.bad)
+		}
+	}
 }
 
 // report has each host report to each other once per interval, at a phase of its own.
@@ -228,8 +272,8 @@
 
 var _ = Describe("Quarantine on random schedules", func() {
 	const (
-		// maxLate is the number of requests with a bad segment that may be sent later
-		// than contactTime after its fifth crash.
+		// maxLate is the number of bad requests that may be sent later than contactTime
+		// after crashesAllowed.
 		maxLate = 3
 		// maxWrong is the fraction of sound requests that may be held back.
 		maxWrong = 0.01
@@ -247,8 +291,17 @@
 		"six hosts, all restarted at once": {
 			hosts: 6, endpoints: 9, soundPerSecond: 34, badPerSecond: 0.5, badSegments: 1, herdRestarts: 0.03,
 		},
+		"six hosts, two bad requests in turn": {
+			hosts: 6, endpoints: 9, soundPerSecond: 34, badPerSecond: 2.5, badRequests: 2, repeated: 0.5,
+		},
+		"six hosts, three endpoints, bad requests, lost reports and restarts": {
+			hosts: 6, endpoints: 3, soundPerSecond: 16, badPerSecond: 1, badRequests: 2, repeated: 1, lostReports: 0.2, restarts: 0.05, plainCrashes: 0.1,
+		},
+		"sixty hosts, bad requests and segments": {
+			hosts: 60, endpoints: 60, soundPerSecond: 250, badPerSecond: 4, badRequests: 3, badSegments: 1, repeated: 0.5, lostReports: 0.1, plainCrashes: 0.2, rackLosses: 0.1, restarts: 0.1,
+		},
 		"no bad segment, but crashes": {
-			hosts: 12, endpoints: 20, soundPerSecond: 100, badSegments: 1, lostReports: 0.1, plainCrashes: 1, rackLosses: 0.2, restarts: 0.2,
+			hosts: 12, endpoints: 20, soundPerSecond: 100, lostReports: 0.1, plainCrashes: 1, rackLosses: 0.2, restarts: 0.2, repeated: 1,
 		},
 	}
 	for name, s := range schedules {
@@ -256,10 +309,10 @@
 			for seed := range uint64(simulatedSeeds()) {
 				sim := newSimulation(seed, s)
 				sim.run(time.Minute)
-				for segment := range Segment(s.badSegments) {
-					crashes := len(sim.crashes[segment+1])
-					GinkgoWriter.Printf("seed %d: %d crashes, %d late\n", seed, crashes, sim.late[segment+1])
-					Expect(sim.late[segment+1]).To(BeNumerically("<=", maxLate), "seed %d: %d crashes", seed, crashes)
+				for _, bad := range sim.bad() {
+					crashes := len(sim.crashes[bad])
+					GinkgoWriter.Printf("seed %d: %v: %d crashes, %d late\n", seed, bad, crashes, sim.late[bad])
+					Expect(sim.late[bad]).To(BeNumerically("<=", maxLate), "seed %d: %v: %d crashes", seed, bad, crashes)
 				}
 				GinkgoWriter.Printf("seed %d: %d of %d sound requests held back\n", seed, sim.wrong, sim.sound)
 				Expect(float64(sim.wrong)).To(BeNumerically("<=", maxWrong*float64(sim.sound)), "seed %d: of %d", seed, sim.sound)
