--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -17,6 +17,9 @@
 	Address string
 	// Zone is the endpoint's availability zone.
 	Zone string
+	// Software is the version of the software that the endpoint runs. It is never empty
+	// for a listed endpoint.
+	Software string
 	// Slots is the number of requests that run concurrently.
 	Slots int
 	// Leaving is set while the endpoint drains. It gets no new requests then.
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -186,7 +186,7 @@
 
 func (r *Registry) logChange(event string, e *Endpoint) {
 	logrus.WithFields(logrus.Fields{
-		"endpoint": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "models": len(e.Models),
+		"endpoint": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "software": e.Software, "models": len(e.Models),
 	}).Info(event)
 }
 
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -54,6 +54,8 @@
 	// suspects are what may be to blame for crashes, as suspectsOf returns them.
 	suspects []quarantine.Suspect
 
+	// software is the software version of the endpoint of the last attempt.
+	software string
 	// tried holds the identifiers of the endpoints tried.
 	tried []string
 	// attempts counts the attempts by whether the endpoint was reached.
@@ -192,7 +194,7 @@
 
 // send sends the request to one endpoint and relays the response.
 func (x *inflightCall) send(attempt *fleet.Attempt) (repeat.Outcome, error) {
-	x.tried = append(x.tried, attempt.Endpoint.ID)
+	x.tried, x.software = append(x.tried, attempt.Endpoint.ID), attempt.Endpoint.Software
 	x.events = 0
 	codec := x.forwarder.config.Codec
 	message := upstream.Message{
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -53,7 +53,7 @@
 
 func (x *inflightCall) logAttempt(attempt *fleet.Attempt, event string, err error) {
 	x.log().WithError(err).WithFields(logrus.Fields{
-		"endpoint": attempt.Endpoint.ID, "address": attempt.Endpoint.Address, "send": x.attempts.Sent,
+		"endpoint": attempt.Endpoint.ID, "software": attempt.Endpoint.Software, "address": attempt.Endpoint.Address, "send": x.attempts.Sent,
 		"events": x.events, "shared_segments": segmentIDs(x.call.SharedSegments()), "request_hash": x.suspects[0].HashText(),
 	}).Info(event)
 }
@@ -83,6 +83,12 @@
 	if len(x.tried) > 0 {
 		fields["endpoint"] = x.tried[len(x.tried)-1]
 	}
+	if x.software != "" {
+		fields["software"] = x.software
+	}
+	if x.call.ResumeAfter != "" {
+		fields["resumes"] = x.call.Resumes
+	}
 	if x.framing != "" {
 		fields["framing"] = x.framing
 	}
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -35,6 +35,9 @@
 	// ResumeAfter is the identifier of the last event that the caller received
 	// of a stream that broke off.
 	ResumeAfter string
+	// Resumes is the identifier of the caller's attempt that brought the first event
+	// of that stream.
+	Resumes string
 }
 
 // Tokens returns the tokens to charge to the organisation's rate limit: the
