Resume streams within a response only at the software version that began them

What callers saw: streams with events of two software versions (ORDER). Cause: a stream that breaks off is resumed at the endpoint with the least load, whatever software it runs. Change: once the first event of a response is relayed, only endpoints of that version are chosen. If none is left, the stream breaks off visibly.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -19,6 +19,9 @@
 	// total length.
 	PromptSegments []traffic.PromptSegment
 	PromptTokens   int
+	// Software is the only software version whose endpoints may be chosen; empty means
+	// any.
+	Software string
 	// Tried lists the IDs of the endpoints of earlier attempts.
 	Tried []string
 }
@@ -32,6 +35,9 @@
 	ReasonNone Reason = ""
 	// ReasonNoEndpoint means that no endpoint of the service accepts requests.
 	ReasonNoEndpoint Reason = "no_endpoint"
+	// ReasonOtherSoftware means that the endpoints that accept requests run other
+	// software versions than the required one.
+	ReasonOtherSoftware Reason = "other_software"
 	// ReasonModelNotHeld means that no such endpoint holds the model.
 	ReasonModelNotHeld Reason = "model_not_held"
 	// ReasonAdapterNotHeld means that an endpoint holds the model, but none the
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -322,17 +322,21 @@
 
 // candidates returns the endpoints to choose from, or the reason why there are
 // none: those not ejected that the request has not tried, or else all not
-// ejected, or else all that hold the model and adapter. Those in limited are left out.
+// ejected, or else all that hold the model and adapter, of the required software. Those in limited are left out.
 func (r *Registry) candidates(work Work, now time.Time, limited []*member) ([]candidate, Reason) {
 	r.sweep(now)
 	ejected := r.ejector.Ejected(now)
 	var holding, healthy, untried []candidate
 	reason := ReasonNoEndpoint
-	backoff := false
+	backoff, otherSoftware := false, false
 	for _, m := range r.members {
 		if m.Service != work.Service || !r.usable(m, now) {
 			continue
 		}
+		if work.Software != "" && m.Software != work.Software {
+			otherSoftware = true
+			continue
+		}
 		if !m.holds(now, work.Model, work.Adapter) {
 			reason = notHeldReason(reason, m.holds(now, work.Model, ""))
 			continue
@@ -356,8 +360,11 @@
 			return list, ReasonNone
 		}
 	}
-	if backoff {
+	switch {
+	case backoff:
 		reason = ReasonBackoff
+	case otherSoftware && reason == ReasonNoEndpoint:
+		reason = ReasonOtherSoftware
 	}
 	return nil, reason
 }
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -46,6 +46,24 @@
 		Expect(chosen(Work{Service: "llm", Model: "m", Adapter: "a"})).To(Equal(string(ReasonAdapterNotHeld)))
 	})
 
+	It("chooses no endpoint of another software version than the required one", func() {
+		for i, software := range []string{"v1", "v2", "v2"} {
+			e := engine(fmt.Sprint("e", i), "z1", "m")
+			e.Software = software
+			registry.Put(e)
+		}
+		bound := work
+		bound.Software = "v1"
+		for range 5 {
+			Expect(chosen(bound)).To(Equal("e0"))
+		}
+		bound.Tried = []string{"e0"}
+		Expect(chosen(bound)).To(Equal("e0"))
+		registry.Remove("e0")
+		Expect(chosen(bound)).To(Equal(string(ReasonOtherSoftware)))
+		Expect(chosen(work)).NotTo(BeEmpty())
+	})
+
 	It("chooses no endpoint that drains, nor one that was delisted while the store was available", func() {
 		registry.Replace([]Endpoint{engine("e1", "z1", "m"), engine("e2", "z1", "m")})
 		draining := engine("e1", "z1", "m")
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -29,6 +29,9 @@
 	capacityRetryAfter = 300 * time.Millisecond
 	// loadRetryAfter is when to retry if the model has to be loaded first.
 	loadRetryAfter = 1500 * time.Millisecond
+	// restartRetryAfter is when to retry if no endpoint of the required software is left:
+	// about the time in which an endpoint restarts.
+	restartRetryAfter = 1500 * time.Millisecond
 	// maxDials limits the number of endpoints tried that could not be reached.
 	maxDials = 4
 )
@@ -56,6 +59,9 @@
 
 	// software is the software version of the endpoint of the last attempt.
 	software string
+	// boundTo is the software version that began the stream, at which alone it may go on;
+	// empty before its first event.
+	boundTo string
 	// tried holds the identifiers of the endpoints tried.
 	tried []string
 	// attempts counts the attempts by whether the endpoint was reached.
@@ -140,7 +146,7 @@
 func (x *inflightCall) work() fleet.Work {
 	return fleet.Work{
 		Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter,
-		PromptSegments: x.call.PromptSegments, PromptTokens: x.call.PromptTokens, Tried: x.tried,
+		PromptSegments: x.call.PromptSegments, PromptTokens: x.call.PromptTokens, Software: x.boundTo, Tried: x.tried,
 	}
 }
 
@@ -171,6 +177,8 @@
 		return nil, refusal
 	case reason == fleet.ReasonBackoff:
 		return nil, newRefusal(ReasonOverloaded, cmp.Or(x.forwarder.config.Endpoints.RemainingBackoff(x.work()), capacityRetryAfter))
+	case reason == fleet.ReasonOtherSoftware:
+		return nil, newRefusal(ReasonVersionGone, restartRetryAfter)
 	case reason == fleet.ReasonModelNotHeld || reason == fleet.ReasonAdapterNotHeld:
 		return nil, newRefusal(ReasonNotHeld, loadRetryAfter)
 	default:
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -141,6 +141,7 @@
 		x.events = events.boundaries.events
 		if len(ready) > 0 {
 			if !x.responseStarted {
+				x.boundTo = attempt.Endpoint.Software
 				x.writeHeader(exchange.Response)
 			}
 			if !x.writeAndFlush(control, ready) {
