Let streams that callers take up go on only at the software version that began them

What callers saw: streams with events of two software versions (ORDER). Cause: the host that a caller comes back to chooses an endpoint by load; nothing there told it where the stream began, and the header that names the attempt which began it was not read. Change: each host remembers at which version the streams that it relays began (internal/streamorigin) and reports them to its peers while several versions of the service are listed, or were within a minute. A stream that is taken up is bound to that version; a stream whose origin is not known is awaited for two rounds of reports and then refused as not run, and so is one whose version no endpoint runs any more. With one version listed nothing is reported. The service of a stream that is taken up is chosen by the attempt that began it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/quota"
 	"bilberryslip.example/bilberryslip/internal/settings"
+	"bilberryslip.example/bilberryslip/internal/streamorigin"
 	"bilberryslip.example/bilberryslip/internal/supervise"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
@@ -138,6 +139,8 @@
 	h.exchange.AddParticipant(h.quota)
 	h.exchange.AddParticipant(h.endpoints)
 	h.exchange.AddParticipant(h.quarantine)
+	origins := streamorigin.New(h.endpoints.SoftwareVersions, time.Now)
+	h.exchange.AddParticipant(origins)
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
 	h.exchange.AddParticipant(newGCTuner(time.Now))
@@ -145,7 +148,7 @@
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
-		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine,
+		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine, Origins: origins,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -391,6 +391,19 @@
 	return &Attempt{registry: r, member: m, Endpoint: m.Endpoint, unread: tokens}
 }
 
+// SoftwareVersions returns the software versions of the listed endpoints by service.
+func (r *Registry) SoftwareVersions() map[string][]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	versions := make(map[string][]string)
+	for _, m := range r.members {
+		if m.removedAt.IsZero() && !slices.Contains(versions[m.Service], m.Software) {
+			versions[m.Service] = append(versions[m.Service], m.Software)
+		}
+	}
+	return versions
+}
+
 // Endpoints returns the descriptions of all listed endpoints, sorted by ID.
 func (r *Registry) Endpoints() []Endpoint {
 	r.mu.Lock()
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -24,6 +24,7 @@
 	ReasonSegmentHeld     Reason = "segment_held"
 	ReasonRequestHeld     Reason = "request_held"
 	ReasonVersionGone     Reason = "version_gone"
+	ReasonStreamUnknown   Reason = "stream_unknown"
 	ReasonEndpointFailed  Reason = "endpoint_failed"
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "caller_gone"
@@ -42,6 +43,7 @@
 	ReasonSegmentHeld:     "leave out the prompt segment; endpoints crashed under requests with it",
 	ReasonRequestHeld:     "do not send the request again; endpoints crashed each time that it ran",
 	ReasonVersionGone:     "start the stream anew; no endpoint runs the software version that began it",
+	ReasonStreamUnknown:   "retry, or start the stream anew; no host knows the software version that began it",
 	ReasonEndpointFailed:  "check the endpoint's log for the request's identifier",
 	ReasonTimeout:         "check the endpoint's load; the request may have run",
 	ReasonCallerGone:      "none; the caller closed its connection",
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,7 @@
 	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/quota"
 	"bilberryslip.example/bilberryslip/internal/repeat"
+	"bilberryslip.example/bilberryslip/internal/streamorigin"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
@@ -126,6 +127,9 @@
 	// Quarantine holds back requests under which, or under whose prompt segments,
 	// endpoints crash. Nil means one that learns from this host's requests alone.
 	Quarantine *quarantine.Quarantine
+	// Origins tells at which software version streams began that callers take up again.
+	// Nil means those of this host alone.
+	Origins *streamorigin.Origins
 	// BufferBytes bounds the responses that are held at the same time because they are
 	// read completely before they are relayed. Zero means 32 MiB.
 	BufferBytes int64
@@ -140,7 +144,8 @@
 	buffers bufferBudget
 }
 
-// New returns a forwarder. A nil cfg.Clock or cfg.Quarantine is replaced by its default.
+// New returns a forwarder. A nil cfg.Clock, cfg.Quarantine or cfg.Origins is replaced by
+// its default.
 func New(cfg Config) *Forwarder {
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
@@ -148,6 +153,9 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New(cfg.Clock)
 	}
+	if cfg.Origins == nil {
+		cfg.Origins = streamorigin.New(cfg.Endpoints.SoftwareVersions, cfg.Clock)
+	}
 	return &Forwarder{config: cfg, metrics: newMetrics(), buffers: bufferBudget{limit: cmp.Or(cfg.BufferBytes, defaultBufferBudget)}}
 }
 
@@ -164,6 +172,7 @@
 		defer cancel()
 		x.ctx, x.writer = ctx, w
 		failure = x.serve()
+		x.endStream()
 	}
 	x.finish(failure)
 	return failure
@@ -172,7 +181,7 @@
 // prepare finds the route of a call, authenticates the caller and sets the
 // deadline.
 func (f *Forwarder) prepare(call *Call) (*inflightCall, error) {
-	x := &inflightCall{forwarder: f, call: call, started: f.config.Clock()}
+	x := &inflightCall{forwarder: f, call: call, started: f.config.Clock(), endStream: func() {}}
 	config := f.config.Source.Current()
 	if config == nil {
 		return x, newRefusal(ReasonNoConfiguration, configurationRetryAfter)
@@ -190,7 +199,7 @@
 		return x, &Failure{Reason: ReasonBadRequest}
 	}
 	x.suspects = suspectsOf(call, x.organisation)
-	x.service = x.route.SelectService(call.ID)
+	x.service = x.route.SelectService(x.streamAttempt())
 	if service := config.Service(x.service); service != nil {
 		x.engine = service.Engine != nil
 	}
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -62,6 +62,8 @@
 	// boundTo is the software version that began the stream, at which alone it may go on;
 	// empty before its first event.
 	boundTo string
+	// endStream is called when the call ends.
+	endStream func()
 	// tried holds the identifiers of the endpoints tried.
 	tried []string
 	// attempts counts the attempts by whether the endpoint was reached.
@@ -92,6 +94,9 @@
 	if refusal := x.checkHeld(); refusal != nil {
 		return refusal
 	}
+	if refusal := x.bindTakenUp(); refusal != nil {
+		return refusal
+	}
 	refund, failure := x.takeQuota()
 	if failure != nil {
 		return failure
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -40,22 +40,22 @@
 	}
 	if response.StatusCode < http.StatusInternalServerError {
 		attempt.Finish(endpoint.OutcomeAnswered)
-		return x.writeResponse(response, body), nil
+		return x.writeResponse(attempt, response, body), nil
 	}
 	attempt.Finish(endpoint.OutcomeFailed)
 	x.logAttempt(attempt, "endpoint answered with an error", errors.Newf("status %d", response.StatusCode))
 	if x.shouldRetry(repeat.Unknown) {
-		return x.retryOrRelay(response, body)
+		return x.retryOrRelay(attempt, response, body)
 	}
-	return x.writeResponse(response, body), nil
+	return x.writeResponse(attempt, response, body), nil
 }
 
 // retryOrRelay retries a request to which an endpoint responded with an error. If
 // the retry yields no response, it relays that error response.
-func (x *inflightCall) retryOrRelay(response *http.Response, body []byte) (repeat.Outcome, error) {
+func (x *inflightCall) retryOrRelay(failed *fleet.Attempt, response *http.Response, body []byte) (repeat.Outcome, error) {
 	attempt, failure := x.startAttempt()
 	if failure != nil {
-		return x.writeResponse(response, body), nil
+		return x.writeResponse(failed, response, body), nil
 	}
 	if outcome, err := x.send(attempt); outcome == repeat.Final || x.responseStarted {
 		return outcome, err
@@ -63,16 +63,16 @@
 	if x.ctx.Err() != nil {
 		return repeat.CallerGone, x.ctx.Err()
 	}
-	return x.writeResponse(response, body), nil
+	return x.writeResponse(failed, response, body), nil
 }
 
 // writeResponse writes a buffered response to the caller, with its length, so that the
 // caller notices a cut whatever its protocol version.
-func (x *inflightCall) writeResponse(response *http.Response, body []byte) repeat.Outcome {
+func (x *inflightCall) writeResponse(attempt *fleet.Attempt, response *http.Response, body []byte) repeat.Outcome {
 	if len(body) > 0 {
 		response.Header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	x.writeHeader(response)
+	x.beginResponse(attempt, response)
 	// The HTTP server detects a caller that has disconnected.
 	_, _ = x.writer.Write(body)
 	return repeat.Final
@@ -141,8 +141,7 @@
 		x.events = events.boundaries.events
 		if len(ready) > 0 {
 			if !x.responseStarted {
-				x.boundTo = attempt.Endpoint.Software
-				x.writeHeader(exchange.Response)
+				x.beginResponse(attempt, exchange.Response)
 			}
 			if !x.writeAndFlush(control, ready) {
 				attempt.Finish(endpoint.OutcomeCancelled)
@@ -176,7 +175,7 @@
 	x.recordSurvival()
 	attempt.Finish(endpoint.OutcomeAnswered)
 	if !x.responseStarted {
-		x.writeHeader(exchange.Response)
+		x.beginResponse(attempt, exchange.Response)
 	}
 	if rest := events.remainder(); len(rest) > 0 && !x.writeAndFlush(control, rest) {
 		return repeat.CallerGone, errCallerGone
--- /dev/null
+++ b/internal/streamorigin/report.go
@@ -0,0 +1,76 @@
+package streamorigin
+
+import (
+	"time"
+
+	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+)
+
+// FillReport implements exchange.Participant. It reports the services of which several
+// versions were listed lately, and the streams of them that this host relays.
+func (o *Origins) FillReport(report *fleetv1.Report) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock()
+	groups := make(map[[2]string]*fleetv1.SoftwareVersion)
+	for service, versions := range o.versions {
+		if len(versions) < 2 {
+			continue
+		}
+		for software, at := range versions {
+			group := &fleetv1.SoftwareVersion{Service: service, Software: software, AgeMillis: now.Sub(at).Milliseconds()}
+			groups[[2]string{service, software}] = group
+			report.Software = append(report.Software, group)
+		}
+	}
+	if len(groups) == 0 {
+		return
+	}
+	reported := 0
+	for id, at := range o.toReport(now) {
+		if group, mixed := groups[[2]string{at.service, at.software}]; mixed && reported < maxReported {
+			group.Streams = append(group.Streams, uint64(id))
+			reported++
+		}
+	}
+}
+
+// toReport returns the streams that this host relays, and those of all hosts while a peer
+// lacks earlier reports. It must be called with the mutex held.
+func (o *Origins) toReport(now time.Time) map[stream]origin {
+	streams := make(map[stream]origin, len(o.own))
+	for id, r := range o.own {
+		streams[id] = r.origin
+	}
+	if now.After(o.fullUntil) {
+		return streams
+	}
+	for _, id := range o.known.Keys() {
+		if known, _ := o.known.Peek(id); now.Sub(known.at) <= resendAge {
+			streams[id] = known
+		}
+	}
+	return streams
+}
+
+// HandleReport implements exchange.Participant.
+func (o *Origins) HandleReport(report *fleetv1.Report, _ bool) {
+	age := time.Duration(report.GetAgeMillis()) * time.Millisecond
+	if len(report.GetSoftware()) == 0 && age >= newPeerAge {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock()
+	if age < newPeerAge {
+		o.fullUntil = now.Add(resendFor)
+	}
+	for _, group := range report.GetSoftware() {
+		o.noteVersion(group.GetService(), group.GetSoftware(), now.Add(-time.Duration(group.GetAgeMillis())*time.Millisecond))
+		for _, id := range group.GetStreams() {
+			o.known.Add(stream(id), origin{group.GetService(), group.GetSoftware(), now})
+		}
+	}
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
