Load adapters for streams that are taken up at endpoints of their version

What callers saw: a stream that is bound to its software version is refused if no endpoint of that version holds its adapter. Cause: the request for the adapter names no version, so that it was loaded, or found, at an endpoint where the stream may not go on. Change: placement requests carry the version; adapters are loaded there.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -108,9 +108,10 @@
 type Placer interface {
 	// RecordDemand records a request's tokens as demand for a model and adapter.
 	RecordDemand(service, model, adapter string, tokens int)
-	// AwaitHeld requests that a model, or an adapter of it, be loaded and waits
-	// until an endpoint may hold it. It returns false if that takes too long.
-	AwaitHeld(ctx context.Context, service, model, adapter string) bool
+	// AwaitHeld requests that the model of the work be loaded, or its adapter if it has
+	// one, and waits until an endpoint may hold it. Adapters are loaded on an endpoint of
+	// the work's software. It returns false if that takes too long.
+	AwaitHeld(ctx context.Context, work fleet.Work) bool
 }
 
 // Config configures a Forwarder.
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -198,11 +198,11 @@
 	if placer == nil {
 		return false
 	}
-	adapter := x.call.Adapter
+	work := x.work()
 	if missing == fleet.ReasonModelNotHeld {
-		adapter = ""
+		work.Adapter = ""
 	}
-	return placer.AwaitHeld(x.ctx, x.service, x.call.Model, adapter)
+	return placer.AwaitHeld(x.ctx, work)
 }
 
 // send sends the request to one endpoint and relays the response.
--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/retry"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 )
@@ -31,8 +32,8 @@
 
 // AwaitHeld implements forward.Placer. Concurrent requests for the same model
 // or adapter share one placement request.
-func (s *Service) AwaitHeld(ctx context.Context, service, model, adapter string) bool {
-	item := itemKey{service, model, adapter}
+func (s *Service) AwaitHeld(ctx context.Context, work fleet.Work) bool {
+	item := placement{itemKey{work.Service, work.Model, work.Adapter}, work.Software}
 	ctx, cancel := context.WithTimeout(ctx, item.timeout())
 	defer cancel()
 	s.mu.Lock()
@@ -62,10 +63,10 @@
 // requestPlacement has a model or adapter loaded on an engine, by this host if
 // it holds the placement lease and else by the lease holder. It closes done
 // when the item is loaded or the attempt has ended without that.
-func (s *Service) requestPlacement(item itemKey, done chan struct{}) {
+func (s *Service) requestPlacement(item placement, done chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), item.timeout())
 	defer cancel()
-	request := &fleetv1.PlaceRequest{Service: item.service, Model: item.model, Adapter: item.adapter}
+	request := &fleetv1.PlaceRequest{Service: item.service, Model: item.model, Adapter: item.adapter, Software: item.software}
 	var response *fleetv1.PlaceResponse
 	var err error
 	if s.mayOrder() {
@@ -80,7 +81,7 @@
 		retry.Sleep(ctx, time.Duration(response.GetReadyMillis())*time.Millisecond)
 		s.config.Registry.RecordHeld(response.GetEndpoint(), item.model, item.adapter, true)
 	case item.adapter == "":
-		s.awaitModel(ctx, item)
+		s.awaitModel(ctx, item.itemKey)
 	}
 	s.mu.Lock()
 	delete(s.placing, item)
@@ -98,13 +99,13 @@
 // holds the placement lease. The response names no endpoint if no engine can
 // load the adapter now, nor for models, whose loads outlast the call.
 func (s *Service) Place(ctx context.Context, request *fleetv1.PlaceRequest) *fleetv1.PlaceResponse {
-	item := itemKey{request.GetService(), request.GetModel(), request.GetAdapter()}
+	item := placement{itemKey{request.GetService(), request.GetModel(), request.GetAdapter()}, request.GetSoftware()}
 	engine := s.engineConfig(item.service)
 	if engine == nil || engine.Model(item.model) == nil || !s.mayOrder() {
 		return &fleetv1.PlaceResponse{}
 	}
 	if item.adapter == "" {
-		s.placeModel(item)
+		s.placeModel(item.itemKey)
 		return &fleetv1.PlaceResponse{}
 	}
 	return s.placeAdapter(ctx, item, engine)
@@ -112,10 +113,10 @@
 
 // placeAdapter loads an adapter on an engine that holds its model, unless one
 // has it already.
-func (s *Service) placeAdapter(ctx context.Context, item itemKey, engine *traffic.Engine) *fleetv1.PlaceResponse {
+func (s *Service) placeAdapter(ctx context.Context, item placement, engine *traffic.Engine) *fleetv1.PlaceResponse {
 	v, held := s.engineFor(item, engine)
 	if v == nil {
-		logrus.WithFields(logrus.Fields{"model": item.model, "adapter": item.adapter}).Info("no engine can load the adapter now")
+		logrus.WithFields(logrus.Fields{"model": item.model, "adapter": item.adapter, "software": item.software}).Info("no engine can load the adapter now")
 		return &fleetv1.PlaceResponse{}
 	}
 	id := v.id
@@ -125,10 +126,10 @@
 	l := s.engineLock(id)
 	l.Lock()
 	defer l.Unlock()
-	if !s.makeRoom(ctx, v, item, engine) {
+	if !s.makeRoom(ctx, v, item.itemKey, engine) {
 		return &fleetv1.PlaceResponse{}
 	}
-	fits := func() bool { return v.hasRoomFor(item, engine) }
+	fits := func() bool { return v.hasRoomFor(item.itemKey, engine) }
 	if err := s.order(ctx, v, Order{Action: Load, Model: item.model, Adapter: item.adapter}, fits); err != nil {
 		logrus.WithError(err).WithField("endpoint", id).Info("adapter not loaded")
 		return &fleetv1.PlaceResponse{}
@@ -138,13 +139,16 @@
 }
 
 // engineFor returns the engine that holds the adapter, or else the one with the
-// fewest adapters that can load it; nil if there is none.
-func (s *Service) engineFor(item itemKey, engine *traffic.Engine) (best *view, held bool) {
+// fewest adapters that can load it, of the required software; nil if there is none.
+func (s *Service) engineFor(item placement, engine *traffic.Engine) (best *view, held bool) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	least := 0
 	for _, v := range s.currentViews(item.service) {
+		if item.software != "" && v.endpoint.Software != item.software {
+			continue
+		}
 		adapters, ok := v.models[item.model]
 		if !ok || v.endpoint.Leaving || v.busy || v.reportedBusy || s.config.Registry.InBackoff(v.id) {
 			continue
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -21,6 +21,14 @@
 // of that model.
 type itemKey struct{ service, model, adapter string }
 
+// placement is a request to load an item.
+type placement struct {
+	itemKey
+	// software is the only software version whose engines may load an adapter; empty
+	// means any.
+	software string
+}
+
 // demand tracks the requested tokens per second of each model and adapter,
 // summed over all hosts. It is not safe for concurrent use.
 type demand struct {
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -98,7 +98,7 @@
 	recent []announcement
 	// placing holds, for each placement request in progress, a channel that is
 	// closed when the request is done.
-	placing map[itemKey]chan struct{}
+	placing map[placement]chan struct{}
 }
 
 // announcement reports to peers that an engine holds a model or adapter, or no
@@ -119,7 +119,7 @@
 			Help: "Orders to engines, by action and answer.",
 		}, []string{"action", "answer"}),
 		demand: newDemand(), views: make(map[string]*view),
-		locks: make(map[string]*sync.Mutex), changing: make(map[string]string), placing: make(map[itemKey]chan struct{}),
+		locks: make(map[string]*sync.Mutex), changing: make(map[string]string), placing: make(map[placement]chan struct{}),
 	}
 }
 
