Keep in the store what is held back

What callers would see: after a restart of all hosts, a request or prompt segment that crashes endpoints crashes eight more before it is held back again (BUDGET). Cause: the evidence and the holds are kept by the hosts alone. Change: the holder of the placement lease writes the holds into one object of the store when they change; each host reads it once at its start. Restored holds end at their time, or when such a request survives. One more call to the store for each start of a host, and one for each change of the holds.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -163,6 +163,9 @@
 	}
 	branches = append(branches,
 		supervise.Branch{Name: "peers", Services: []suture.Service{h.exchange}},
+		supervise.Branch{Name: "holds", Services: []suture.Service{&holdKeeper{
+			store: h.adapter.Store(), quarantine: h.quarantine, leads: func() bool { return h.lease.Status().Held },
+		}}},
 		supervise.Branch{Name: "placement", Services: []suture.Service{h.lease, h.orders}},
 		supervise.Branch{Name: "listeners", Services: servers})
 	h.tree = supervise.NewTree("bilberryslip-edge", branches, logEvent)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -69,13 +69,15 @@
 	// by kind of suspect; peersSurvived is the same for peers' requests, as far as they
 	// are suspected.
 	survived, peersSurvived [kinds]*lru.Cache[Suspect, time.Time]
+	// restored are holds that an earlier process has stored.
+	restored map[Suspect]hold
 	// disputedAt is when what survived was last suspected.
 	disputedAt *lru.Cache[Suspect, time.Time]
 }
 
 func newEvidence() *evidence {
 	e := &evidence{
-		crashes: make(map[Incarnation]*crash), gone: newCache[Incarnation](maxCrashes),
+		crashes: make(map[Incarnation]*crash), restored: make(map[Suspect]hold), gone: newCache[Incarnation](maxCrashes),
 		disputedAt: newCache[Suspect](maxSuspects[KindSegment] + maxSuspects[KindRequest]),
 	}
 	for kind := range kinds {
@@ -229,5 +231,6 @@
 	for s, times := range attribute(crashes) {
 		holds[s] = hold{crashes: len(times), until: times[len(times)-minCrashes].Add(evidenceTTL)}
 	}
+	e.addRestored(now, holds)
 	return holds
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -209,6 +209,29 @@
 		Expect(t.held(bad)).To(BeZero())
 	})
 
+	It("restores stored holds, which end at their time or when such a request survives", func() {
+		t := newTestHosts(1)
+		for n := range 3 {
+			t.crash(incarnationNumber(n), map[int][]Suspect{0: {request(1), bad}})
+			t.crash(incarnationNumber(10+n), map[int][]Suspect{0: {request(2)}})
+		}
+		t.exchange(3)
+		stored := t.hosts[0].Holds()
+		Expect(stored).To(HaveLen(2))
+		t.start(0)
+		Expect(t.held(request(1))).To(BeZero())
+		Expect(t.hosts[0].Restore(stored)).To(Succeed())
+		Expect([]int{t.held(request(1)), t.held(request(2))}).To(Equal([]int{1, 1}))
+		t.hosts[0].RecordSurvival([]Suspect{request(2)}) // in flight since before the hold
+		t.exchange(1)
+		Expect([]int{t.held(request(1)), t.held(request(2))}).To(Equal([]int{1, 0}))
+		t.now = t.now.Add(evidenceTTL)
+		t.exchange(1)
+		Expect(t.held(request(1))).To(BeZero())
+		Expect(t.hosts[0].Restore([]StoredHold{{Kind: "other", Hash: "1"}})).NotTo(Succeed())
+		Expect(t.hosts[0].Restore([]StoredHold{{Kind: "request", Hash: "x"}})).NotTo(Succeed())
+	})
+
 	It("bounds its memory and its reports", func() {
 		t := newTestHosts(1)
 		for n := range 4 * maxCrashes {
