Let a lagging host return to its watcher if the store does not answer it

Cause: a host that lags behind its watcher for three tolerances reads from the store for three seconds. If the store turns just this host away, it still lags then, and each report of a peer extended the three seconds, so that it did not return to a watcher of its zone, which had the changes, until the store was back. It also avoided the watcher for the store's silence. Change: a direct read that fails ends direct reads for three seconds; a watcher is avoided only for what it was asked.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -57,8 +58,10 @@
 	// lags holds how far this host lags behind its peers in each kind.
 	// directUntil holds the end of the time in which it reads a kind directly
 	// from the store although it follows a peer.
-	lags        map[objectstore.Kind]*lag
-	directUntil map[objectstore.Kind]time.Time
+	// notDirectUntil holds the end of the time in which it does not, because the store
+	// failed it.
+	lags                        map[objectstore.Kind]*lag
+	directUntil, notDirectUntil map[objectstore.Kind]time.Time
 	// watcher is set while this host is a watcher.
 	watcher bool
 	// large is set while the fleet is so large that each zone has watchers of
@@ -91,7 +94,7 @@
 		lags: map[objectstore.Kind]*lag{
 			configuration.Kind(): {tolerance: configurationTolerance}, endpoints.Kind(): {tolerance: endpointTolerance},
 		},
-		directUntil: make(map[objectstore.Kind]time.Time), watcher: true,
+		directUntil: make(map[objectstore.Kind]time.Time), notDirectUntil: make(map[objectstore.Kind]time.Time), watcher: true,
 	}
 	for _, m := range []*mirror.Mirror{configuration, endpoints} {
 		c.mirrors[m.Kind()] = m
@@ -219,9 +222,14 @@
 	if step == keepWaiting {
 		return step
 	}
+	if now.Before(c.notDirectUntil[m.Kind()]) {
+		step = relist
+	}
 	logrus.WithFields(logrus.Fields{"kind": m.Kind(), "version": covered, "peer_version": l.awaited, "directly": step == relistFromStore}).
 		Info("a peer is ahead")
-	c.avoid(now, c.followed)
+	if !now.Before(c.directUntil[m.Kind()]) { // else it is the store that lags
+		c.avoid(now, c.followed)
+	}
 	if step == relistFromStore {
 		c.directUntil[m.Kind()] = now.Add(avoidDuration)
 	}
@@ -338,8 +346,36 @@
 func (c *watchCoordinator) source(kind objectstore.Kind) mirror.Source {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.followed != nil && time.Now().After(c.directUntil[kind]) {
+	switch {
+	case c.followed == nil:
+		return c.host.adapter.Store()
+	case time.Now().After(c.directUntil[kind]):
 		return c.followed
+	default:
+		return directSource{Source: c.host.adapter.Store(), onFailure: func() { c.endDirectRead(kind) }}
+	}
+}
+
+// endDirectRead handles a failed direct read from the store: the kind is read from the
+// followed peer again, and not directly for avoidDuration.
+func (c *watchCoordinator) endDirectRead(kind objectstore.Kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.directUntil, kind)
+	c.notDirectUntil[kind] = time.Now().Add(avoidDuration)
+}
+
+// directSource is the store, as read by a host that follows a peer otherwise.
+type directSource struct {
+	mirror.Source
+	onFailure func()
+}
+
+// List implements mirror.Source.
+func (s directSource) List(ctx context.Context, kind objectstore.Kind, prefix string) (objectstore.Listing, error) {
+	listing, err := s.Source.List(ctx, kind, prefix)
+	if err != nil && ctx.Err() == nil {
+		s.onFailure()
 	}
-	return c.host.adapter.Store()
+	return listing, err
 }
