Count a confirmed crash although a successor with the same identifier answers

Cause: an endpoint may start again under its identifier. Until its new entry is read, its answers count as those of the crashed incarnation, and such an answer dropped the crash from the evidence, so that a request that crashes endpoints was held back later (BUDGET). Found by reading. Change: an answer drops a crash only while nothing confirms it. The spec failed before (held on no host) and passes.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -154,9 +154,11 @@
 	}
 }
 
-// recordAnswer drops a crash if the endpoint answered a request that was sent after it.
+// recordAnswer drops a crash that nothing confirms if the endpoint answered a request
+// that was sent after it. If it is confirmed, the answer is that of a successor with the
+// same identifier whose entry has not been read yet.
 func (e *evidence) recordAnswer(endpoint Incarnation, sentAt time.Time) {
-	if c, ok := e.crashes[endpoint]; ok && sentAt.After(c.at) {
+	if c, ok := e.crashes[endpoint]; ok && !c.confirmed && sentAt.After(c.at) {
 		delete(e.crashes, endpoint)
 	}
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -129,6 +129,19 @@
 		Expect(t.held(bad)).To(BeZero())
 	})
 
+	// Guards against taking the answer of a crashed endpoint's successor, which has its
+	// identifier, for a sign that the endpoint never crashed.
+	It("counts the crash of an endpoint that comes back under its identifier and answers", func() {
+		t := newTestHosts(2)
+		for n := range 3 {
+			t.crash(incarnationNumber(n), map[int][]Suspect{0: {request(1)}})
+			t.hosts[1].RecordAnswer(incarnationNumber(n), t.now)
+			t.hosts[0].RecordAnswer(incarnationNumber(n), t.now)
+		}
+		t.exchange(3)
+		Expect(t.held(request(1))).To(Equal(2))
+	})
+
 	It("does not count requests that broke off long before the endpoint left", func() {
 		t := newTestHosts(2)
 		for n := range 5 {
