Treat endpoints that vanish after a moment without the store as gone

Cause: a source that fails for a moment, here a watcher that gave its role up, counts as an outage of the store, and endpoints that an outage delists stay usable for two seconds after it, since live ones write their entries again. But an entry expires only after three missed heartbeats. Change: a loss of the store counts as an outage only if it lasted two seconds since the last response. The spec failed before (the endpoint was chosen) and passes.

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -42,9 +42,11 @@
 	now := r.config.Clock()
 	r.sweep(now)
 	r.restoredAt = now
-	if !r.storeUnavailable {
-		r.outageEndedAt = now
+	if r.storeUnavailable {
+		r.lastResponse = time.Time{} // however short the outage is
+		return
 	}
+	r.outageEndedAt = now
 }
 
 // undone reports whether the incarnation was delisted before the store was
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -20,6 +20,9 @@
 	// relistGrace is how long endpoints that were delisted because of a store
 	// outage may still be used after it: live ones are listed again within it.
 	relistGrace = 2 * time.Second
+	// minOutage is the shortest time without a response of the store in which endpoints
+	// may miss so many heartbeats that their entries expire.
+	minOutage = 2 * time.Second
 	// observationTTL is how long an observation of an endpoint's models overrides
 	// its own description.
 	observationTTL = 4 * time.Second
@@ -93,8 +96,10 @@
 	members map[string]*member
 	ejector *endpoint.Ejector
 	// storeUnavailable is set while the store is unavailable, so that the list of
-	// endpoints is not updated. outageEndedAt is when the last outage ended.
+	// endpoints is not updated. lastResponse is when it last answered then.
+	// outageEndedAt is when the last outage ended.
 	storeUnavailable bool
+	lastResponse     time.Time
 	outageEndedAt    time.Time
 	// departed are the incarnations that were deleted recently, by ID. restoredAt
 	// is when the store was last restored from an older copy.
@@ -210,23 +215,25 @@
 	}
 }
 
-// StoreUnavailable must be called when the store becomes unavailable. Endpoints
-// delisted during the outage or within relistGrace after it stay usable until
-// relistGrace after StoreAvailable, since the outage may have kept them from
-// renewing their entries.
-func (r *Registry) StoreUnavailable() {
+// StoreUnavailable must be called when the store becomes unavailable, with the time of
+// its last response. Endpoints delisted during the outage or within relistGrace after it
+// stay usable until relistGrace after StoreAvailable, since the outage may have kept
+// them from renewing their entries. An outage shorter than minOutage can't have.
+func (r *Registry) StoreUnavailable(since time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.storeUnavailable = true
+	r.storeUnavailable, r.lastResponse = true, since
 }
 
 // StoreAvailable must be called when the store is available again.
 func (r *Registry) StoreAvailable() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.storeUnavailable {
-		r.storeUnavailable, r.outageEndedAt = false, r.config.Clock()
+	now := r.config.Clock()
+	if r.storeUnavailable && now.Sub(r.lastResponse) >= minOutage {
+		r.outageEndedAt = now
 	}
+	r.storeUnavailable = false
 }
 
 // usable reports whether an endpoint may get new requests. A delisted one may get
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -75,6 +75,22 @@
 		Expect(chosen(work)).To(Equal(string(ReasonNoEndpoint)))
 	})
 
+	// Guards against keeping an endpoint whose shutdown this host missed, for the time that
+	// endpoints get which a store outage has delisted, after a source failed for a moment.
+	It("chooses no endpoint that vanishes after the source did not answer for a moment", func() {
+		registry.Replace([]Endpoint{engine("e1", "z1", "m"), engine("e2", "z1", "m")})
+		registry.StoreUnavailable(now.Add(-time.Second))
+		registry.StoreAvailable()
+		registry.Replace([]Endpoint{engine("e2", "z1", "m")})
+		for range 5 {
+			Expect(chosen(work)).To(Equal("e2"))
+		}
+		registry.StoreUnavailable(now.Add(-minOutage))
+		registry.StoreAvailable()
+		registry.Replace(nil)
+		Expect(chosen(work)).To(Equal("e2"))
+	})
+
 	It("chooses no endpoint that has announced its shutdown, nor do the peers", func() {
 		registry.Replace([]Endpoint{engine("e1", "z1", "m")})
 		attempt, _ := registry.Start(work)
@@ -159,7 +175,7 @@
 
 	It("keeps using one that was delisted because of a store outage until two seconds after the outage", func() {
 		registry.Put(engine("e1", "z1", "m"))
-		registry.StoreUnavailable()
+		registry.StoreUnavailable(now.Add(-time.Minute))
 		now = now.Add(20 * time.Second)
 		registry.StoreAvailable()
 		registry.Replace(nil)
@@ -172,7 +188,7 @@
 
 	It("keeps one that is listed again within that time", func() {
 		registry.Put(engine("e1", "z1", "m"))
-		registry.StoreUnavailable()
+		registry.StoreUnavailable(now.Add(-time.Minute))
 		registry.StoreAvailable()
 		registry.Replace(nil)
 		registry.Put(engine("e1", "z1", "m"))
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -35,8 +35,8 @@
 // the store is available.
 type AvailabilityHandler interface {
 	// StoreUnavailable is called at the first of a series of failed calls to
-	// the store.
-	StoreUnavailable()
+	// the store, with the time of the last response; zero for none.
+	StoreUnavailable(since time.Time)
 	// StoreAvailable is called at the first successful call after
 	// StoreUnavailable.
 	StoreAvailable()
@@ -271,7 +271,7 @@
 		m.unavailable = true
 		logrus.WithError(err).WithFields(logrus.Fields{"kind": m.kind, "call": call}).Warn("store lost; the last state stays in force")
 		if h, ok := m.handler.(AvailabilityHandler); ok {
-			h.StoreUnavailable()
+			h.StoreUnavailable(m.Reading().LastResponse)
 		}
 	}
 	retry.Sleep(ctx, m.backoff.NextBackOff())
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -42,8 +42,8 @@
 	c.objects[event.Object.Name] = string(event.Object.Value)
 }
 
-func (c *recordingHandler) StoreUnavailable() { c.mu.Lock(); defer c.mu.Unlock(); c.outages++ }
-func (c *recordingHandler) StoreAvailable()   {}
+func (c *recordingHandler) StoreUnavailable(time.Time) { c.mu.Lock(); defer c.mu.Unlock(); c.outages++ }
+func (c *recordingHandler) StoreAvailable()            {}
 
 func (c *recordingHandler) get(name string) func() string {
 	return func() string {
