Keep endpoints that vanished before an outage of the store out of use

Change: only endpoints that were delisted since the outage was noticed count. The spec failed before (the endpoint was chosen) and passes.

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -46,7 +46,7 @@
 		r.lastResponse = time.Time{} // however short the outage is
 		return
 	}
-	r.outageEndedAt = now
+	r.outageBeganAt, r.outageEndedAt = now, now
 }
 
 // undone reports whether the incarnation was delisted before the store was
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -97,10 +97,12 @@
 	ejector *endpoint.Ejector
 	// storeUnavailable is set while the store is unavailable, so that the list of
 	// endpoints is not updated. lastResponse is when it last answered then.
-	// outageEndedAt is when the last outage ended.
+	// outageBeganAt and outageEndedAt are when the last outage was noticed, or the first
+	// of several with less than relistGrace between them, and when the last one ended.
 	storeUnavailable bool
 	lastResponse     time.Time
-	outageEndedAt    time.Time
+
+	outageBeganAt, outageEndedAt time.Time
 	// departed are the incarnations that were deleted recently, by ID. restoredAt
 	// is when the store was last restored from an older copy.
 	departed   map[string]departure
@@ -223,6 +225,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.storeUnavailable, r.lastResponse = true, since
+	if now := r.config.Clock(); now.Sub(r.outageEndedAt) >= relistGrace {
+		r.outageBeganAt = now
+	}
 }
 
 // StoreAvailable must be called when the store is available again.
@@ -246,7 +251,7 @@
 	if m.removedAt.IsZero() {
 		return true
 	}
-	byOutage := r.storeUnavailable || m.removedAt.Sub(r.outageEndedAt) < relistGrace
+	byOutage := !m.removedAt.Before(r.outageBeganAt) && (r.storeUnavailable || m.removedAt.Sub(r.outageEndedAt) < relistGrace)
 	return byOutage && (r.storeUnavailable || now.Sub(r.outageEndedAt) < relistGrace)
 }
 
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -91,6 +91,21 @@
 		Expect(chosen(work)).To(Equal("e2"))
 	})
 
+	// Guards against using an endpoint that vanished long ago, and still has requests,
+	// after a later outage of the store.
+	It("chooses no endpoint that vanished before the store's outage", func() {
+		registry.Replace([]Endpoint{engine("e1", "z1", "m")})
+		attempt, _ := registry.Start(work)
+		registry.Remove("e1")
+		now = now.Add(10 * time.Second)
+		registry.StoreUnavailable(now)
+		Expect(chosen(work)).To(Equal(string(ReasonNoEndpoint)))
+		now = now.Add(minOutage)
+		registry.StoreAvailable()
+		Expect(chosen(work)).To(Equal(string(ReasonNoEndpoint)))
+		attempt.Finish(endpoint.OutcomeAnswered)
+	})
+
 	It("chooses no endpoint that has announced its shutdown, nor do the peers", func() {
 		registry.Replace([]Endpoint{engine("e1", "z1", "m")})
 		attempt, _ := registry.Start(work)
