--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -37,26 +37,29 @@
 // back.
 func (x *inflightCall) checkHeld() *Failure {
 	for i, suspect := range x.suspects {
-		left, held := x.forwarder.config.Quarantine.Held(suspect)
-		if !held {
-			continue
+		if left, held := x.forwarder.config.Quarantine.Held(suspect); held {
+			return x.heldRefusal(i, left)
 		}
-		log := x.log().WithFields(logrus.Fields{suspect.Kind.String() + "_hash": suspect.HashText(), "left_ms": left.Milliseconds()})
-		if suspect.Kind == quarantine.KindRequest {
-			log.Info("request held back")
-			refusal := newRefusal(ReasonRequestHeld, left)
-			refusal.Cause = errors.Newf("request hash %s", suspect.HashText())
-			return refusal
-		}
-		id := x.call.PromptSegments[i-1].ID // the first suspect is the request
-		log.WithField("segment", id).Info("request held back")
-		refusal := newRefusal(ReasonSegmentHeld, left)
-		refusal.Cause = errors.Newf("prompt segment %s", id)
-		return refusal
 	}
 	return nil
 }
 
+// heldRefusal logs that a suspect of the call is held back, and returns the refusal. The
+// suspect at index zero is the call itself; those after it are its segments in order.
+func (x *inflightCall) heldRefusal(index int, left time.Duration) *Failure {
+	suspect := x.suspects[index]
+	fields := logrus.Fields{suspect.Kind.String() + "_hash": suspect.HashText(), "left_ms": left.Milliseconds()}
+	refusal := newRefusal(ReasonRequestHeld, left)
+	refusal.Cause = errors.Newf("request hash %s", suspect.HashText())
+	if suspect.Kind == quarantine.KindSegment {
+		id := x.call.PromptSegments[index-1].ID
+		fields["segment"] = id
+		refusal.Reason, refusal.Cause = ReasonSegmentHeld, errors.Newf("prompt segment %s", id)
+	}
+	x.log().WithFields(fields).Info("request held back")
+	return refusal
+}
+
 // recordBreak records an attempt that broke off after it may have started to run. It
 // tells nothing about the request if the endpoint survived the start of the response.
 func (x *inflightCall) recordBreak(attempt *fleet.Attempt) {
