--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -32,6 +32,7 @@
 	"bilberryslip.example/bilberryslip/internal/orders"
 	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/quota"
+	"bilberryslip.example/bilberryslip/internal/reach"
 	"bilberryslip.example/bilberryslip/internal/settings"
 	"bilberryslip.example/bilberryslip/internal/streamorigin"
 	"bilberryslip.example/bilberryslip/internal/supervise"
@@ -72,6 +73,9 @@
 	Endpoints(registry *fleet.Registry) *mirror.Mirror
 	// Engines returns the client that sends orders to engines over the pool.
 	Engines(pool *upstream.Pool) orders.Engines
+	// Ping returns a function that calls an endpoint over a new connection of the pool and
+	// returns nil if it answered.
+	Ping(pool *upstream.Pool) func(ctx context.Context, address string) error
 	// Callers returns the handler that serves callers' requests through the
 	// forwarder.
 	Callers(forwarder *forward.Forwarder) http.Handler
@@ -95,6 +99,7 @@
 	exchange   *exchange.Service
 	lease      *lease.Lease
 	orders     *orders.Service
+	paths      *reach.Monitor
 	forwarder  *forward.Forwarder
 	callers    *httpserver.Server
 	tree       *suture.Supervisor
@@ -145,10 +150,11 @@
 	h.exchange.AddParticipant(retries)
 	h.exchange.AddParticipant(newGCTuner(time.Now))
 	pool := upstream.NewPool()
+	h.paths = reach.New(reach.Config{Targets: h.endpoints.Targets, Ping: h.adapter.Ping(pool)})
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
-		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine, Origins: origins,
+		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine, Origins: origins, Paths: h.paths,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
@@ -166,6 +172,7 @@
 		supervise.Branch{Name: "holds", Services: []suture.Service{&holdKeeper{
 			store: h.adapter.Store(), quarantine: h.quarantine, leads: func() bool { return h.lease.Status().Held },
 		}}},
+		supervise.Branch{Name: "paths", Services: []suture.Service{h.paths}},
 		supervise.Branch{Name: "placement", Services: []suture.Service{h.lease, h.orders}},
 		supervise.Branch{Name: "listeners", Services: servers})
 	h.tree = supervise.NewTree("bilberryslip-edge", branches, logEvent)
@@ -243,6 +250,7 @@
 	registry.MustRegister(h.forwarder.Collectors()...)
 	registry.MustRegister(h.quarantine.Collectors()...)
 	registry.MustRegister(h.orders.Collectors()...)
+	registry.MustRegister(h.paths.Collectors()...)
 	return registry
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -22,6 +22,7 @@
 			"quota":     h.quota.DumpState(),
 			"lease":     h.lease.DumpState(),
 			"orders":    h.orders.DumpState(),
+			"paths":     h.paths.DumpState(),
 		})
 	})
 	// The profiles of net/http/pprof; see OPERATIONS.md.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/quota"
+	"bilberryslip.example/bilberryslip/internal/reach"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/streamorigin"
 	"bilberryslip.example/bilberryslip/internal/traffic"
@@ -131,6 +132,8 @@
 	// Origins tells at which software version streams began that callers take up again.
 	// Nil means those of this host alone.
 	Origins *streamorigin.Origins
+	// Paths tracks this host's paths to the endpoints of services. Nil means that all work.
+	Paths *reach.Monitor
 	// BufferBytes bounds the responses that are held at the same time because they are
 	// read completely before they are relayed. Zero means 32 MiB.
 	BufferBytes int64
@@ -145,8 +148,8 @@
 	buffers bufferBudget
 }
 
-// New returns a forwarder. A nil cfg.Clock, cfg.Quarantine or cfg.Origins is replaced by
-// its default.
+// New returns a forwarder. A nil cfg.Clock, cfg.Quarantine, cfg.Origins or cfg.Paths is
+// replaced by its default.
 func New(cfg Config) *Forwarder {
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
@@ -157,6 +160,9 @@
 	if cfg.Origins == nil {
 		cfg.Origins = streamorigin.New(cfg.Endpoints.SoftwareVersions, cfg.Clock)
 	}
+	if cfg.Paths == nil {
+		cfg.Paths = reach.New(reach.Config{Targets: func(string) []reach.Target { return nil }})
+	}
 	return &Forwarder{config: cfg, metrics: newMetrics(), buffers: bufferBudget{limit: cmp.Or(cfg.BufferBytes, defaultBufferBudget)}}
 }
 
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -216,11 +216,15 @@
 	}
 	belongs := func(header http.Header) bool { return codec.Belongs(x.call, header) }
 	sentAt := x.forwarder.config.Clock()
+	paths := x.forwarder.config.Paths
+	paths.Begin(x.service)
+	defer paths.End(x.service)
 	exchange, err := x.forwarder.config.Upstream.Send(x.ctx, attempt.Endpoint.Address, message, belongs)
 	if err != nil {
 		return x.handleSendError(attempt, err)
 	}
 	defer exchange.Close()
+	paths.RecordReceived(x.service)
 	x.attempts.Sent++
 	x.recordAnswer(attempt, sentAt)
 	return x.handleResponse(attempt, exchange)
@@ -266,6 +270,7 @@
 	}
 	attempt.Finish(endpoint.OutcomeFailed)
 	x.forwarder.config.Upstream.CloseIdle(attempt.Endpoint.Address)
+	x.forwarder.config.Paths.RecordFailure(x.ctx, x.service, nil)
 	x.logAttempt(attempt, "endpoint failed", err)
 	if wasNotSent {
 		x.attempts.DialFailures++
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -131,6 +131,9 @@
 	buffer := make([]byte, streamReadSize)
 	for {
 		n, err := exchange.Response.Body.Read(buffer)
+		if n > 0 {
+			x.forwarder.config.Paths.RecordReceived(x.service)
+		}
 		ready := events.feed(buffer[:n])
 		if err == nil {
 			err = events.checkOpen()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -27,8 +27,12 @@
 	mu      sync.Mutex
 	target  string
 	blocked AddrFilter
-	closed  bool
-	links   map[*link]struct{}
+	// resetting is set while new connections are reset.
+	resetting bool
+	closed    bool
+	links     map[*link]struct{}
+	// accepted counts the connections that were accepted.
+	accepted int
 }
 
 // New starts a relay to the target, a host:port address, on a free port of
@@ -68,6 +72,21 @@
 	}
 }
 
+// ResetAll resets all open connections, and new ones until Unblock is called.
+func (r *Relay) ResetAll() {
+	r.mu.Lock()
+	r.resetting = true
+	r.mu.Unlock()
+	r.Reset()
+}
+
+// ResetNew resets new connections until Unblock is called. Open ones live on.
+func (r *Relay) ResetNew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resetting = true
+}
+
 // Blackhole makes the relay discard all further data on the open connections, in
 // both directions, without propagating closes. Unblock does not restore these
 // connections. New connections are not affected.
@@ -89,12 +108,12 @@
 	r.blackhole(filter)
 }
 
-// Unblock ends the effect of Block on new connections. Connections that were
-// blackholed remain so.
+// Unblock ends the effect of Block, ResetAll and ResetNew on new connections.
+// Connections that were blackholed remain so.
 func (r *Relay) Unblock() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.blocked = nil
+	r.blocked, r.resetting = nil, false
 }
 
 func anyAddr(net.Addr) bool { return true }
@@ -117,6 +136,13 @@
 	return len(r.links)
 }
 
+// Accepted returns the number of connections accepted so far.
+func (r *Relay) Accepted() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted
+}
+
 // Close stops the relay and resets its connections.
 func (r *Relay) Close() {
 	r.mu.Lock()
@@ -170,12 +196,13 @@
 	r.forward(open, client, open.upstream)
 }
 
-// add registers a link and returns the address to forward it to. ok is false
-// once the relay is closed.
+// add registers a link and returns the address to forward it to. ok is false if the
+// link is to be reset.
 func (r *Relay) add(open *link) (target string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closed {
+	r.accepted++
+	if r.closed || r.resetting {
 		return "", false
 	}
 	open.blackholed.Store(r.blocked != nil && r.blocked(open.client.RemoteAddr()))
