Reach endpoints by way of a peer while this host's own path to them is cut

A host had one way to an endpoint, its own, and charged each failure on it to the endpoint.

internal/reach tells the path from the endpoints; while it is suspect or cut, internal/detour has a peer open the connection to the endpoint and relay its bytes. The request stays with the host that got it: choice, attempts, rate, holds, origins, log and metrics. Nothing was sent until the peer says that it has the connection, a failure of either side reaches the other as a reset, and a peer relays only to endpoints that it reaches itself, so that there is one hop. What an endpoint says that binds the host which sent to it (backoff, leaving) is told to the peer. If no host reaches a service, its requests are refused at once. A refused connection no longer counts as an endpoint's crash unless other endpoints answer this host.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"bilberryslip.example/bilberryslip/internal/clock"
+	"bilberryslip.example/bilberryslip/internal/detour"
 	"bilberryslip.example/bilberryslip/internal/exchange"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/forward"
@@ -100,6 +101,7 @@
 	lease      *lease.Lease
 	orders     *orders.Service
 	paths      *reach.Monitor
+	detours    *detours
 	forwarder  *forward.Forwarder
 	callers    *httpserver.Server
 	tree       *suture.Supervisor
@@ -150,11 +152,18 @@
 	h.exchange.AddParticipant(retries)
 	h.exchange.AddParticipant(newGCTuner(time.Now))
 	pool := upstream.NewPool()
-	h.paths = reach.New(reach.Config{Targets: h.endpoints.Targets, Ping: h.adapter.Ping(pool)})
+	h.paths = reach.New(reach.Config{
+		Targets: h.endpoints.Targets, Ping: h.adapter.Ping(pool),
+		OnChange: func(service string, state reach.State, peerReaches bool) {
+			h.onPathChange(pool, service, state, peerReaches)
+		},
+	})
+	h.detours = newDetours(h)
+	h.exchange.AddParticipant(h.detours)
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
-		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine, Origins: origins, Paths: h.paths,
+		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine, Origins: origins, Paths: h.paths, Detours: h.detours,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
@@ -215,7 +224,7 @@
 	}{
 		{"callers", h.settings.Listen.Callers, h.adapter.Callers(h.forwarder), h.idleTimeout},
 		{"readiness", h.settings.Listen.Readiness, h.adapter.Readiness(h.ready), nil},
-		{"peers", h.settings.Listen.Peers, h.exchange.Handler(), nil},
+		{"peers", h.settings.Listen.Peers, h.peerHandler(), nil},
 		{"metrics", h.settings.Listen.Metrics, h.metricsHandler(), nil},
 	} {
 		listener, err := upstream.Listen(context.Background(), l.address)
@@ -231,6 +240,14 @@
 	return servers, nil
 }
 
+// peerHandler returns the handler of the peers' listener.
+func (h *host) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(detour.Path, h.detours.server)
+	mux.Handle("/", h.exchange.Handler())
+	return mux
+}
+
 // idleTimeout returns how long a caller's connection may stay open without a
 // request.
 func (h *host) idleTimeout() time.Duration {
@@ -251,6 +268,7 @@
 	registry.MustRegister(h.quarantine.Collectors()...)
 	registry.MustRegister(h.orders.Collectors()...)
 	registry.MustRegister(h.paths.Collectors()...)
+	registry.MustRegister(h.detours.server.Collectors()...)
 	return registry
 }
 
@@ -323,4 +341,5 @@
 	case <-time.After(balancerDelay):
 	}
 	h.callers.StopAccepting(ctx)
+	h.detours.server.Stop(ctx)
 }
--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -88,3 +88,39 @@
 
 // joining reports whether this process has recently started.
 func (s *Service) joining() bool { return time.Since(s.started) < joinPeriod }
+
+// PeerStatus is a reachable peer with its last report.
+type PeerStatus struct {
+	Name, Address string
+	Report        *fleetv1.Report
+}
+
+// ReachablePeers returns the peers that reported recently.
+func (s *Service) ReachablePeers() []PeerStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	list := make([]PeerStatus, 0, len(s.roster.peers))
+	for _, p := range s.roster.peers {
+		if p.report != nil && s.roster.reachable(now, p) {
+			list = append(list, PeerStatus{Name: p.name, Address: p.address, Report: p.report})
+		}
+	}
+	return list
+}
+
+// Relayed implements fleetv1.Fleet.
+func (s *Service) Relayed(_ context.Context, request *fleetv1.RelayedRequest) (*fleetv1.RelayedResponse, error) {
+	if s.relayedHandler != nil {
+		s.relayedHandler(request)
+	}
+	return &fleetv1.RelayedResponse{}, nil
+}
+
+// TellRelayed tells a peer what an endpoint said in a response that it relayed.
+func (s *Service) TellRelayed(ctx context.Context, address string, request *fleetv1.RelayedRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := s.peerClient(address).Relayed(ctx, request)
+	return err
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -118,6 +118,9 @@
 	participants []Participant
 	// followHandler serves peers that follow this host; nil rejects them.
 	followHandler func(ctx context.Context, request *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error)
+	// relayedHandler is called with what endpoints said in responses that this host
+	// relayed; nil ignores it.
+	relayedHandler func(request *fleetv1.RelayedRequest)
 	// entryLost signals that the store lacks this host's entry.
 	entryLost chan struct{}
 	// placeHandler serves requests for models and adapters; if nil, the
@@ -171,6 +174,12 @@
 	s.followHandler = handler
 }
 
+// SetRelayedHandler sets the handler of what endpoints said in responses that this host
+// relayed. It must be called before Serve.
+func (s *Service) SetRelayedHandler(handler func(*fleetv1.RelayedRequest)) {
+	s.relayedHandler = handler
+}
+
 // Handler returns the HTTP handler of the peer service.
 func (s *Service) Handler() http.Handler { return fleetv1.NewFleetServer(s) }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -134,6 +134,8 @@
 	Origins *streamorigin.Origins
 	// Paths tracks this host's paths to the endpoints of services. Nil means that all work.
 	Paths *reach.Monitor
+	// Detours connects to endpoints by way of peers. Nil means that there are none.
+	Detours Detours
 	// BufferBytes bounds the responses that are held at the same time because they are
 	// read completely before they are relayed. Zero means 32 MiB.
 	BufferBytes int64
@@ -148,8 +150,8 @@
 	buffers bufferBudget
 }
 
-// New returns a forwarder. A nil cfg.Clock, cfg.Quarantine, cfg.Origins or cfg.Paths is
-// replaced by its default.
+// New returns a forwarder. A nil cfg.Clock, cfg.Quarantine, cfg.Origins, cfg.Paths
+// or cfg.Detours is replaced by its default.
 func New(cfg Config) *Forwarder {
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
@@ -163,6 +165,9 @@
 	if cfg.Paths == nil {
 		cfg.Paths = reach.New(reach.Config{Targets: func(string) []reach.Target { return nil }})
 	}
+	if cfg.Detours == nil {
+		cfg.Detours = noDetours{}
+	}
 	return &Forwarder{config: cfg, metrics: newMetrics(), buffers: bufferBudget{limit: cmp.Or(cfg.BufferBytes, defaultBufferBudget)}}
 }
 
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -66,30 +66,41 @@
 	if x.events >= quarantine.SurvivedEvents {
 		return
 	}
-	if x.forwarder.config.Quarantine.RecordBreak(incarnation(attempt), x.suspects) {
-		go x.forwarder.checkGone(attempt.Endpoint.Address, incarnation(attempt))
+	if x.forwarder.config.Quarantine.RecordBreak(incarnation(attempt), x.suspects) && x.via == "" {
+		go x.forwarder.checkGone(x.service, attempt.Endpoint.Address, incarnation(attempt))
 	}
 }
 
 // checkGone finds out whether an endpoint crashed, so that this need not wait for the
 // next request to it or for its entry to expire.
-func (f *Forwarder) checkGone(address string, endpoint quarantine.Incarnation) {
+func (f *Forwarder) checkGone(service, address string, endpoint quarantine.Incarnation) {
 	conn, err := upstream.Dial(context.Background(), "tcp", address)
 	if err == nil {
 		_ = conn.Close()
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		f.config.Quarantine.RecordGone(endpoint)
+		f.recordRefused(service, endpoint)
 	}
 }
 
-// recordUnreached records an attempt whose endpoint was not reached. A refused
-// connection means that no process listens there any more.
+// recordUnreached records an attempt whose endpoint was not reached.
 func (x *inflightCall) recordUnreached(attempt *fleet.Attempt, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		x.forwarder.config.Quarantine.RecordGone(incarnation(attempt))
+	if x.via == "" && errors.Is(err, syscall.ECONNREFUSED) {
+		x.forwarder.recordRefused(x.service, incarnation(attempt))
+		return
 	}
+	x.recordPathFailure()
+}
+
+// recordRefused records that an endpoint refused a connection. No process listens there
+// any more, unless this host has lost its path to all endpoints.
+func (f *Forwarder) recordRefused(service string, endpoint quarantine.Incarnation) {
+	f.config.Paths.RecordFailure(context.Background(), service, func(works bool) {
+		if works {
+			f.config.Quarantine.RecordGone(endpoint)
+		}
+	})
 }
 
 func (x *inflightCall) recordAnswer(attempt *fleet.Attempt, sentAt time.Time) {
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -9,9 +9,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"bilberryslip.example/bilberryslip/internal/detour"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/quarantine"
+	"bilberryslip.example/bilberryslip/internal/reach"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
@@ -83,6 +85,15 @@
 	status int
 	// firstByte is the time from started to the response header; zero before it.
 	firstByte time.Duration
+	// via is the peer by way of which the last attempt was sent; empty for none. detour
+	// is its connection; nil before it stands.
+	via    string
+	detour *detour.Conn
+	// attemptCtx is the context of the last attempt.
+	attemptCtx context.Context
+	// wait is the last attempt's wait on this host's own path; nil if it goes by way of a
+	// peer.
+	wait *reach.Wait
 	// lastReason is why the last choice of an endpoint failed; ReasonNone if it
 	// succeeded.
 	lastReason fleet.Reason
@@ -117,7 +128,7 @@
 		if outcome == repeat.Final {
 			return nil
 		}
-		if x.shouldRetry(outcome) {
+		if !x.inVain(err) && x.shouldRetry(outcome) {
 			continue
 		}
 		return x.finalError(outcome, err)
@@ -212,19 +223,21 @@
 	codec := x.forwarder.config.Codec
 	message := upstream.Message{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
-		Header: codec.Encode(x.call, x.attemptParams(attempt)), Body: x.call.Body, Dedicated: !x.route.MayRepeat(),
+		EncodeHeader: func() http.Header { return codec.Encode(x.call, x.attemptParams(attempt)) },
+		Body:         x.call.Body, Dedicated: !x.route.MayRepeat(),
 	}
+	x.chooseWay(attempt, &message)
 	belongs := func(header http.Header) bool { return codec.Belongs(x.call, header) }
 	sentAt := x.forwarder.config.Clock()
-	paths := x.forwarder.config.Paths
-	paths.Begin(x.service)
-	defer paths.End(x.service)
-	exchange, err := x.forwarder.config.Upstream.Send(x.ctx, attempt.Endpoint.Address, message, belongs)
+	ctx, end := x.beginOnPath()
+	defer end()
+	x.attemptCtx = ctx
+	exchange, err := x.forwarder.config.Upstream.Send(ctx, attempt.Endpoint.Address, message, belongs)
 	if err != nil {
 		return x.handleSendError(attempt, err)
 	}
 	defer exchange.Close()
-	paths.RecordReceived(x.service)
+	x.recordReceived()
 	x.attempts.Sent++
 	x.recordAnswer(attempt, sentAt)
 	return x.handleResponse(attempt, exchange)
@@ -268,16 +281,16 @@
 		attempt.Finish(endpoint.OutcomeCancelled)
 		return repeat.CallerGone, err
 	}
-	attempt.Finish(endpoint.OutcomeFailed)
+	attempt.Finish(chargeTo(err))
 	x.forwarder.config.Upstream.CloseIdle(attempt.Endpoint.Address)
-	x.forwarder.config.Paths.RecordFailure(x.ctx, x.service, nil)
 	x.logAttempt(attempt, "endpoint failed", err)
 	if wasNotSent {
 		x.attempts.DialFailures++
 		x.recordUnreached(attempt, err)
 		return repeat.NotReached, err
 	}
-	if !x.recordOversized(err) {
+	if !errors.Is(err, errPathCut) && !x.recordOversized(err) {
+		x.recordPathFailure()
 		x.recordBreak(attempt)
 	}
 	return repeat.Unknown, err
@@ -296,6 +309,7 @@
 	if reply.Backoff > 0 {
 		attempt.RecordBackoff(reply.Backoff)
 	}
+	x.tellPeer(attempt, reply)
 	if reply.NotRun {
 		return x.handleRefusal(attempt, exchange, reply)
 	}
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -53,7 +53,7 @@
 
 func (x *inflightCall) logAttempt(attempt *fleet.Attempt, event string, err error) {
 	x.log().WithError(err).WithFields(logrus.Fields{
-		"endpoint": attempt.Endpoint.ID, "software": attempt.Endpoint.Software, "address": attempt.Endpoint.Address, "send": x.attempts.Sent,
+		"endpoint": attempt.Endpoint.ID, "software": attempt.Endpoint.Software, "address": attempt.Endpoint.Address, "send": x.attempts.Sent, "via": x.via,
 		"events": x.events, "shared_segments": segmentIDs(x.call.SharedSegments()), "request_hash": x.suspects[0].HashText(),
 	}).Info(event)
 }
@@ -86,6 +86,9 @@
 	if x.software != "" {
 		fields["software"] = x.software
 	}
+	if x.via != "" {
+		fields["via"] = x.via
+	}
 	if x.call.ResumeAfter != "" {
 		fields["resumes"] = x.call.Resumes
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -100,9 +101,11 @@
 		attempt.Finish(endpoint.OutcomeCancelled)
 		return repeat.CallerGone, err
 	}
-	attempt.Finish(endpoint.OutcomeFailed)
+	err = errors.CombineErrors(context.Cause(x.attemptCtx), err)
+	attempt.Finish(chargeTo(err))
 	x.forwarder.metrics.recordResponse(x.service, exchange.Framing(), endCut)
-	if !x.recordOversized(err) {
+	if !errors.Is(err, errPathCut) && !x.recordOversized(err) {
+		x.recordPathFailure()
 		x.recordBreak(attempt)
 	}
 	x.logAttempt(attempt, "answer broke off", err)
@@ -132,7 +135,7 @@
 	for {
 		n, err := exchange.Response.Body.Read(buffer)
 		if n > 0 {
-			x.forwarder.config.Paths.RecordReceived(x.service)
+			x.recordReceived()
 		}
 		ready := events.feed(buffer[:n])
 		if err == nil {
--- a/internal/reach/metrics.go
+++ b/internal/reach/metrics.go
@@ -47,8 +47,8 @@
 	now := m.config.Clock()
 	states := make([]pathState, 0, len(m.paths))
 	for service, p := range m.paths {
-		state := pathState{Service: service, Path: p.State().String(), PeerReaches: p.Confirmed(), Waiting: p.waiting}
-		if p.waiting > 0 {
+		state := pathState{Service: service, Path: p.State().String(), PeerReaches: p.Confirmed(), Waiting: len(p.waiting)}
+		if len(p.waiting) > 0 {
 			state.QuietMillis = now.Sub(p.quietSince).Milliseconds()
 		}
 		states = append(states, state)
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -42,6 +42,9 @@
 	// Ping calls an endpoint on a new connection, in a way that needs no slot there. It
 	// returns nil if the endpoint answered, whatever it answered.
 	Ping func(ctx context.Context, address string) error
+	// OnChange is called when the state of the path to a service changes, with whether a
+	// peer reaches the endpoints while this host does not. Nil does nothing.
+	OnChange func(service string, state State, peerReaches bool)
 	// Clock defaults to time.Now.
 	Clock func() time.Time
 }
@@ -60,15 +63,15 @@
 // servicePath is the path to one service's endpoints, with the traffic on it.
 type servicePath struct {
 	Path
-	// waiting is the number of direct requests in flight. quietSince is when the first of
-	// them began or endpoints last sent anything, whichever is later.
-	waiting    int
+	// waiting are the direct requests in flight. quietSince is when the first of them
+	// began or endpoints last sent anything, whichever is later.
+	waiting    map[*Wait]struct{}
 	quietSince time.Time
 	// checking is set during a check, answeredAt is when one was last answered.
 	checking   bool
 	answeredAt time.Time
 	// onResult are called with the result of the next check that begins.
-	onResult []func(answered bool)
+	onResult []func(works bool)
 }
 
 // New returns a monitor that takes all paths for direct until Serve runs.
@@ -76,6 +79,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
+	if cfg.OnChange == nil {
+		cfg.OnChange = func(string, State, bool) {}
+	}
 	return &Monitor{config: cfg, metrics: newMetrics(), paths: make(map[string]*servicePath)}
 }
 
@@ -89,7 +95,7 @@
 func (m *Monitor) path(service string) *servicePath {
 	p, ok := m.paths[service]
 	if !ok {
-		p = &servicePath{}
+		p = &servicePath{waiting: make(map[*Wait]struct{})}
 		m.paths[service] = p
 	}
 	return p
@@ -129,32 +135,59 @@
 	return services
 }
 
-// Begin records that a direct request begins to wait for a service's endpoint. End must
-// be called when it ends.
-func (m *Monitor) Begin(service string) {
+// Wait is a direct request that waits for an endpoint of a service.
+type Wait struct {
+	monitor *Monitor
+	path    *servicePath
+	// onCut is called if the request hangs on a path that is cut; nil for requests that
+	// can't be sent again.
+	onCut func()
+	// receivedAt is when something last arrived for the request, or when it began.
+	receivedAt time.Time
+}
+
+// Begin records that a direct request begins to wait for a service's endpoint. Its End
+// must be called when it ends. onCut, unless nil, is called once if nothing arrives for it
+// while peers reach the endpoints. It must not call the monitor.
+func (m *Monitor) Begin(service string, onCut func()) *Wait {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.path(service)
-	if p.waiting == 0 {
-		p.quietSince = m.config.Clock()
+	p, now := m.path(service), m.config.Clock()
+	if len(p.waiting) == 0 {
+		p.quietSince = now
 	}
-	p.waiting++
+	w := &Wait{monitor: m, path: p, onCut: onCut, receivedAt: now}
+	p.waiting[w] = struct{}{}
+	return w
 }
 
-// End ends what Begin began.
-func (m *Monitor) End(service string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.path(service).waiting--
+// End ends the wait. Only the first call has an effect.
+func (w *Wait) End() {
+	w.monitor.mu.Lock()
+	defer w.monitor.mu.Unlock()
+	delete(w.path.waiting, w)
 }
 
-// RecordReceived records that an endpoint of a service sent something to this host.
-func (m *Monitor) RecordReceived(service string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p, now := m.path(service), m.config.Clock()
-	p.quietSince = now
-	p.RecordReceived(now)
+// Received records that the endpoint sent something.
+func (w *Wait) Received() {
+	w.monitor.mu.Lock()
+	defer w.monitor.mu.Unlock()
+	now := w.monitor.config.Clock()
+	w.receivedAt, w.path.quietSince = now, now
+	w.path.RecordReceived(now)
+}
+
+// hanging returns what to call for the requests that hang on a path that was cut. It must
+// be called with the mutex held.
+func (p *servicePath) hanging() []func() {
+	var calls []func()
+	for w := range p.waiting {
+		if w.onCut != nil && !w.receivedAt.After(p.since) {
+			calls = append(calls, w.onCut)
+			w.onCut = nil
+		}
+	}
+	return calls
 }
 
 // RecordViaPeer records that an endpoint of a service answered by way of a peer.
@@ -166,8 +199,8 @@
 
 // RecordFailure records that a connection to an endpoint of a service failed before
 // anything arrived, and has the service's endpoints checked. onResult, unless nil, is
-// called with whether any of them answered.
-func (m *Monitor) RecordFailure(ctx context.Context, service string, onResult func(answered bool)) {
+// called with whether the path works: any of them answered, or there is none to check.
+func (m *Monitor) RecordFailure(ctx context.Context, service string, onResult func(works bool)) {
 	m.mu.Lock()
 	if onResult != nil {
 		p := m.path(service)
@@ -200,7 +233,7 @@
 	now := m.config.Clock()
 	var services []string
 	for service, p := range m.paths {
-		silent := p.waiting > 0 && now.Sub(p.quietSince) >= silenceBeforeCheck && now.Sub(p.answeredAt) >= checkPause
+		silent := len(p.waiting) > 0 && now.Sub(p.quietSince) >= silenceBeforeCheck && now.Sub(p.answeredAt) >= checkPause
 		if p.State() != Direct || silent || len(p.onResult) > 0 {
 			services = append(services, service)
 		}
@@ -226,7 +259,7 @@
 		result := m.check(context.WithoutCancel(ctx), service)
 		m.record(service, result)
 		for _, callback := range waiting {
-			callback(result.Answered > 0)
+			callback(result.Answered > 0 || result.Refused+result.Silent == 0)
 		}
 	}()
 }
@@ -270,16 +303,27 @@
 	if result.Answered > 0 {
 		p.answeredAt = now
 	}
+	if len(p.waiting) > 0 && p.quietSince.Before(result.StartedAt) {
+		result.QuietSince = p.quietSince
+	}
 	changed := p.RecordCheck(now, result)
 	state, confirmed := p.State(), p.Confirmed()
+	var hanging []func()
+	if changed && confirmed && result.Silent > 0 {
+		hanging = p.hanging()
+	}
 	m.mu.Unlock()
 	m.metrics.recordCheck(service, result, state)
 	if !changed {
 		return
 	}
+	m.config.OnChange(service, state, confirmed)
+	for _, onCut := range hanging {
+		onCut()
+	}
 	entry := logrus.WithFields(logrus.Fields{
 		"service": service, "path": state.String(), "before": before.String(), "peer_reaches": confirmed,
-		"answered": result.Answered, "refused": result.Refused, "silent": result.Silent,
+		"answered": result.Answered, "refused": result.Refused, "silent": result.Silent, "ended_waits": len(hanging),
 	})
 	if before != Direct {
 		entry = entry.WithField("lasted_ms", now.Sub(since).Milliseconds())
--- a/internal/reach/path.go
+++ b/internal/reach/path.go
@@ -39,6 +39,9 @@
 // connection.
 type Check struct {
 	StartedAt time.Time
+	// QuietSince is since when requests have waited without anything from any endpoint;
+	// zero if the check has another reason.
+	QuietSince time.Time
 	// Answered, Refused and Silent are the numbers of endpoints that answered, that
 	// refused or reset the connection, and that did neither in time.
 	Answered, Refused, Silent int
@@ -49,7 +52,7 @@
 // that works.
 type Path struct {
 	state State
-	// since is when the first check began that nothing answered.
+	// since is when the first check began that nothing answered, or the silence before it.
 	since time.Time
 	// confirmed is set once a peer was shown to reach the endpoints during a cut.
 	confirmed bool
@@ -107,6 +110,9 @@
 		return
 	case p.state == Direct:
 		p.state, p.since = Suspect, c.StartedAt
+		if !c.QuietSince.IsZero() && c.QuietSince.Before(p.since) {
+			p.since = c.QuietSince
+		}
 	}
 	if p.viaPeerAt.After(p.since) && !c.StartedAt.Before(p.viaPeerAt) {
 		p.state, p.confirmed = Cut, true
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -44,8 +45,15 @@
 	Body   []byte
 	// Dedicated makes Send dial a connection for this request alone.
 	Dedicated bool
+	// EncodeHeader, unless nil, returns the header in place of Header once the connection
+	// stands, for fields that depend on the time.
+	EncodeHeader func() http.Header
+	// Dial, unless nil, opens the connection, which is then used for this request alone.
+	Dial func(ctx context.Context) (net.Conn, error)
 }
 
+func (m Message) dedicated() bool { return m.Dedicated || m.Dial != nil }
+
 // NotSentError means that no byte of a request was sent, so that the endpoint
 // can't have run it.
 type NotSentError struct {
@@ -154,11 +162,14 @@
 // error is a *NotSentError if nothing was sent, and else a *NoResponseError. The
 // end of ctx closes the connection, also while the response body is read.
 func (p *Pool) Send(ctx context.Context, address string, m Message, belongs func(http.Header) bool) (*Exchange, error) {
-	c, reused, err := p.connect(ctx, address, m.Dedicated)
+	c, reused, err := p.connect(ctx, address, m)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
-	x := &Exchange{pool: p, address: address, conn: c, dedicated: m.Dedicated, Reused: reused, written: make(chan error, 1)}
+	if m.EncodeHeader != nil {
+		m.Header = m.EncodeHeader()
+	}
+	x := &Exchange{pool: p, address: address, conn: c, dedicated: m.dedicated(), Reused: reused, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	request := newRequest(address, m)
 	x.write(request)
@@ -169,13 +180,17 @@
 	return x, nil
 }
 
-func (p *Pool) connect(ctx context.Context, address string, dedicated bool) (*conn, bool, error) {
-	if !dedicated {
+func (p *Pool) connect(ctx context.Context, address string, m Message) (*conn, bool, error) {
+	if !m.dedicated() {
 		if c := p.takeIdle(address); c != nil {
 			return c, true, nil
 		}
 	}
-	raw, err := Dial(ctx, "tcp", address)
+	dial := m.Dial
+	if dial == nil {
+		dial = func(ctx context.Context) (net.Conn, error) { return Dial(ctx, "tcp", address) }
+	}
+	raw, err := dial(ctx)
 	if err != nil {
 		return nil, false, err
 	}
