--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -264,11 +264,13 @@
 	}()
 }
 
-// check calls some endpoints of a service at the same time. It ends with the first answer.
+// check calls some endpoints of a service at the same time. On a direct path it ends with
+// the first answer.
 func (m *Monitor) check(ctx context.Context, service string) Check {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	result := Check{StartedAt: m.config.Clock()}
+	direct := m.State(service) == Direct
 	targets := pickTargets(m.config.Targets(service), checkedAtOnce)
 	errs := make(chan error, len(targets))
 	for _, target := range targets {
@@ -278,7 +280,9 @@
 		switch err := <-errs; {
 		case err == nil:
 			result.Answered++
-			return result
+			if direct {
+				return result
+			}
 		case isTimeout(ctx, err):
 			result.Silent++
 		default:
--- a/internal/reach/path.go
+++ b/internal/reach/path.go
@@ -75,7 +75,8 @@
 // RecordViaPeer records that a response arrived by way of a peer.
 func (p *Path) RecordViaPeer(now time.Time) { p.viaPeerAt = now }
 
-// RecordCheck records a check that ended now. It reports whether the state changed.
+// RecordCheck records a check that ended now. It reports whether there is something to
+// report: the path began or ceased to be direct, counts as cut, or is confirmed to be.
 func (p *Path) RecordCheck(now time.Time, c Check) bool {
 	before, wasConfirmed := p.state, p.confirmed
 	switch {
@@ -84,11 +85,21 @@
 	case c.Refused+c.Silent > 0:
 		p.recordUnanswered(now, c)
 	}
+	if wasConfirmed && p.confirmed {
+		return false
+	}
 	return p.state != before || p.confirmed != wasConfirmed
 }
 
+// recordAnswered records a check that some endpoint answered. After a confirmed cut, most
+// of them must answer for settleTime: this host may have lost its path to all but a few.
 func (p *Path) recordAnswered(now time.Time, c Check) {
 	if p.confirmed {
+		p.state = Suspect
+		if c.Answered <= c.Refused+c.Silent {
+			p.answeringSince = time.Time{}
+			return
+		}
 		if p.answeringSince.IsZero() {
 			p.answeringSince = c.StartedAt
 		}
@@ -104,6 +115,9 @@
 	// Endpoints that send on open connections are only slow to answer new ones.
 	slow := c.Refused == 0 && p.receivedAt.After(c.StartedAt)
 	switch {
+	case p.confirmed:
+		p.state = Cut
+		return
 	case p.state == Cut:
 	case slow:
 		p.state = Direct
--- a/internal/reach/path_test.go
+++ b/internal/reach/path_test.go
@@ -108,8 +108,23 @@
 		d.checks(time.Second, refused)
 		d.expect(Cut)
 		d.checks(time.Second, answered)
-		d.expect(Cut)
+		d.expect(Suspect)
 	}
 	d.checks(settleTime, answered)
 	d.expect(Direct)
 }
+
+// Guards against sending directly again because one of many endpoints answers, as after a
+// cut from all endpoints but those of a zone.
+func TestConfirmedCutGoesOnWhileMostEndpointsDoNotAnswer(t *testing.T) {
+	d := newPathDriver(t)
+	d.check(refused)
+	d.path.RecordViaPeer(d.now)
+	d.check(refused)
+	d.expect(Cut)
+	d.checks(5*time.Second, Check{Answered: 1, Silent: 2})
+	// The endpoint that answers may be used if no peer can be asked.
+	d.expect(Suspect)
+	d.checks(settleTime+tickInterval, Check{Answered: 2, Silent: 1})
+	d.expect(Direct)
+}
