Let a holder that is cut off from the engines give up the placement lease

A candidate that peers show to be cut off is not eligible now: it stops acting at once and releases the lease, and hosts whose reports of it end read the lease again.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -204,7 +205,7 @@
 		// the same lease holder.
 		Store: h.adapter.Store(), Name: placementLease, Host: s.Host.Name, Incarnation: s.Host.Name,
 		Duration: duration, RenewalInterval: duration / renewalsPerLease, Now: clock.Boot,
-		Era: h.adapter.Store().Era, FirstStart: s.FirstStart,
+		Era: h.adapter.Store().Era, FirstStart: s.FirstStart, Eligible: h.reachesEngines,
 	})
 	h.orders = orders.New(orders.Config{
 		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
@@ -215,6 +216,18 @@
 	h.exchange.SetPlacementHandler(h.orders.Place)
 }
 
+// reachesEngines reports whether this host can order engines: no peer reaches engines of a
+// service that it does not reach itself.
+func (h *host) reachesEngines() bool {
+	config := h.source.Current()
+	if config == nil {
+		return true
+	}
+	return !slices.ContainsFunc(config.Services(), func(s traffic.Service) bool {
+		return s.Engine != nil && h.paths.CutOff(s.Name)
+	})
+}
+
 func (h *host) listen() ([]suture.Service, error) {
 	var servers []suture.Service
 	for _, l := range []struct {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -65,6 +65,32 @@
 		a, b = candidate("a"), candidate("b")
 	})
 
+	// Guards against a holder that can't do its duties and keeps the lease.
+	It("is released by a holder that is not eligible, which acts no more at once", func() {
+		eligible := true
+		c := lease.New(lease.Config{
+			Store: store, Name: "placement-z1", Host: "c", Incarnation: "1",
+			Duration: 10 * time.Second, Now: func() time.Time { return now }, Eligible: func() bool { return eligible },
+		})
+		step(c)
+		Expect(c.Status().Held).To(BeTrue())
+		eligible = false
+		store.toLose = 1 // the release takes effect without a response
+		step(c)
+		Expect(c.Status().Held).To(BeFalse())
+		now = now.Add(time.Second)
+		step(c)
+		step(b)
+		Expect(b.Status().Held).To(BeTrue())
+		Expect(b.Status().PreviousUntil).To(Equal(now))
+		now = now.Add(time.Minute)
+		step(c)
+		Expect(c.Status().Held).To(BeFalse())
+		eligible = true
+		step(c)
+		Expect(c.Status().Held).To(BeFalse(), "while another host holds it")
+	})
+
 	It("has one holder, and passes to another only after it expired without a change", func() {
 		step(a)
 		step(b)
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -45,6 +45,9 @@
 	// a missing lease was not lost in a restore of the store. This assumes that the
 	// store is not restored before all hosts of that start have reached it.
 	FirstStart bool
+	// Eligible reports whether this candidate may hold the lease now. One that may no
+	// longer releases it. Nil means always.
+	Eligible func() bool
 }
 
 // Status is the state of a lease as seen by a candidate.
@@ -103,6 +106,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Eligible == nil {
+		cfg.Eligible = func() bool { return true }
+	}
 	return &Lease{
 		cfg:     cfg,
 		self:    Value{Holder: cfg.Host, Incarnation: cfg.Incarnation},
@@ -155,7 +161,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			l.release()
+			l.release(context.WithoutCancel(ctx))
 			return ctx.Err()
 		case <-ticker.C:
 		}
@@ -163,9 +169,13 @@
 }
 
 // Step reads the lease if necessary, and acquires or renews it if due. Serve
-// calls it once per renewal interval. If a response shows that the store was
+// calls it once per renewal interval. A candidate that is not eligible releases it. If a response shows that the store was
 // restored, Step writes the lease again at once if this candidate held it.
 func (l *Lease) Step(ctx context.Context) error {
+	if !l.cfg.Eligible() {
+		l.release(ctx)
+		return nil
+	}
 	err := l.step(ctx)
 	l.mu.Lock()
 	l.enterCurrentEra()
@@ -226,6 +236,14 @@
 	l.notify()
 }
 
+// ReadAgain makes the candidate read the lease from the store in its next step. It is
+// called if the holder no longer reports that it holds the lease.
+func (l *Lease) ReadAgain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peerReportedAt = time.Time{}
+}
+
 // recentlyReported reports whether a peer reported the lease within the last
 // two durations, so that it need not be read from the store.
 func (l *Lease) recentlyReported() bool {
@@ -370,28 +388,35 @@
 }
 
 // release frees the lease if this candidate holds it, so that another host
-// need not wait for it to expire.
-func (l *Lease) release() {
+// need not wait for it to expire. The candidate no longer acts as the holder, even if
+// the store does not answer.
+func (l *Lease) release(ctx context.Context) {
 	l.mu.Lock()
+	l.view.validFrom = time.Time{}
 	current := l.view
 	l.mu.Unlock()
 	if !current.heldBy(l.self) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	raw, err := json.Marshal(Value{Term: current.value.Term, Era: current.value.Era})
 	if err != nil {
 		return
 	}
-	_, err = l.put(ctx, current, uuid.NewString(), raw)
+	obj, err := l.put(ctx, current, uuid.NewString(), raw)
+	var conflict *objectstore.ConflictError
+	if errors.As(err, &conflict) { // an earlier release whose response was lost, or another holder
+		obj, err = conflict.Current, nil
+	}
+	if err == nil {
+		err = l.observe(obj, time.Time{})
+	}
 	if err != nil {
 		logrus.WithError(err).WithField("lease", l.cfg.Name).Warn("failed to release the lease; it expires by itself")
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.view = view{}
+	logrus.WithField("lease", l.cfg.Name).Info("lease released")
 }
 
 // leaseState is the entry of a lease in the state dump.
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -43,6 +43,7 @@
 type Leadership interface {
 	Status() lease.Status
 	UpdateFromPeer(value lease.Value, version objectstore.Version)
+	ReadAgain()
 }
 
 // Peers sends requests to other hosts.
@@ -214,6 +215,8 @@
 	}
 	if l := report.GetLease(); l != nil {
 		s.config.Lease.UpdateFromPeer(lease.Value{Holder: l.GetHolder(), Incarnation: l.GetIncarnation(), Term: l.GetTerm()}, objectstore.NewVersion(l.GetEra(), l.GetVersion()))
+	} else if report.GetHost() == s.config.Lease.Status().Holder {
+		s.config.Lease.ReadAgain()
 	}
 	for _, h := range report.GetHoldings() {
 		s.config.Registry.RecordHeld(h.GetEndpoint(), h.GetModel(), h.GetAdapter(), h.GetHeld())
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -119,6 +119,8 @@
 }
 
 func (f *fakeLease) UpdateFromPeer(lease.Value, objectstore.Version) {}
+
+func (f *fakeLease) ReadAgain() {}
 func (f *fakeEngines) inspect(id string, check func(*fakeEngine)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -108,17 +108,11 @@
 	return m.path(service).State()
 }
 
-// CutOff reports whether a peer reaches endpoints of some service while this host does
-// not.
-func (m *Monitor) CutOff() bool {
+// CutOff reports whether peers reach a service's endpoints while this host does not.
+func (m *Monitor) CutOff(service string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, p := range m.paths {
-		if p.Confirmed() {
-			return true
-		}
-	}
-	return false
+	return m.path(service).Confirmed()
 }
 
 // NotDirect returns the services to whose endpoints the path is not direct, sorted.
