Let connections outlast a silence of a sound endpoint and a caller that pauses

TCP_USER_TIMEOUT was 1.5 s on all connections, and decides when keep-alive probes give up, too: requests and streams of an endpoint that was silent for 1.5 s were broken off, and a caller that read nothing for 1.8 s while its window was full was cut off by the kernel (shown on a socket: 'connection timed out' after 1.76 s). Connections to endpoints now have 3.1 s, those of callers 10 s, those to the store and between hosts 1.5 s as before.

--- a/internal/detour/client.go
+++ b/internal/detour/client.go
@@ -114,7 +114,7 @@
 
 // dialBy asks a peer for a connection.
 func (c *Client) dialBy(ctx context.Context, p Peer, to Target) (*Conn, error) {
-	raw, err := upstream.Dial(ctx, "tcp", p.Address)
+	raw, err := upstream.DialEndpoint(ctx, p.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -116,7 +117,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), endpointDialTimeout)
 	defer cancel()
-	far, err := upstream.Dial(ctx, "tcp", endpoint.Address)
+	far, err := upstream.DialEndpoint(ctx, endpoint.Address)
 	if err != nil {
 		s.config.Paths.RecordFailure(r.Context(), endpoint.Service, nil)
 		s.refuse(w, r, http.StatusBadGateway, reasonDial, err)
@@ -125,6 +126,21 @@
 	s.relay(w, r, endpoint, far)
 }
 
+// outlastSilence makes the connection of a peer last as long as that to the endpoint does.
+func (s *Server) outlastSilence(near net.Conn) {
+	tcp, ok := near.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err == nil {
+		err = upstream.SetUnackedTimeout(raw, upstream.EndpointUnackedTimeout)
+	}
+	if err != nil {
+		logrus.WithError(err).Warn("timeout of a relayed connection not set; it ends sooner if the peer is silent")
+	}
+}
+
 // acquire counts a connection, or returns why there may be none.
 func (s *Server) acquire() string {
 	s.mu.Lock()
@@ -167,6 +183,7 @@
 		return
 	}
 	defer near.Close()
+	s.outlastSilence(near)
 	_, err = io.WriteString(near, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+upgradeProtocol+"\r\n\r\n")
 	if err != nil {
 		s.log(r).WithError(err).Info("peer closed its connection before anything was relayed")
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -240,7 +240,11 @@
 		{"peers", h.settings.Listen.Peers, h.peerHandler(), nil},
 		{"metrics", h.settings.Listen.Metrics, h.metricsHandler(), nil},
 	} {
-		listener, err := upstream.Listen(context.Background(), l.address)
+		unacked := upstream.PeerUnackedTimeout
+		if l.name == "callers" {
+			unacked = upstream.CallerUnackedTimeout
+		}
+		listener, err := upstream.Listen(context.Background(), l.address, unacked)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s for %s; free the address or change the settings", l.address, l.name)
 		}
--- a/internal/forward/held.go
+++ b/internal/forward/held.go
@@ -74,7 +74,7 @@
 // checkGone finds out whether an endpoint crashed, so that this need not wait for the
 // next request to it or for its entry to expire.
 func (f *Forwarder) checkGone(service, address string, endpoint quarantine.Incarnation) {
-	conn, err := upstream.Dial(context.Background(), "tcp", address)
+	conn, err := upstream.DialEndpoint(context.Background(), address)
 	if err == nil {
 		_ = conn.Close()
 		return
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -9,41 +9,61 @@
 	"golang.org/x/sys/unix"
 )
 
-// Timeouts for a connection whose peer no longer responds. Both the time to dial
-// and the time to detect a dead connection are well under the three seconds
-// within which a lost path must be noticed.
 const (
-	// dialTimeout limits the time to establish a connection.
+	// dialTimeout limits the time to establish a connection. It is well under the three
+	// seconds within which a lost path must be noticed.
 	dialTimeout = 700 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure the probes on
-	// an idle connection. The kernel takes whole seconds.
+	// an idle connection. The kernel takes whole seconds. It gives up by the unacked
+	// timeout, whatever the count.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 1
-	// unackedTimeout is after how long a connection is closed whose data or probes
-	// are not acknowledged.
-	unackedTimeout = 1500 * time.Millisecond
 )
 
-// Dial opens a TCP connection that fails soon after its peer or the path to it
-// fails. It has the signature of http.Transport.DialContext.
+// Unacked timeouts: after how long a connection is closed whose data or probes are not
+// acknowledged, or whose data is not read by the other side.
+const (
+	// PeerUnackedTimeout is that of connections to the store and between hosts, whose calls
+	// are short and can be repeated.
+	PeerUnackedTimeout = 1500 * time.Millisecond
+	// EndpointUnackedTimeout is that of connections to endpoints. A sound endpoint may be
+	// silent for 1.8 s, of which a probe each second must miss the end by then.
+	EndpointUnackedTimeout = 3100 * time.Millisecond
+	// CallerUnackedTimeout is that of connections of callers, who may pause for seconds
+	// before they read on.
+	CallerUnackedTimeout = 10 * time.Second
+)
+
+// Dial opens a TCP connection to the store or a peer. It fails soon after the other side
+// or the path to it fails. It has the signature of http.Transport.DialContext.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return dial(ctx, network, address, PeerUnackedTimeout)
+}
+
+// DialEndpoint opens a TCP connection to an endpoint, which outlasts a silence of a sound
+// endpoint.
+func DialEndpoint(ctx context.Context, address string) (net.Conn, error) {
+	return dial(ctx, "tcp", address, EndpointUnackedTimeout)
+}
+
+func dial(ctx context.Context, network, address string, unacked time.Duration) (net.Conn, error) {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return SetUnackedTimeout(raw) },
+		Control: func(_, _ string, raw syscall.RawConn) error { return SetUnackedTimeout(raw, unacked) },
 	}
 	return dialer.DialContext(ctx, network, address)
 }
 
-// SetUnackedTimeout limits how long sent data may stay unacknowledged before the
-// kernel closes the connection.
-func SetUnackedTimeout(raw syscall.RawConn) error {
+// SetUnackedTimeout limits how long sent data may stay unacknowledged or unread before
+// the kernel closes the connection.
+func SetUnackedTimeout(raw syscall.RawConn, unacked time.Duration) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -51,14 +71,14 @@
 	return optionErr
 }
 
-// Listen opens a TCP listener whose connections fail soon after their peer or the
-// path to it fails.
-func Listen(ctx context.Context, address string) (net.Listener, error) {
+// Listen opens a TCP listener whose connections fail once data to the other side was
+// unacknowledged or unread for the time, or the other side doesn't answer probes for it.
+func Listen(ctx context.Context, address string, unacked time.Duration) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return SetUnackedTimeout(raw) },
+		Control: func(_, _ string, raw syscall.RawConn) error { return SetUnackedTimeout(raw, unacked) },
 	}
 	return config.Listen(ctx, "tcp", address)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -188,7 +188,7 @@
 	}
 	dial := m.Dial
 	if dial == nil {
-		dial = func(ctx context.Context) (net.Conn, error) { return Dial(ctx, "tcp", address) }
+		dial = func(ctx context.Context) (net.Conn, error) { return DialEndpoint(ctx, address) }
 	}
 	raw, err := dial(ctx)
 	if err != nil {
