--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -31,6 +31,8 @@
 	resetting bool
 	closed    bool
 	links     map[*link]struct{}
+	// stalled is closed when a stall ends; nil without one.
+	stalled chan struct{}
 	// accepted counts the connections that were accepted.
 	accepted int
 }
@@ -87,6 +89,39 @@
 	r.resetting = true
 }
 
+// Stall holds back all data, in both directions, until Resume is called. Nothing is lost.
+func (r *Relay) Stall() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stalled == nil {
+		r.stalled = make(chan struct{})
+	}
+}
+
+// Resume ends a stall.
+func (r *Relay) Resume() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stalled != nil {
+		close(r.stalled)
+		r.stalled = nil
+	}
+}
+
+// awaitResume waits until no stall is in progress, or the relay is closed.
+func (r *Relay) awaitResume() {
+	r.mu.Lock()
+	stalled := r.stalled
+	r.mu.Unlock()
+	if stalled == nil {
+		return
+	}
+	select {
+	case <-stalled:
+	case <-r.done:
+	}
+}
+
 // Blackhole makes the relay discard all further data on the open connections, in
 // both directions, without propagating closes. Unblock does not restore these
 // connections. New connections are not affected.
@@ -222,6 +257,7 @@
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
+		r.awaitResume()
 		if n > 0 && !open.blackholed.Load() {
 			_, _ = to.Write(buffer[:n])
 		}
