Tell the end of an endpoint's connection from that of the peer that relays it

A peer that was killed in the middle of a relayed response ended its connections in order, as its kernel does, so that a response which ends with its connection counted as whole (the spec of it failed). What the endpoint sends now comes in chunks, the last of which stands for an orderly end. Requests that hang on a path found cut are now sent again unless something arrived for them since, whenever they began.

--- a/internal/detour/client.go
+++ b/internal/detour/client.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"net/url"
 	"strconv"
 	"sync"
@@ -125,7 +127,7 @@
 		return nil, errors.CombineErrors(err, ctx.Err())
 	}
 	c.count(p.Name, 1)
-	return &Conn{Conn: raw, Peer: p.Name, PeerAddress: p.Address, reader: reader, release: sync.OnceFunc(func() { c.count(p.Name, -1) })}, nil
+	return &Conn{Conn: raw, Peer: p.Name, PeerAddress: p.Address, chunks: httputil.NewChunkedReader(reader), release: sync.OnceFunc(func() { c.count(p.Name, -1) })}, nil
 }
 
 func (c *Client) handshake(raw net.Conn, p Peer, to Target) (*bufio.Reader, error) {
@@ -177,18 +179,14 @@
 	// Peer is the peer's name, PeerAddress its address.
 	Peer, PeerAddress string
 
-	// reader has what arrived with the peer's response.
-	reader  *bufio.Reader
+	// chunks reads what the peer relays of the endpoint.
+	chunks  io.Reader
 	release func()
 }
 
-// Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
-	if c.reader.Buffered() > 0 {
-		return c.reader.Read(p)
-	}
-	return c.Conn.Read(p)
-}
+// Read implements net.Conn. It returns io.EOF only if the endpoint ended its connection in
+// order.
+func (c *Conn) Read(p []byte) (int, error) { return c.chunks.Read(p) }
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
--- a/internal/detour/pipe.go
+++ b/internal/detour/pipe.go
@@ -1,9 +1,11 @@
 package detour
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http/httputil"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,8 +23,9 @@
 // bytes sent to the endpoint and received from it, and why the endpoint's side failed; nil
 // if it did not.
 //
-// An orderly end of the endpoint's connection is passed on as such, since it may complete
-// a response. A failure resets the peer's connection, so that it can't be taken for one.
+// What the endpoint sends goes to the peer in chunks, the last of which stands for an
+// orderly end, since that may complete a response. Without it, however the connection
+// ends, the endpoint's side failed, or this host did.
 func (p *pipe) run(ctx context.Context) (sent, received int64, err error) {
 	wait := p.paths.Begin(p.service, nil)
 	defer wait.End()
@@ -32,7 +35,8 @@
 		close(peerClosed)
 		_ = p.far.Close() // the peer no longer waits
 	}()
-	received, err = copyBytes(p.near, p.far, func() {
+	chunks := newChunkWriter(p.near)
+	received, err = copyBytes(chunks, p.far, func() {
 		wait.Received()
 		wait.End() // the peer decides how long to wait for more
 	})
@@ -41,22 +45,56 @@
 		return sent, received, nil
 	default:
 	}
-	p.endNear(ctx, received, err)
+	p.endNear(ctx, chunks, received, err)
 	<-peerClosed
 	return sent, received, err
 }
 
 // endNear passes the end of the endpoint's connection on to the peer.
-func (p *pipe) endNear(ctx context.Context, received int64, err error) {
+func (p *pipe) endNear(ctx context.Context, chunks io.Closer, received int64, err error) {
 	if err != nil && received == 0 && !errors.Is(err, errWrite) {
 		p.paths.RecordFailure(ctx, p.service, nil)
 	}
+	if err == nil {
+		err = chunks.Close()
+	}
 	half, ok := p.near.(interface{ CloseWrite() error })
 	if err != nil || !ok || half.CloseWrite() != nil {
 		reset(p.near)
 	}
 }
 
+// chunkWriter writes each piece as a chunk, by one write to the connection.
+type chunkWriter struct {
+	chunks io.WriteCloser
+	buffer *bufio.Writer
+}
+
+// maxChunkHead bounds the bytes of a chunk's size and line ends.
+const maxChunkHead = 32
+
+func newChunkWriter(to io.Writer) *chunkWriter {
+	buffer := bufio.NewWriterSize(to, relayBuffer+maxChunkHead)
+	return &chunkWriter{chunks: httputil.NewChunkedWriter(buffer), buffer: buffer}
+}
+
+// Write implements io.Writer.
+func (w *chunkWriter) Write(p []byte) (int, error) {
+	n, err := w.chunks.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, w.buffer.Flush()
+}
+
+// Close writes the last chunk. It does not close the connection.
+func (w *chunkWriter) Close() error {
+	if err := w.chunks.Close(); err != nil {
+		return err
+	}
+	return w.buffer.Flush()
+}
+
 // errWrite marks errors of the side that is written to.
 var errWrite = errors.New("the receiving side failed")
 
--- a/internal/detour/protocol.go
+++ b/internal/detour/protocol.go
@@ -15,8 +15,8 @@
 // Path is the path of the peers' listener that relays connections.
 const Path = "/relay"
 
-// upgradeProtocol is the protocol that a connection to Path is switched to: the bytes of a
-// connection to an endpoint.
+// upgradeProtocol is the protocol that a connection to Path is switched to: the bytes to an
+// endpoint as they are, those from it in chunks as of HTTP/1.1.
 const upgradeProtocol = "bilberryslip-relay"
 
 // The headers of a request for a relayed connection.
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -136,7 +136,7 @@
 	// onCut is called if the request hangs on a path that is cut; nil for requests that
 	// can't be sent again.
 	onCut func()
-	// receivedAt is when something last arrived for the request, or when it began.
+	// receivedAt is when something last arrived for the request; zero if nothing did.
 	receivedAt time.Time
 }
 
@@ -150,7 +150,7 @@
 	if len(p.waiting) == 0 {
 		p.quietSince = now
 	}
-	w := &Wait{monitor: m, path: p, onCut: onCut, receivedAt: now}
+	w := &Wait{monitor: m, path: p, onCut: onCut}
 	p.waiting[w] = struct{}{}
 	return w
 }
