Confirm a cut by the first response by way of a peer, however many follow

On a busy host responses by way of peers arrive during each check, and each one was taken for the moment from which a check had to fail: a cut with hanging connections was not confirmed, so that the holder kept the lease. Found by reading; the test of it failed before. The first response since the path is suspect counts now.

--- a/internal/reach/path.go
+++ b/internal/reach/path.go
@@ -58,8 +58,8 @@
 	confirmed bool
 	// answeringSince is since when all checks are answered during a confirmed cut.
 	answeringSince time.Time
-	// receivedAt is when endpoints last sent anything to this host directly, viaPeerAt
-	// by way of a peer.
+	// receivedAt is when endpoints last sent anything to this host directly. viaPeerAt is
+	// when they first did by way of a peer since the path is suspect.
 	receivedAt, viaPeerAt time.Time
 }
 
@@ -73,7 +73,11 @@
 func (p *Path) RecordReceived(now time.Time) { p.receivedAt = now }
 
 // RecordViaPeer records that a response arrived by way of a peer.
-func (p *Path) RecordViaPeer(now time.Time) { p.viaPeerAt = now }
+func (p *Path) RecordViaPeer(now time.Time) {
+	if !p.viaPeerAt.After(p.since) {
+		p.viaPeerAt = now
+	}
+}
 
 // RecordCheck records a check that ended now. It reports whether there is something to
 // report: the path began or ceased to be direct, counts as cut, or is confirmed to be.
--- a/internal/reach/path_test.go
+++ b/internal/reach/path_test.go
@@ -89,6 +89,24 @@
 	d.expect(Cut)
 }
 
+// Guards against a cut that is never confirmed on a busy host, where responses arrive by way
+// of peers all the time, also during each check.
+func TestPathIsCutWhilePeersBringResponsesAllTheTime(t *testing.T) {
+	d := newPathDriver(t)
+	d.check(silent)
+	for range 3 {
+		d.path.RecordViaPeer(d.now)
+		c := silent
+		c.StartedAt = d.now
+		d.now = d.now.Add(checkTimeout)
+		d.path.RecordViaPeer(d.now)
+		d.path.RecordCheck(d.now, c)
+	}
+	if !d.path.Confirmed() {
+		t.Fatalf("state %v, not confirmed", d.path.State())
+	}
+}
+
 // Guards against taking endpoints that wake up for a cut, since the first answer may
 // arrive by way of a peer.
 func TestPathIsNotCutIfEndpointsAnswerBothWaysAgain(t *testing.T) {
