--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -169,8 +169,9 @@
 }
 
 // Step reads the lease if necessary, and acquires or renews it if due. Serve
-// calls it once per renewal interval. A candidate that is not eligible releases it. If a response shows that the store was
-// restored, Step writes the lease again at once if this candidate held it.
+// calls it once per renewal interval. A candidate that is not eligible releases
+// the lease. If a response shows that the store was restored, Step writes the
+// lease again at once if this candidate held it.
 func (l *Lease) Step(ctx context.Context) error {
 	if !l.cfg.Eligible() {
 		l.release(ctx)
