--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -4,10 +4,10 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -258,16 +258,18 @@
 	for {
 		n, err := from.Read(buffer)
 		r.awaitResume()
-		if n > 0 && !open.blackholed.Load() {
-			_, _ = to.Write(buffer[:n])
+		if open.blackholed.Load() {
+			return // the sender blocks once the kernel's buffers are full
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil && err == nil {
+				err = writeErr
+			}
 		}
 		if err == nil {
 			continue
 		}
-		if open.blackholed.Load() {
-			return
-		}
-		if errors.Is(err, syscall.ECONNRESET) {
+		if !errors.Is(err, io.EOF) {
 			r.drop(open)
 			open.reset()
 			return
