Admit what is left of each rate right after a restart of all hosts

A process that starts into a running fleet assumes 0.98 of each limit to be used by all hosts before it. While its peers were listed but had not reported, it had one part of the limit by their number and counted the whole assumed use against that part, so that it refused everything. It now counts its part of the earlier use. Hosts that have just been listed are called in the next round instead of every fourth interval (2.75 s at 86 hosts).

--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -40,7 +40,8 @@
 	// reportedAt is when its last report was sent, by this host's clock; see
 	// recordReport.
 	reportedAt time.Time
-	// sentAt is when this host last began to send it a report.
+	// sentAt is when this host last began to send it a report; zero if it has sent none to
+	// this incarnation.
 	sentAt time.Time
 	// leaseUntil is when its hold on the placement lease expires.
 	leaseUntil time.Time
@@ -79,6 +80,7 @@
 	if p.incarnation != incarnation {
 		p.listed = now
 		p.report = nil
+		p.sentAt = time.Time{}
 	}
 	p.address, p.incarnation = address, incarnation
 }
@@ -169,15 +171,17 @@
 }
 
 // roundTargets returns the peers to report to in a round, sorted by name, and records
-// that they are sent a report. round counts the rounds from zero.
+// that they are sent a report. round counts the rounds from zero. Unreachable peers are
+// called in few rounds, but a host that was just listed at once: after a restart of all
+// hosts, each one knows the others by their entries alone.
 func (r *roster) roundTargets(now time.Time, round int) []peer {
-	if !r.large() {
-		return r.reportTargets(now, round%unreachableEvery == 0)
+	perInterval, leader := 1, r.leader(now)
+	if r.large() {
+		perInterval = roundsPerInterval
 	}
-	leader := r.leader(now)
-	targets := r.reportTargets(now, round%(roundsPerInterval*unreachableEvery) == 0)
-	return slices.DeleteFunc(targets, func(p peer) bool {
-		if !r.due(now, &p, leader) {
+	callsUnreachable := round%(perInterval*unreachableEvery) == 0
+	return slices.DeleteFunc(r.reportTargets(now, true), func(p peer) bool {
+		if !callsUnreachable && !p.sentAt.IsZero() && !r.reachable(now, &p) || r.large() && !r.due(now, &p, leader) {
 			return true
 		}
 		r.peers[p.name].sentAt = now
--- a/internal/exchange/rounds_test.go
+++ b/internal/exchange/rounds_test.go
@@ -226,6 +226,29 @@
 		}
 	})
 
+	// Guards against hosts that wait several intervals for their first exchange after a
+	// restart of all hosts, and meanwhile use only their own part of each rate.
+	It("reach all peers within two intervals when all hosts start and read each other's entries after their first round", func() {
+		for _, size := range []int{6, 64, 128} {
+			f := newSimulatedFleet(size, 300*time.Millisecond, uint64(size))
+			f.leader = -1
+			for i := range f.rosters {
+				f.rosters[i] = newRoster(hostName(i))
+			}
+			f.run(400 * time.Millisecond)
+			for i, r := range f.rosters {
+				for j := range f.rosters {
+					r.addEntry(f.now, hostName(j), hostName(j), "1")
+				}
+				f.next[i] = f.now.Add(time.Duration(f.rng.Int64N(int64(r.roundInterval()))))
+			}
+			f.run(2 * f.rosters[0].interval())
+			for i, r := range f.rosters {
+				Expect(r.reachability(f.now).Unreachable).To(BeEmpty(), "%d hosts, %s", size, hostName(i))
+			}
+		}
+	})
+
 	It("are as before in a small fleet: each side calls once per interval", func() {
 		f := newSimulatedFleet(8, time.Second, 1)
 		f.leader = 0
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -224,12 +224,26 @@
 	return l.division == nil || host == priorUse || slices.Contains(l.reachable, host)
 }
 
+// countedPart returns the part of a host's use that counts against the limit of this host.
+// While the limit is divided, each side counts its fraction of the use of all hosts before
+// this process started, as it has the same fraction of the limit.
+func (l *Limiter) countedPart(a *account, host string) float64 {
+	switch {
+	case !l.countsAgainstLimit(host):
+		return 0
+	case host == priorUse:
+		return l.limitFraction(a.name)
+	default:
+		return 1
+	}
+}
+
 // used returns the use in the window that counts against this host's limit.
 func (l *Limiter) used(now time.Time, a *account) float64 {
 	total := 0.0
 	for host, w := range a.windows {
-		if l.countsAgainstLimit(host) {
-			total += w.sum(now)
+		if part := l.countedPart(a, host); part > 0 {
+			total += part * w.sum(now)
 		}
 	}
 	return total
@@ -241,8 +255,8 @@
 	sum := newWindow(l.length)
 	sum.advance(now)
 	for host, w := range a.windows {
-		if l.countsAgainstLimit(host) {
-			sum.merge(now, w)
+		if part := l.countedPart(a, host); part > 0 {
+			sum.merge(now, w, part)
 		}
 	}
 	return sum.freeIn(now, tokens)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -417,6 +417,28 @@
 		Expect(refused).To(BeZero())
 	})
 
+	// Guards against hosts that know their peers by their entries alone refusing everything:
+	// each one has a sixth of the limit then, but assumed the use of all hosts against it.
+	It("admits what is left of the limit when all hosts restart and reach each other late", func() {
+		const alone = 3 * time.Second
+		for _, size := range []int{6, 60} {
+			f := newFleet(size, false)
+			for i := range f.hosts {
+				f.isolate(i)
+			}
+			asked, granted := 0.0, 0.0
+			for i := 0; f.now.Sub(start) < alone; i++ {
+				f.now = f.now.Add(step / 20)
+				asked += 6
+				if f.take(i%size, 6) { // 0.6 of the rate
+					granted += 6
+				}
+			}
+			Expect(granted).To(BeNumerically(">", 0.5*asked), "%d hosts", size)
+			Expect(granted).To(BeNumerically("<=", limit*alone.Seconds()/testWindow.Seconds()+limit/slots), "%d hosts", size)
+		}
+	})
+
 	It("takes over the use in the window from its peers when one host starts", func() {
 		f := newFleet(2, true)
 		for range 40 {
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -70,12 +70,12 @@
 	return total
 }
 
-// merge adds another window's use, slot by slot.
-func (w *window) merge(now time.Time, other *window) {
+// merge adds a part of another window's use, slot by slot.
+func (w *window) merge(now time.Time, other *window, part float64) {
 	w.advance(now)
 	other.advance(now)
 	for i := range w.used {
-		w.used[i] += other.used[i]
+		w.used[i] += part * other.used[i]
 	}
 }
 
