--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -63,4 +63,8 @@
 // waiting requests and the number that it can run concurrently.
 type Load struct {
 	Running, Waiting, Slots int
+	// ProcessingTimePercent is the current processing time on the endpoint's machine, in
+	// percent of the normal one: 100 is normal, 250 is 2.5 times slower. It changes many
+	// times a second. Zero means that the endpoint doesn't report it.
+	ProcessingTimePercent float64
 }
