Keep a new holder's wait for earlier orders across a restore of the store

Cause: a candidate that writes the lease again in a new era of the store cleared the time until which the holder before it may have acted. If it had acquired the lease just before the restore, it forgot its wait and ordered engines at once.

Change: the time stays when the lease is written again. It is in the past for a holder whose wait is over.

--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -203,7 +203,7 @@
 	case actionRenew:
 		return l.write(ctx, current, eras.era, max(current.value.Term, minTerm), startedAt)
 	case actionReacquire:
-		l.clearPreviousHolder()
+		// previousUntil stays: the wait for the previous holder's orders may not be over.
 		return l.write(ctx, current, eras.era, max(current.value.Term, minTerm), startedAt)
 	case actionAcquire:
 		l.recordPreviousHolder(current, startedAt)
@@ -303,13 +303,6 @@
 	return nil
 }
 
-// clearPreviousHolder records that this candidate was itself the last holder.
-func (l *Lease) clearPreviousHolder() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.previousUntil = time.Time{}
-}
-
 // recordPreviousHolder sets the time until which the previous holder may have
 // acted. A holder that released the lease acted until now at the latest; a
 // lease that never existed had no holder.
