Let a restarted holder wait for the holder before it

Cause: a process that found its own lease resumed it without the time until which the previous holder may have acted. A host that acquired the lease, was killed while it waited for that holder's last orders, and restarted ordered engines at once.

Change: the lease says whether the previous holder is gone for twice the lease's duration (`settled`). A process that finds its own lease without it counts the previous holder as acting until now. Builds that don't know the field omit it, and the next process waits.

--- a/internal/lease/era_model_test.go
+++ b/internal/lease/era_model_test.go
@@ -21,8 +21,19 @@
 	objectstore.Store // nil: a lease calls only the methods below
 	store             *restorableStore
 	cutOff            bool
-	era               int64
-	known             bool
+	// delays makes updates get no response and take effect at the next call of deliver.
+	delays  bool
+	delayed []func()
+	era     int64
+	known   bool
+}
+
+// deliver carries out the delayed updates, whose condition may no longer hold.
+func (c *eraClient) deliver() {
+	for _, update := range c.delayed {
+		update()
+	}
+	c.delayed, c.delays = nil, false
 }
 
 var errCutOff = &objectstore.UnavailableError{Outcome: objectstore.OutcomeNotSent, Cause: errors.New("cut off")}
@@ -53,6 +64,13 @@
 	if c.cutOff {
 		return objectstore.Object{}, errCutOff
 	}
+	if c.delays && version.Era() == c.store.era {
+		store := c.store.memory
+		c.delayed = append(c.delayed, func() {
+			_, _ = store.Update(ctx, kind, name, objectstore.Version(version.Revision()), id, value)
+		})
+		return objectstore.Object{}, &objectstore.UnavailableError{Outcome: objectstore.OutcomeUnknown, Cause: errors.New("delayed")}
+	}
 	known := c.era
 	c.respond()
 	if version.Era() < known {
@@ -66,9 +84,10 @@
 }
 
 // TestLeaseHasOneHolderAcrossRestores drives candidates through random schedules of
-// steps, cuts, restarts, peers' reports and restores of the store from any earlier
-// copy. At most one candidate holds the lease at a time, and versions rise from
-// holder to holder.
+// steps, cuts, delayed writes, restarts, peers' reports and restores of the store from
+// any earlier copy, with clocks that differ by a constant, in which holders may cease to be eligible. At most one candidate holds the
+// lease at a time, versions rise from holder to holder, and a holder that waits for the
+// duration after PreviousUntil acts no earlier than the duration after another one did.
 func TestLeaseHasOneHolderAcrossRestores(t *testing.T) {
 	const (
 		candidates = 3
@@ -81,12 +100,18 @@
 		copies := []*memstore.Store{store.memory.Copy()}
 		clients := make([]*eraClient, candidates)
 		leases := make([]*lease.Lease, candidates)
+		ineligible := make([]bool, candidates)
+		clockOf := func(i int) time.Time { return now.Add(time.Duration(i-1) * time.Hour) }
 		start := func(i int, first bool) {
+			if clients[i] != nil {
+				clients[i].deliver()
+			}
 			clients[i] = &eraClient{store: store}
 			host := fmt.Sprint("host-", i)
 			leases[i] = lease.New(lease.Config{
 				Store: clients[i], Name: "placement", Host: host, Incarnation: host, Duration: duration,
-				Now: func() time.Time { return now }, Era: clients[i].Era, FirstStart: first,
+				Now: func() time.Time { return clockOf(i) }, Era: clients[i].Era, FirstStart: first,
+				Eligible: func() bool { return !ineligible[i] },
 			})
 		}
 		for i := range candidates {
@@ -94,10 +119,23 @@
 			clients[i].respond() // reached the store before it was first restored
 			leases[i].Status()
 		}
+		lastActed, lastActor := time.Time{}, -1
+		act := func() { // all holders that may act do so
+			for j := range candidates {
+				s := leases[j].Status()
+				if !s.Held || !s.PreviousUntil.IsZero() && clockOf(j).Before(s.PreviousUntil.Add(duration)) {
+					continue
+				}
+				if gap := now.Sub(lastActed); lastActor >= 0 && j != lastActor && gap < duration {
+					t.Fatalf("host-%d acted %v after host-%d", j, gap, lastActor)
+				}
+				lastActed, lastActor = now, j
+			}
+		}
 		highest, lastHolder := objectstore.Version(0), -1
 		for range rapid.IntRange(10, maxSteps).Draw(t, "steps") {
 			i := rapid.IntRange(0, candidates-1).Draw(t, "candidate")
-			switch rapid.SampledFrom([]string{"step", "step", "step", "step", "step", "cut", "heal", "restart", "report", "copy", "restore"}).Draw(t, "action") {
+			switch rapid.SampledFrom([]string{"step", "step", "step", "step", "step", "cut", "heal", "restart", "report", "copy", "restore", "eligible", "delay", "deliver"}).Draw(t, "action") {
 			case "step":
 				_ = leases[i].Step(ctx) // fails while the candidate is cut off
 			case "cut":
@@ -106,6 +144,12 @@
 				clients[i].cutOff = false
 			case "restart":
 				start(i, false)
+			case "delay":
+				clients[i].delays = true
+			case "deliver":
+				clients[i].deliver()
+			case "eligible":
+				ineligible[i] = !ineligible[i]
 			case "report":
 				to := rapid.IntRange(0, candidates-1).Draw(t, "to")
 				if s := leases[i].Status(); s.Held && to != i {
@@ -117,7 +161,9 @@
 				store.memory = rapid.SampledFrom(copies).Draw(t, "older").Copy()
 				store.era++
 			}
+			act()
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "millis")) * time.Millisecond)
+			act()
 			holder := -1
 			for j := range candidates {
 				s := leases[j].Status()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -24,6 +24,11 @@
 	Term int64 `json:"term"`
 	// Era is the era of the store in which the value was written.
 	Era int64 `json:"era,omitempty"`
+	// Settled is set by the holder twice the lease's duration after another
+	// holder may last have acted. Only then does a process that restarts with the
+	// lease have no previous holder to wait for. Writers that don't know the field
+	// omit it, which is safe.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // view is a candidate's copy of the stored lease. The zero value is that of a
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -117,6 +117,27 @@
 		Expect(a.Status()).To(Equal(lease.Status{Term: 2, Holder: "b", Incarnation: "1", Version: 7}))
 	})
 
+	// Guards against a host that is killed while it waits for the previous holder's last
+	// orders, and gives orders as soon as it has restarted.
+	It("is resumed by a restarted process, which waits unless the previous holder is long gone", func() {
+		step(a)
+		step(b)
+		now = now.Add(11 * time.Second)
+		step(b)
+		Expect(b.Status().PreviousUntil).To(Equal(now.Add(-time.Second)))
+		now = now.Add(time.Second)
+		b = candidate("b")
+		step(b)
+		Expect(b.Status().Held).To(BeTrue())
+		Expect(b.Status().PreviousUntil).To(Equal(now), "the time that the killed process knew is lost")
+		now = now.Add(20 * time.Second)
+		step(b)
+		b = candidate("b")
+		step(b)
+		Expect(b.Status().Held).To(BeTrue())
+		Expect(b.Status().PreviousUntil).To(BeZero())
+	})
+
 	It("resolves a write whose response was lost", func() {
 		store.toLose = 1
 		step(a)
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -68,8 +68,8 @@
 	// Incarnation identifies the lease holder's process as last read.
 	Incarnation string
 	// PreviousUntil is the time until which the previous holder may have acted
-	// as the holder. It is zero if not Held, or if no other holder preceded
-	// this candidate.
+	// as the holder. It is zero if not Held, if no other holder preceded this
+	// candidate, or if an earlier process of this candidate held a settled lease.
 	PreviousUntil time.Time
 }
 
@@ -88,8 +88,10 @@
 	// changed is the channel that Changed returns.
 	changed chan struct{}
 	// previousUntil is the time until which the previous holder may have
-	// acted.
+	// acted. It is valid once previousKnown is set, by this process's first
+	// attempt to write the lease.
 	previousUntil time.Time
+	previousKnown bool
 	// peerReportedAt is when a peer last reported the lease at the view's
 	// version or a later one.
 	peerReportedAt time.Time
@@ -201,6 +203,7 @@
 	l.mu.Unlock()
 	switch current.next(l.self, startedAt, l.cfg.Duration, eras) {
 	case actionRenew:
+		l.resumePreviousHolder(current, startedAt)
 		return l.write(ctx, current, eras.era, max(current.value.Term, minTerm), startedAt)
 	case actionReacquire:
 		// previousUntil stays: the wait for the previous holder's orders may not be over.
@@ -309,6 +312,7 @@
 func (l *Lease) recordPreviousHolder(current view, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.previousKnown = true
 	switch {
 	case !current.exists && current.value.Term == 0 && (l.eras.era == 0 || l.eras.unrestored):
 		l.previousUntil = time.Time{}
@@ -319,10 +323,33 @@
 	}
 }
 
+// resumePreviousHolder sets the time until which the previous holder may have acted,
+// if an earlier process of this candidate acquired the lease: until now, unless
+// the lease is settled.
+func (l *Lease) resumePreviousHolder(current view, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.previousKnown {
+		return
+	}
+	l.previousKnown = true
+	if !current.value.Settled {
+		l.previousUntil = now
+	}
+}
+
+// settled reports whether the previous holder's last acts are twice the duration
+// ago, which includes the margins of those who wait for the duration.
+func (l *Lease) settled(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.previousUntil.IsZero() || now.Sub(l.previousUntil) >= 2*l.cfg.Duration
+}
+
 // write writes the lease in place of current, as planned in an era of the store.
 func (l *Lease) write(ctx context.Context, current view, era, term int64, startedAt time.Time) error {
 	value := l.self
-	value.Term, value.Era = term, era
+	value.Term, value.Era, value.Settled = term, era, l.settled(startedAt)
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return errors.Wrap(err, "encode lease")
