Wait for a release of an earlier era as for a lease

Cause: a host that has not seen a restore of the store may release its lease of the earlier era on the condition of a revision that the store has assigned again, to the current holder's lease. The released lease was free at once, while that holder still acted. Found by the random model of the lease ("host-0 and host-2 hold the lease"); not seen in the fault soak.

Change: candidates take a released lease over immediately only if it was released in the current era, and else after it has not changed for the lease's duration.

Measured: the spec of the sequence fails without the change.

--- a/internal/lease/era_test.go
+++ b/internal/lease/era_test.go
@@ -176,6 +176,39 @@
 		Expect(restarted.Status().Held).To(BeFalse(), "b took it over in what is undone")
 	})
 
+	// Guards against two holders after a host that has not seen the restore releases the
+	// lease on the condition of a revision that the store has assigned again.
+	It("is not acquired at once when an earlier holder's release replaced the current lease", func() {
+		empty := store.memory.Copy()
+		eligible := true
+		unaware := &eraClient{store: store, era: 1, known: true}
+		a := lease.New(lease.Config{
+			Store: unaware, Name: "placement", Host: "a", Incarnation: "a", Duration: duration, FirstStart: true,
+			Now: func() time.Time { return now }, Era: unaware.Era, Eligible: func() bool { return eligible },
+		})
+		step(a)
+		restore(empty)
+		b, c := candidate("b"), candidate("c")
+		step(b)
+		step(c)
+		now = now.Add(duration)
+		step(b)
+		Expect(b.Status().Held).To(BeTrue())
+		Expect(b.Status().Version.Revision()).To(Equal(a.Status().Version.Revision()))
+		eligible = false
+		step(a)
+		step(c)
+		Expect(c.Status().Holder).To(BeEmpty())
+		Expect(b.Status().Held).To(BeTrue())
+		now = now.Add(duration - time.Second)
+		step(c)
+		Expect(c.Status().Held).To(BeFalse(), "b may still act")
+		now = now.Add(2 * time.Second)
+		step(c)
+		Expect(c.Status().Held).To(BeTrue())
+		Expect(b.Status().Held).To(BeFalse())
+	})
+
 	It("is acquired at once at the first start of the system, when the first response shows the era", func() {
 		started = false
 		a := lease.New(lease.Config{
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -59,7 +59,9 @@
 // next returns the action that the view calls for. A candidate takes a lease
 // over when its version has not changed for the duration, measured by the
 // candidate's own clock. A lease of an earlier era of the store may not be the last
-// one of that era; see eraState.
+// one of that era; see eraState. A release of an earlier era is waited for like a
+// lease: a host that had not seen the restore may have written it over the current
+// lease, if the store assigned the same revision again.
 func (v *view) next(self Value, now time.Time, duration time.Duration, eras eraState) action {
 	settled := v.exists && v.value.Era == eras.era || eras.settled(now, duration)
 	switch {
@@ -67,7 +69,7 @@
 		return actionReacquire
 	case v.heldBy(self) && settled && (v.value.Era == eras.era || eras.unrestored):
 		return actionRenew
-	case v.exists && v.value.Holder != "" && !v.heldBy(self):
+	case v.exists && !v.heldBy(self) && (v.value.Holder != "" || v.value.Era != eras.era):
 		settled = settled && now.Sub(v.unchangedSince) >= duration
 	}
 	if settled {
