Let a new holder's wait cover orders that are still on their way

Cause: a holder checks its lease before it sends an order, and the order may arrive as late as the end of its time limit of 500 ms. The wait of the next holder exceeded the lease's duration by 400 ms, so that orders of two holders could be 2.9 s apart.

Change: the wait exceeds the lease's duration by the time limit of an order and 100 ms. A handover takes 200 ms longer.

--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -25,8 +25,9 @@
 	// planInterval is the time between two planning cycles, before jitter.
 	planInterval = 400 * time.Millisecond
 	// takeoverMargin is the wait before a new holder's first order, on top of the
-	// lease time.
-	takeoverMargin = 400 * time.Millisecond
+	// lease time. The previous holder may have checked its lease just before it lost
+	// it, and its last order arrives within orderTimeout.
+	takeoverMargin = orderTimeout + 100*time.Millisecond
 	// announceTTL is how long the effect of an order is included in reports to
 	// peers. The engines' own entries show it within a heartbeat.
 	announceTTL = 3 * time.Second
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -41,10 +41,18 @@
 	mu       sync.Mutex
 	engines  map[string]*fakeEngine
 	received []Order
+	// slow makes orders arrive at the end of their time limit; lastArrival is when
+	// the last order arrived.
+	slow        bool
+	lastArrival time.Time
 }
 
-func (f *fakeEngines) Order(_ context.Context, e fleet.Endpoint, o Order) (Result, error) {
+func (f *fakeEngines) Order(ctx context.Context, e fleet.Endpoint, o Order) (Result, error) {
+	if f.slow {
+		<-ctx.Done()
+	}
 	f.mu.Lock()
+	f.lastArrival = clock.Boot()
 	defer f.mu.Unlock()
 	f.received = append(f.received, o)
 	engine := f.engines[e.ID]
@@ -218,6 +226,20 @@
 		Expect(place("a1")).To(Equal("e1"))
 	})
 
+	// Guards against orders of two holders less than the lease's duration apart, if the
+	// earlier holder loses the lease while its last order is on the way.
+	It("wait for the lease's duration after the last order of another holder has arrived", func() {
+		engines.slow = true
+		holder.afterCalls, holder.next = 3, lease.Status{} // lost as soon as the order may be sent
+		lost := clock.Boot()
+		Expect(place("a1")).To(Equal("e1"))
+		Expect(engines.received).To(HaveLen(1))
+		Expect(service.mayOrder()).To(BeFalse())
+		holder.status = lease.Status{Held: true, Term: 2, Version: 12, Until: clock.Boot().Add(time.Hour), PreviousUntil: lost}
+		service.mayOrder() // as the next holder would
+		Expect(service.actsFrom.Sub(engines.lastArrival)).To(BeNumerically(">=", service.config.LeaseTime))
+	})
+
 	// A restore of the store voids the lease at any moment, and its version with it.
 	It("never carry the token of a lease that was lost since the last check", func() {
 		for calls := range 8 {
