--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -24,6 +24,11 @@
 	Term int64 `json:"term"`
 	// Era is the era of the store in which the value was written.
 	Era int64 `json:"era,omitempty"`
+	// Settled is set by the holder twice the lease's duration after another
+	// holder may last have acted. Only then does a process that restarts with the
+	// lease have no previous holder to wait for. Writers that don't know the field
+	// omit it, which is safe.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // view is a candidate's copy of the stored lease. The zero value is that of a
@@ -54,7 +59,9 @@
 // next returns the action that the view calls for. A candidate takes a lease
 // over when its version has not changed for the duration, measured by the
 // candidate's own clock. A lease of an earlier era of the store may not be the last
-// one of that era; see eraState.
+// one of that era; see eraState. A release of an earlier era is waited for like a
+// lease: a host that had not seen the restore may have written it over the current
+// lease, if the store assigned the same revision again.
 func (v *view) next(self Value, now time.Time, duration time.Duration, eras eraState) action {
 	settled := v.exists && v.value.Era == eras.era || eras.settled(now, duration)
 	switch {
@@ -62,7 +69,7 @@
 		return actionReacquire
 	case v.heldBy(self) && settled && (v.value.Era == eras.era || eras.unrestored):
 		return actionRenew
-	case v.exists && v.value.Holder != "" && !v.heldBy(self):
+	case v.exists && !v.heldBy(self) && (v.value.Holder != "" || v.value.Era != eras.era):
 		settled = settled && now.Sub(v.unchangedSince) >= duration
 	}
 	if settled {
