Obey operators' evacuations of availability zones

Cause: operators take a zone out of service by an object of kind `evacuations`; hosts knew nothing of it and went on sending there.

The registry leaves the zone's endpoints out of every choice, of path checks and of what counts as holding a model; a request asks again when its connection stands, and so do both sides of a relay. Orders leave the zone's engines out. A host that has read neither the kind nor a peer's report has no configuration and isn't ready. Without the setting, nothing is read and no call is made.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -48,6 +48,9 @@
 	mu       sync.Mutex
 	endpoint Endpoint
 	err      error
+	// evacuateAfter is the number of calls of resolve after which the endpoint's zone is
+	// evacuated; zero means never.
+	evacuateAfter int
 }
 
 func (h *relayingHost) resolve(id string, _ int64) (Endpoint, error) {
@@ -56,6 +59,11 @@
 	if id != "e" {
 		return Endpoint{}, errors.New("no such endpoint")
 	}
+	if h.evacuateAfter > 0 {
+		if h.evacuateAfter--; h.evacuateAfter == 0 {
+			defer func() { h.err = ErrEvacuated }()
+		}
+	}
 	return h.endpoint, h.err
 }
 
@@ -211,6 +219,22 @@
 		Expect(unreached.Unknown).To(BeTrue())
 	})
 
+	// Guards against a request to an evacuated zone by way of a peer that knows of the
+	// evacuation before the host does, or learns of it while it connects.
+	It("is not made to an endpoint in an evacuated zone", func() {
+		other := newRelayingHost(endpoint.Addr().String())
+		client = clientOf(Peer{Name: "peer", Address: peer.address, Zone: "z1"}, Peer{Name: "other", Address: other.address, Zone: "z1"})
+		peer.err, other.err = ErrEvacuated, ErrEvacuated
+		_, err := client.Dial(context.Background(), to)
+		var unreached *UnreachedError
+		Expect(errors.As(err, &unreached)).To(BeTrue(), "%v", err)
+		Expect(unreached.Unknown).To(BeTrue())
+		peer.err, other.err = nil, nil
+		peer.evacuateAfter, other.evacuateAfter = 1, 1
+		_, err = client.Dial(context.Background(), to)
+		Expect(errors.As(err, &unreached)).To(BeTrue(), "%v", err)
+	})
+
 	// Guards against requests that reach an endpoint from a host which it asked for a
 	// backoff, though other hosts may send it some.
 	It("is made by another peer if the endpoint asked one for a backoff", func() {
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -39,6 +39,7 @@
 	reasonLimit     = "limit"
 	reasonUnknown   = "endpoint_unknown"
 	reasonBackoff   = "endpoint_backoff"
+	reasonEvacuated = "zone_emptied"
 	reasonUnreached = "service_unreached"
 	reasonDial      = "endpoint_not_reached"
 )
@@ -47,10 +48,13 @@
 // this host for a while.
 var ErrBackoff = errors.New("the endpoint asked this host for a backoff")
 
+// ErrEvacuated is returned by ServerConfig.Resolve for an endpoint in an evacuated zone.
+var ErrEvacuated = errors.New("the endpoint's availability zone is evacuated")
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	// Resolve returns an endpoint that may get requests of this host. The error is
-	// ErrBackoff, or another one if there is no such endpoint.
+	// ErrBackoff, ErrEvacuated, or another one if there is no such endpoint.
 	Resolve func(endpoint string, startedMillis int64) (Endpoint, error)
 	// Paths are this host's own paths to the endpoints of services.
 	Paths *reach.Monitor
@@ -108,6 +112,9 @@
 	case errors.Is(err, ErrBackoff):
 		s.refuse(w, r, http.StatusServiceUnavailable, reasonBackoff, err)
 		return
+	case errors.Is(err, ErrEvacuated):
+		s.refuse(w, r, http.StatusNotFound, reasonEvacuated, err)
+		return
 	case err != nil:
 		s.refuse(w, r, http.StatusNotFound, reasonUnknown, err)
 		return
@@ -123,6 +130,11 @@
 		s.refuse(w, r, http.StatusBadGateway, reasonDial, err)
 		return
 	}
+	if _, err := s.config.Resolve(id, started); errors.Is(err, ErrEvacuated) { // evacuated meanwhile
+		_ = far.Close()
+		s.refuse(w, r, http.StatusNotFound, reasonEvacuated, err)
+		return
+	}
 	s.relay(w, r, endpoint, far)
 }
 
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -83,25 +83,30 @@
 	validUntil time.Time
 }
 
-// newWatchCoordinator returns a coordinator that keeps the mirrors of
-// configuration and endpoints fresh. The mirror of hosts may be stale: hosts
-// discover each other through reports and need the store's entries only for
-// hosts that they can't reach.
-func newWatchCoordinator(h *host, configuration, endpoints, hosts *mirror.Mirror) *watchCoordinator {
+// freshMirror is a mirror that the coordinator keeps fresh.
+type freshMirror struct {
+	*mirror.Mirror
+	// tolerance is how long the host waits for a change that a peer has seen before it
+	// lists the kind again.
+	tolerance time.Duration
+}
+
+// newWatchCoordinator returns a coordinator that keeps the given mirrors fresh. The
+// mirror of hosts may be stale: hosts discover each other through reports and need the
+// store's entries only for hosts that they can't reach.
+func newWatchCoordinator(h *host, hosts *mirror.Mirror, fresh ...freshMirror) *watchCoordinator {
 	c := &watchCoordinator{
 		host: h, mirrors: make(map[objectstore.Kind]*mirror.Mirror), served: make(map[objectstore.Kind]*mirror.Mirror),
-		watchers: make(map[string]*watcherPeer),
-		lags: map[objectstore.Kind]*lag{
-			configuration.Kind(): {tolerance: configurationTolerance}, endpoints.Kind(): {tolerance: endpointTolerance},
-		},
+		watchers: make(map[string]*watcherPeer), lags: make(map[objectstore.Kind]*lag),
 		directUntil: make(map[objectstore.Kind]time.Time), notDirectUntil: make(map[objectstore.Kind]time.Time), watcher: true,
 	}
-	for _, m := range []*mirror.Mirror{configuration, endpoints} {
-		c.mirrors[m.Kind()] = m
-		m.OnHistoryLost(func() { c.refreshOthers(m) })
+	for _, m := range fresh {
+		c.mirrors[m.Kind()], c.served[m.Kind()] = m.Mirror, m.Mirror
+		c.lags[m.Kind()] = &lag{tolerance: m.tolerance}
+		m.OnHistoryLost(func() { c.refreshOthers(m.Mirror) })
 	}
-	for _, m := range []*mirror.Mirror{configuration, endpoints, hosts} {
-		c.served[m.Kind()] = m
+	c.served[hosts.Kind()] = hosts
+	for _, m := range c.served {
 		m.SetSourceSelector(func() mirror.Source { return c.source(m.Kind()) })
 	}
 	h.exchange.SetFollowHandler(c.follow)
--- a/internal/edge/detours.go
+++ b/internal/edge/detours.go
@@ -53,6 +53,8 @@
 	switch {
 	case !ok:
 		return detour.Endpoint{}, errUnknownEndpoint
+	case d.host.endpoints.Evacuated(e.Zone):
+		return detour.Endpoint{}, detour.ErrEvacuated
 	case inBackoff:
 		return detour.Endpoint{}, detour.ErrBackoff
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/detour"
+	"bilberryslip.example/bilberryslip/internal/evacuation"
 	"bilberryslip.example/bilberryslip/internal/exchange"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/forward"
@@ -73,6 +74,8 @@
 	Configuration(onChange ConfigHook) (forward.Source, *mirror.Mirror)
 	// Endpoints returns the mirror that updates the registry.
 	Endpoints(registry *fleet.Registry) *mirror.Mirror
+	// Evacuations returns the mirror that updates the tracker.
+	Evacuations(tracker *evacuation.Tracker) *mirror.Mirror
 	// Engines returns the client that sends orders to engines over the pool.
 	Engines(pool *upstream.Pool) orders.Engines
 	// Ping returns a function that calls an endpoint over a new connection of the pool and
@@ -94,8 +97,10 @@
 	path string
 	logs *logsink.Sink
 
-	source     forward.Source
-	endpoints  *fleet.Registry
+	source    forward.Source
+	endpoints *fleet.Registry
+	// evacuation is nil if the deployment evacuates no zones.
+	evacuation *evacuation.Tracker
 	quarantine *quarantine.Quarantine
 	quota      *quota.Service
 	exchange   *exchange.Service
@@ -135,11 +140,19 @@
 	s := h.settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	h.quarantine = quarantine.New(time.Now)
-	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, OnVanished: func(e fleet.Endpoint) {
+	var evacuated func(zone string) bool
+	if s.Bounds.Evacuation > 0 {
+		h.evacuation = evacuation.NewTracker()
+		evacuated = h.evacuation.Evacuated
+	}
+	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Evacuated: evacuated, OnVanished: func(e fleet.Endpoint) {
 		h.quarantine.RecordGone(quarantine.Incarnation{Endpoint: e.ID, StartedMillis: e.StartedMillis()})
 	}})
 	h.quota = quota.NewService(s.Host.Name, s.Bounds.QuotaWindow.Std(), s.FirstStart)
 	source, configMirror := h.adapter.Configuration(func(c *traffic.Config) { h.quota.Configure(c) })
+	if h.evacuation != nil {
+		source = knownZonesSource{Source: source, evacuation: h.evacuation}
+	}
 	h.source = source
 	h.exchange = exchange.New(exchange.Config{
 		Store: h.adapter.Store(), Host: s.Host.Name, Incarnation: incarnation, Zone: s.Host.Zone, Address: s.Listen.Peers,
@@ -169,10 +182,15 @@
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
-	h.exchange.AddParticipant(newWatchCoordinator(h, configMirror, endpointMirror, hostMirror))
-	branches := []supervise.Branch{
-		{Name: "store", Services: []suture.Service{configMirror, endpointMirror, hostMirror}},
+	fresh := []freshMirror{{configMirror, configurationTolerance}, {endpointMirror, endpointTolerance}}
+	store := []suture.Service{configMirror, endpointMirror, hostMirror}
+	if h.evacuation != nil {
+		h.exchange.AddParticipant(h.evacuation)
+		evacuationMirror := h.adapter.Evacuations(h.evacuation)
+		fresh, store = append(fresh, freshMirror{evacuationMirror, evacuationTolerance}), append(store, evacuationMirror)
 	}
+	h.exchange.AddParticipant(newWatchCoordinator(h, hostMirror, fresh...))
+	branches := []supervise.Branch{{Name: "store", Services: store}}
 	servers, err := h.listen()
 	if err != nil {
 		return err
@@ -189,6 +207,21 @@
 	return nil
 }
 
+// knownZonesSource provides no configuration until it is known which zones are evacuated,
+// so that a host that has just started sends nothing to an evacuated zone.
+type knownZonesSource struct {
+	forward.Source
+	evacuation *evacuation.Tracker
+}
+
+// Current implements forward.Source.
+func (s knownZonesSource) Current() *traffic.Config {
+	if !s.evacuation.Known() {
+		return nil
+	}
+	return s.Source.Current()
+}
+
 // placementLease is the lease whose holder sends all orders to engines. There is
 // one for the whole fleet, since a lease holder is a single host and engines
 // reject orders that alternate between hosts.
@@ -286,6 +319,9 @@
 	registry.MustRegister(h.orders.Collectors()...)
 	registry.MustRegister(h.paths.Collectors()...)
 	registry.MustRegister(h.detours.server.Collectors()...)
+	if h.evacuation != nil {
+		registry.MustRegister(h.evacuation.Collectors()...)
+	}
 	return registry
 }
 
--- a/internal/edge/lag.go
+++ b/internal/edge/lag.go
@@ -12,6 +12,9 @@
 	// same for endpoints, whose changes are batched on the way.
 	configurationTolerance = 250 * time.Millisecond
 	endpointTolerance      = 900 * time.Millisecond
+	// evacuationTolerance is the same for evacuations of zones. Reports carry those
+	// themselves, so that a host obeys one before its source shows it.
+	evacuationTolerance = 250 * time.Millisecond
 	// directAfter is the number of tolerance periods for which a host lists from
 	// its regular source before it lists directly from the store.
 	directAfter = 3
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -15,7 +15,7 @@
 	e.HideBanner = true
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(h.registry(), promhttp.HandlerOpts{})))
 	e.GET("/debug/state", func(c echo.Context) error {
-		return c.JSON(http.StatusOK, map[string]any{
+		state := map[string]any{
 			"endpoints": h.endpoints.DumpState(),
 			"peers":     h.exchange.DumpState(),
 			"crashes":   h.quarantine.DumpState(),
@@ -23,7 +23,11 @@
 			"lease":     h.lease.DumpState(),
 			"orders":    h.orders.DumpState(),
 			"paths":     h.paths.DumpState(),
-		})
+		}
+		if h.evacuation != nil {
+			state["evacuation"] = h.evacuation.DumpState()
+		}
+		return c.JSON(http.StatusOK, state)
 	})
 	// The profiles of net/http/pprof; see OPERATIONS.md.
 	e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
--- a/internal/fleet/backoff.go
+++ b/internal/fleet/backoff.go
@@ -41,7 +41,7 @@
 	now := r.config.Clock()
 	shortest := time.Duration(0)
 	for _, m := range r.members {
-		if m.Service != work.Service || !r.usable(m, now) || !m.holds(now, work.Model, work.Adapter) {
+		if m.Service != work.Service || !r.usable(m, now) || r.config.Evacuated(m.Zone) || !m.holds(now, work.Model, work.Adapter) {
 			continue
 		}
 		wait := max(m.backoffUntil.Sub(now), m.limitWait(now))
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -47,6 +47,9 @@
 	// this host for a backoff, or that its part of their limits is used. See
 	// Registry.RemainingBackoff.
 	ReasonBackoff Reason = "backoff"
+	// ReasonZoneEvacuated means that all endpoints of the required software that accept
+	// requests are in evacuated zones.
+	ReasonZoneEvacuated Reason = "zone_emptied"
 )
 
 // The weights of the cost function. The unit is prompt tokens: a delay costs as
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -39,6 +39,9 @@
 	Ejector endpoint.EjectorConfig
 	// Clock returns the current time. Nil means time.Now.
 	Clock func() time.Time
+	// Evacuated reports whether an availability zone is evacuated: its endpoints get no
+	// requests. It must not call the Registry. Nil means that no zone ever is.
+	Evacuated func(zone string) bool
 	// OnVanished is called with each endpoint whose entry is removed or replaced by
 	// that of another incarnation although it had not announced its shutdown. It must
 	// not call the Registry. Nil does nothing.
@@ -124,6 +127,9 @@
 	if cfg.OnVanished == nil {
 		cfg.OnVanished = func(Endpoint) {}
 	}
+	if cfg.Evacuated == nil {
+		cfg.Evacuated = func(string) bool { return false }
+	}
 	if cfg.Ejector == (endpoint.EjectorConfig{}) {
 		cfg.Ejector = endpoint.DefaultEjectorConfig()
 	}
@@ -304,13 +310,16 @@
 	defer r.mu.Unlock()
 	now := r.config.Clock()
 	for _, m := range r.members {
-		if m.Service == service && r.usable(m, now) && m.holds(now, model, "") {
+		if m.Service == service && r.usable(m, now) && !r.config.Evacuated(m.Zone) && m.holds(now, model, "") {
 			return true
 		}
 	}
 	return false
 }
 
+// Evacuated reports whether a zone is evacuated, so that its endpoints get nothing.
+func (r *Registry) Evacuated(zone string) bool { return r.config.Evacuated(zone) }
+
 // Start chooses an endpoint for the work and counts the work as running there.
 // The caller must call Finish on the returned attempt. If no endpoint is
 // suitable, it returns nil and the reason.
@@ -340,7 +349,7 @@
 	ejected := r.ejector.Ejected(now)
 	var holding, healthy, untried []candidate
 	reason := ReasonNoEndpoint
-	backoff, otherSoftware := false, false
+	backoff, otherSoftware, evacuated := false, false, false
 	for _, m := range r.members {
 		if m.Service != work.Service || !r.usable(m, now) {
 			continue
@@ -349,6 +358,10 @@
 			otherSoftware = true
 			continue
 		}
+		if r.config.Evacuated(m.Zone) {
+			evacuated = true
+			continue
+		}
 		if !m.holds(now, work.Model, work.Adapter) {
 			reason = notHeldReason(reason, m.holds(now, work.Model, ""))
 			continue
@@ -375,6 +388,8 @@
 	switch {
 	case backoff:
 		reason = ReasonBackoff
+	case evacuated && reason == ReasonNoEndpoint:
+		reason = ReasonZoneEvacuated
 	case otherSoftware && reason == ReasonNoEndpoint:
 		reason = ReasonOtherSoftware
 	}
--- a/internal/fleet/targets.go
+++ b/internal/fleet/targets.go
@@ -10,7 +10,7 @@
 	now := r.config.Clock()
 	var targets []reach.Target
 	for _, m := range r.members {
-		if m.Service == service && r.usable(m, now) && !now.Before(m.backoffUntil) {
+		if m.Service == service && r.usable(m, now) && !r.config.Evacuated(m.Zone) && !now.Before(m.backoffUntil) {
 			targets = append(targets, reach.Target{ID: m.ID, Address: m.Address, Zone: m.Zone})
 		}
 	}
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -25,6 +25,7 @@
 	ReasonRequestHeld     Reason = "request_held"
 	ReasonVersionGone     Reason = "version_gone"
 	ReasonStreamUnknown   Reason = "stream_unknown"
+	ReasonZoneEmptied     Reason = "zone_emptied"
 	ReasonEndpointFailed  Reason = "endpoint_failed"
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "caller_gone"
@@ -32,7 +33,7 @@
 
 // remedies holds the advice that is appended to the message of a Failure.
 var remedies = map[Reason]string{
-	ReasonNoConfiguration: "retry; this host has not read a configuration yet",
+	ReasonNoConfiguration: "retry; this host has not read yet a configuration, or which availability zones are evacuated",
 	ReasonNoRoute:         "check host name and path against the configured routes",
 	ReasonKeyUnknown:      "present a key that is granted in the configuration",
 	ReasonBadRequest:      "correct the request's headers",
@@ -44,6 +45,7 @@
 	ReasonRequestHeld:     "do not send the request again; endpoints crashed each time that it ran",
 	ReasonVersionGone:     "start the stream from its beginning; no endpoint runs the software version that began it",
 	ReasonStreamUnknown:   "retry, or start the stream from its beginning; no host knows the software version that began it",
+	ReasonZoneEmptied:     "retry after the time given; end an evacuation, or start endpoints in another availability zone",
 	ReasonEndpointFailed:  "check the endpoint's log for the request's identifier",
 	ReasonTimeout:         "check the endpoint's load; the request may have run",
 	ReasonCallerGone:      "none; the caller closed its connection",
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -34,6 +34,9 @@
 	// restartRetryAfter is when to retry if no endpoint of the required software is left:
 	// about the time in which an endpoint restarts.
 	restartRetryAfter = 1500 * time.Millisecond
+	// evacuationRetryAfter is when to retry if all endpoints are in evacuated zones. Zones
+	// stay evacuated for much longer; endpoints may start in another zone.
+	evacuationRetryAfter = 2 * time.Second
 	// maxDials limits the number of endpoints tried that could not be reached.
 	maxDials = 4
 )
@@ -128,6 +131,9 @@
 		if outcome == repeat.Final {
 			return nil
 		}
+		if errors.Is(err, errZoneEvacuated) {
+			continue // nothing was sent, and the zone is left out from now on
+		}
 		if !x.inVain(err) && x.shouldRetry(outcome) {
 			continue
 		}
@@ -193,6 +199,8 @@
 		return nil, refusal
 	case reason == fleet.ReasonBackoff:
 		return nil, newRefusal(ReasonOverloaded, cmp.Or(x.forwarder.config.Endpoints.RemainingBackoff(x.work()), capacityRetryAfter))
+	case reason == fleet.ReasonZoneEvacuated:
+		return nil, newRefusal(ReasonZoneEmptied, evacuationRetryAfter)
 	case reason == fleet.ReasonOtherSoftware:
 		return nil, newRefusal(ReasonVersionGone, restartRetryAfter)
 	case reason == fleet.ReasonModelNotHeld || reason == fleet.ReasonAdapterNotHeld:
@@ -202,6 +210,17 @@
 	}
 }
 
+// errZoneEvacuated means that an endpoint's zone was evacuated after the endpoint was chosen.
+var errZoneEvacuated = errors.New("the endpoint's availability zone is evacuated")
+
+// checkZone returns errZoneEvacuated if the endpoint of an attempt must get nothing any more.
+func (x *inflightCall) checkZone(attempt *fleet.Attempt) error {
+	if x.forwarder.config.Endpoints.Evacuated(attempt.Endpoint.Zone) {
+		return errZoneEvacuated
+	}
+	return nil
+}
+
 // awaitHeld waits until an endpoint may hold the model or adapter that none
 // holds. It returns false if that takes too long.
 func (x *inflightCall) awaitHeld(missing fleet.Reason) bool {
@@ -226,6 +245,7 @@
 		EncodeHeader: func() http.Header { return codec.Encode(x.call, x.attemptParams(attempt)) },
 		Body:         x.call.Body, Dedicated: !x.route.MayRepeat(),
 	}
+	message.Check = func() error { return x.checkZone(attempt) }
 	x.chooseWay(attempt, &message)
 	belongs := func(header http.Header) bool { return codec.Belongs(x.call, header) }
 	sentAt := x.forwarder.config.Clock()
@@ -281,6 +301,11 @@
 		attempt.Finish(endpoint.OutcomeCancelled)
 		return repeat.CallerGone, err
 	}
+	if errors.Is(err, errZoneEvacuated) {
+		attempt.Finish(endpoint.OutcomeCancelled)
+		x.logAttempt(attempt, "zone evacuated before the request was sent", err)
+		return repeat.NotReached, err
+	}
 	attempt.Finish(chargeTo(err))
 	x.forwarder.config.Upstream.CloseIdle(attempt.Endpoint.Address)
 	x.logAttempt(attempt, "endpoint failed", err)
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -32,6 +32,9 @@
 // errNoRoom reports that the engine lacks memory or an adapter slot for a load.
 var errNoRoom = errors.New("the engine has no memory or slot left for the load; the next planning cycle decides again")
 
+// errEvacuated reports that an engine is in an evacuated zone.
+var errEvacuated = errors.New("the engine's availability zone is evacuated; planning leaves it out until the evacuation ends")
+
 // order sends an order to an engine and updates the view with the outcome. The
 // caller holds the engine's lock. The function fits, which is set for loads
 // only, reports whether the load fits; it is called under the mutex before each
@@ -56,6 +59,9 @@
 		if s.config.Registry.InBackoff(v.id) {
 			return errNotAccepted
 		}
+		if s.evacuated(v) {
+			return errEvacuated
+		}
 		status := s.config.Lease.Status()
 		if !status.Held { // lost since mayOrder, and its version with it
 			return errNotHolder
@@ -79,6 +85,11 @@
 	return errNotAccepted
 }
 
+// evacuated reports whether an engine must get no orders and no calls for its report.
+func (s *Service) evacuated(v *view) bool {
+	return s.underLock(func() bool { return s.config.Registry.Evacuated(v.endpoint.Zone) })
+}
+
 // sendOrder sends an order on the condition that the engine has accepted as many
 // orders as the view shows, which it sets in o.
 func (s *Service) sendOrder(ctx context.Context, v *view, o *Order) (Result, error) {
@@ -217,6 +228,9 @@
 	if s.config.Registry.InBackoff(v.id) {
 		return false, errors.Newf("engine %s is in backoff; the planning cycles skip it until it ends", v.id)
 	}
+	if s.config.Registry.Evacuated(endpoint.Zone) {
+		return false, errEvacuated
+	}
 	state, err := s.config.Engines.Report(ctx, endpoint)
 	s.recordBackoff(endpoint, err)
 	if err != nil {
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -263,7 +263,8 @@
 }
 
 // currentViews returns the views of a service's engines, updated with the
-// engines' current entries. It must be called with the mutex held.
+// engines' current entries. Engines in evacuated zones are left out; their reports are
+// read again when the evacuation has ended. It must be called with the mutex held.
 func (s *Service) currentViews(service string) []*view {
 	var views []*view
 	for _, e := range s.config.Registry.Endpoints() {
@@ -276,6 +277,10 @@
 			s.views[e.ID] = v
 		}
 		v.update(e)
+		if s.config.Registry.Evacuated(e.Zone) {
+			v.stale = true
+			continue
+		}
 		views = append(views, v)
 	}
 	return views
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -262,6 +262,30 @@
 		Expect(engines.received).To(HaveLen(1))
 	})
 
+	// Guards against loads on engines of a zone that the operators have evacuated, and
+	// against counting these as replicas, so that no other engine takes over their models.
+	It("leave out engines of an evacuated zone, whose models others take over, until it ends", func() {
+		engines.engines["e2"] = &fakeEngine{models: map[string]fleet.Adapters{}, adapterSlots: 2, modelSlots: 2}
+		zone := "z"
+		registry = fleet.NewRegistry(fleet.Config{Zone: "z", Evacuated: func(name string) bool { return name == zone }})
+		registry.Replace([]fleet.Endpoint{
+			{ID: "e1", Service: "llm", Address: "127.0.0.1:1", Zone: "z", Models: map[string]fleet.Adapters{"m": {}}},
+			{ID: "e2", Service: "llm", Address: "127.0.0.1:2", Zone: "y", Models: map[string]fleet.Adapters{}},
+		})
+		service.config.Registry = registry
+		Expect(place("a1")).To(BeEmpty(), "only the engine of the evacuated zone holds the model")
+		service.RecordDemand("llm", "m", "", 1000)
+		service.plan(context.Background())
+		Eventually(service.changesInProgress, "3s").Should(BeZero())
+		engines.inspect("e2", func(e *fakeEngine) { Expect(e.models).To(HaveKey("m")) })
+		engines.inspect("e1", func(e *fakeEngine) { Expect(e.orders).To(BeEquivalentTo(3)) })
+		v := newView(registry.Endpoints()[0])
+		Expect(service.order(context.Background(), v, Order{Action: Load, Model: "n"}, nil)).To(MatchError(errEvacuated))
+		zone = ""
+		Expect(service.planInput(service.config.Source.Current().Service("llm")).engines).To(HaveLen(2))
+		Expect(service.views["e1"].stale).To(BeTrue(), "its report is to be read again")
+	})
+
 	It("keep a peer's demand when a report omits demand", func() {
 		item := itemKey{service: "llm", model: "m"}
 		service.HandleReport(&fleetv1.Report{Host: "h2", Demand: []*fleetv1.Demand{{Service: "llm", Model: "m", TokensPerSecond: 300}}}, false)
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -58,6 +58,10 @@
 	// allows.
 	LoadWindow  Duration `json:"load_window"`
 	LoadOverage float64  `json:"load_overage"`
+	// Evacuation is the time within which operators may require that requests to an
+	// evacuated availability zone end. Zero means that no zone is ever evacuated, and
+	// that nothing is read for it.
+	Evacuation Duration `json:"evacuation"`
 }
 
 // LoadEdge reads and validates a settings file. Any error is an *InvalidError.
@@ -115,6 +119,9 @@
 			c.fault(d.path, "not positive", `write a duration such as "3s"`)
 		}
 	}
+	if b.Evacuation < 0 {
+		c.fault("bounds.evacuation", "negative", `write a duration such as "5s", or leave it out if zones are never evacuated`)
+	}
 	if b.RetryRatio < 0 || b.RetryReserve < 0 || b.LoadOverage <= 0 {
 		c.fault("bounds", "a ratio is negative or zero", "write the deployment's figures")
 	}
--- a/internal/settings/edge_test.go
+++ b/internal/settings/edge_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +26,37 @@
 	}
 }
 
+// Guards against a template that is valid JSON only in deployments with the feature, or
+// only in those without it.
+func TestTheTemplateEnablesEvacuationsOnlyWhereTheDeploymentHasThem(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/settings.json.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	section := regexp.MustCompile(`\{\{#bounds.evacuationMs\}\}(.*?)\{\{/bounds.evacuationMs\}\}`)
+	for name, c := range map[string]struct {
+		section string
+		want    time.Duration
+	}{"with": {"$1", 5 * time.Second}, "without": {"", 0}} {
+		text := section.ReplaceAllString(string(raw), c.section)
+		for field, value := range map[string]string{
+			"nodeName|json": `"edge-1"`, "zone|json": `"z1"`, "region|json": `"r"`, "bootstrap|json": "true", "limits.memoryMb|json": "284",
+			"listen.frontend|json": `"10.0.0.1:80"`, "listen.readiness|json": `"10.0.0.1:81"`, "platform.address|json": `"10.0.0.9:90"`,
+			"ip": "10.0.0.1", "internalPorts.0": "82", "bounds.evacuationMs": "5000",
+		} {
+			text = strings.ReplaceAll(text, "{{"+field+"}}", value)
+		}
+		text = regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllString(text, "4")
+		s, err := ParseEdge([]byte(text))
+		if err != nil {
+			t.Errorf("%s: %v\n%s", name, err, text)
+		}
+		if s.Bounds.Evacuation.Std() != c.want {
+			t.Errorf("%s: evacuation %v, want %v", name, s.Bounds.Evacuation.Std(), c.want)
+		}
+	}
+}
+
 func TestParseEdgeReportsEachFaultWithRemedy(t *testing.T) {
 	for name, c := range map[string]struct{ from, to, want string }{
 		"no JSON":            {"{\n", "not JSON {\n", "not a JSON object"},
@@ -33,6 +66,7 @@
 		"unknown field":      {`"store"`, `"stor"`, "stor: unknown field"},
 		"duration of zero":   {`"6s"`, `"0s"`, "bounds.quota_window"},
 		"no duration":        {`"4s"`, "4", "bounds.grace"},
+		"negative duration":  {`"4s"`, `"4s", "evacuation": "-1s"`, "bounds.evacuation"},
 		"two faults at once": {`"edge-1", "zone": "z1"`, `"Edge 1", "zone": "Z 1"`, "host.zone"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -48,6 +48,9 @@
 	// EncodeHeader, unless nil, returns the header in place of Header once the connection
 	// stands, for fields that depend on the time.
 	EncodeHeader func() http.Header
+	// Check, unless nil, is called once the connection stands, before anything is sent. If
+	// it returns an error, nothing is sent and the connection is closed.
+	Check func() error
 	// Dial, unless nil, opens the connection, which is then used for this request alone.
 	Dial func(ctx context.Context) (net.Conn, error)
 }
@@ -166,6 +169,12 @@
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
+	if m.Check != nil {
+		if err := m.Check(); err != nil {
+			_ = c.Close()
+			return nil, &NotSentError{Address: address, Cause: err}
+		}
+	}
 	if m.EncodeHeader != nil {
 		m.Header = m.EncodeHeader()
 	}
