Show operators which endpoints are slow

Cause: nothing told an operator that an endpoint serves slower than the others of its service.

Measured: tests of ./internal/edge and ./internal/fleet pass; the metric was not read from a running host.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -282,6 +282,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
 	registry.MustRegister(h.adapter.Collectors()...)
 	registry.MustRegister(h.forwarder.Collectors()...)
+	registry.MustRegister(h.endpoints.Collectors()...)
 	registry.MustRegister(h.quarantine.Collectors()...)
 	registry.MustRegister(h.orders.Collectors()...)
 	registry.MustRegister(h.paths.Collectors()...)
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -16,6 +16,9 @@
 	// if it names none. LimitDemand is this host's demand for it.
 	LimitPerSecond float64 `json:"limitPerSecond"`
 	LimitDemand    float64 `json:"limitDemand"`
+	// Speed is the baseline speed relative to the median of the service's endpoints; 1 if it
+	// is unknown or differs too little to tell it from noise.
+	Speed float64 `json:"speed"`
 }
 
 // DumpState returns the state of all endpoints, for the state dump.
@@ -28,6 +31,7 @@
 		state := endpointState{
 			Endpoint: m.Endpoint, Removed: !m.removedAt.IsZero(), Running: m.running, UnreadTokens: m.unreadTokens,
 			Load: m.load, LoadAgeMS: now.Sub(m.loadAt).Milliseconds(), Penalty: r.ejector.Penalty(now, m.ID), PeerFailures: r.peerTotals[m.ID].failures(),
+			Speed: 1 / r.speeds.estimator.Slowness(m.ID),
 		}
 		if limit := m.limit.inForce; limit != nil {
 			state.LimitPerSecond, state.LimitDemand = limit.PerSecond(), limit.Demand(now)
