Tolerate a known failure only for its listed symptom

Change: an entry may list symptoms, texts of the failure's messages. testreport reads the messages from Ginkgo's section of a failed spec, or from the output of a plain test, and tolerates the failure only if each message has a listed symptom. Further failures that Ginkgo doesn't print count as a message without a symptom. An entry without a symptom tolerates any failure, as before, and is printed so.

--- a/tools/testreport/main.go
+++ b/tools/testreport/main.go
@@ -1,16 +1,18 @@
 // Command testreport reads the output of "go test -json" from standard input,
 // prints the output of failed packages, counts tests and Ginkgo specs, and
-// tolerates only the failures listed in KNOWN-RED.txt. Its exit code is 1 if
-// anything else failed.
+// tolerates only the failures listed in KNOWN-RED.txt, with the symptoms listed
+// there. Its exit code is 1 if anything else failed.
 package main
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"regexp"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -38,11 +40,35 @@
 	failed   bool
 	// suites are the names of the test functions that run Ginkgo specs.
 	suites map[string]bool
+	// messages are the failure messages of each failed spec, and the output of each
+	// test function.
+	messages map[string][]string
+	section  specSection
+}
+
+// specSection is the state of reading Ginkgo's section of a failed spec.
+type specSection struct {
+	// open is set within the section, spec once its name was read.
+	open bool
+	spec string
+	// inTimeline is set within the spec's own output, inMessage within a message.
+	inTimeline, inMessage bool
+}
+
+// knownFailure is a test listed in KNOWN-RED.txt.
+type knownFailure struct {
+	test string
+	// symptoms are parts of the failure messages that are tolerated, with single
+	// spaces. Without any, all are.
+	symptoms []string
 }
 
 var (
-	specCounts  = regexp.MustCompile(`(\d+) Passed \| (\d+) Failed`)
-	specFailure = regexp.MustCompile(`^\s*\[(?:FAIL|PANICKED!|TIMEDOUT|INTERRUPTED)\] (.*\S)\s*$`)
+	sectionStart = regexp.MustCompile(`^\s*\S+ \[(?:FAILED|PANICKED|TIMEDOUT|INTERRUPTED|ABORTED)\] \[[\d.]+ seconds\]$`)
+	messageStart = regexp.MustCompile(`^  \[(?:FAILED|PANICKED|TIMEDOUT|INTERRUPTED|ABORTED)\] (.*)$`)
+	messageEnd   = regexp.MustCompile(`^  (?:Full Stack Trace|This is the Progress Report)`)
+	specCounts   = regexp.MustCompile(`(\d+) Passed \| (\d+) Failed`)
+	specFailure  = regexp.MustCompile(`^\s*\[(?:FAIL|PANICKED!|TIMEDOUT|INTERRUPTED)\] (.*\S)\s*$`)
 )
 
 func main() {
@@ -51,22 +77,37 @@
 	os.Exit(report(results, known))
 }
 
-// readKnownRed returns the test names of the entries: the rest of each line that
-// begins with "test: ". It returns none if the file can't be read.
-func readKnownRed(path string) []string {
+// hiddenFailures is what Ginkgo prints in place of the further failures of a spec.
+const hiddenFailures = "  There were additional failures detected."
+
+// readKnownRed returns the listed tests. An entry is a paragraph: each of its lines
+// "test: NAME" lists a test, each line "symptom: TEXT" a symptom of all of them. It
+// returns none if the file can't be read.
+func readKnownRed(path string) []knownFailure {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil
 	}
-	var names []string
-	for _, line := range strings.Split(string(data), "\n") {
-		if name, ok := strings.CutPrefix(line, "test: "); ok {
-			names = append(names, strings.TrimSpace(name))
+	var known []knownFailure
+	for _, entry := range strings.Split(string(data), "\n\n") {
+		var tests, symptoms []string
+		for _, line := range strings.Split(entry, "\n") {
+			if name, ok := strings.CutPrefix(line, "test: "); ok {
+				tests = append(tests, strings.TrimSpace(name))
+			}
+			if symptom, ok := strings.CutPrefix(line, "symptom: "); ok {
+				symptoms = append(symptoms, singleSpaced(symptom))
+			}
+		}
+		for _, test := range tests {
+			known = append(known, knownFailure{test, symptoms})
 		}
 	}
-	return names
+	return known
 }
 
+func singleSpaced(text string) string { return strings.Join(strings.Fields(text), " ") }
+
 // readEvents reads events until EOF and returns the results by package. Lines
 // that are not JSON are printed.
 func readEvents(f io.Reader) map[string]*packageResult {
@@ -81,7 +122,7 @@
 		}
 		result, ok := results[ev.Package]
 		if !ok {
-			result = &packageResult{suites: make(map[string]bool)}
+			result = &packageResult{suites: make(map[string]bool), messages: make(map[string][]string)}
 			results[ev.Package] = result
 		}
 		result.add(ev)
@@ -94,6 +135,11 @@
 	case "output", "build-output":
 		r.output.WriteString(ev.Output)
 		r.addSpecs(ev.Test, ev.Output)
+		r.addMessage(strings.TrimRight(ev.Output, "\n"))
+		if len(r.messages[ev.Test]) == 0 {
+			r.messages[ev.Test] = []string{""}
+		}
+		r.messages[ev.Test][0] += ev.Output
 	case "pass":
 		if ev.Test != "" {
 			r.passed++
@@ -106,8 +152,12 @@
 	}
 }
 
-// addSpecs records the spec counts and failed specs in a line of Ginkgo's output.
+// addSpecs records the spec counts and failed specs in a line of Ginkgo's output,
+// unless it is in the section of a failed spec.
 func (r *packageResult) addSpecs(test, line string) {
+	if r.section.open {
+		return
+	}
 	if m := specCounts.FindStringSubmatch(line); m != nil {
 		n, _ := strconv.Atoi(m[1])
 		r.passed += n
@@ -118,8 +168,37 @@
 	}
 }
 
+// addMessage records the failure messages in the lines of Ginkgo's section of a
+// failed spec. Further failures that Ginkgo does not print count as a message of
+// their own.
+func (r *packageResult) addMessage(line string) {
+	c := &r.section
+	spec := c.spec
+	switch {
+	case sectionStart.MatchString(line):
+		*c = specSection{open: true}
+	case strings.HasPrefix(line, "-----"), strings.HasPrefix(line, "Summarizing "):
+		*c = specSection{}
+	case !c.open:
+	case spec == "":
+		c.spec = strings.TrimSpace(line)
+	case line == "  Timeline >>" || line == "  << Timeline":
+		c.inTimeline = line == "  Timeline >>"
+	case c.inTimeline:
+	case messageEnd.MatchString(line):
+		c.inMessage = false
+	case messageStart.MatchString(line):
+		c.inMessage = true
+		r.messages[spec] = append(r.messages[spec], messageStart.FindStringSubmatch(line)[1])
+	case strings.HasPrefix(line, hiddenFailures):
+		r.messages[spec] = append(r.messages[spec], line)
+	case c.inMessage:
+		r.messages[spec][len(r.messages[spec])-1] += "\n" + line
+	}
+}
+
 // report prints the failures and the totals and returns the exit code.
-func report(results map[string]*packageResult, known []string) int {
+func report(results map[string]*packageResult, known []knownFailure) int {
 	var names []string
 	for name := range results {
 		names = append(names, name)
@@ -140,8 +219,8 @@
 		failed += max(1, len(unknown))
 		fmt.Printf("FAILED %s\n%s\n", name, result.output.String())
 	}
-	for _, name := range known {
-		fmt.Printf("KNOWN-RED.txt lists: %s\n", name)
+	for _, k := range known {
+		fmt.Printf("KNOWN-RED.txt lists: %s (symptoms: %s)\n", k.test, cmp.Or(strings.Join(k.symptoms, "; "), "any"))
 	}
 	fmt.Printf("%d passed, %d failed\n", passed, failed)
 	if failed > 0 {
@@ -150,10 +229,10 @@
 	return 0
 }
 
-// unlisted returns the failures that no entry lists. The test function of a
+// unlisted returns the failures that no entry lists with their symptom. The test function of a
 // Ginkgo suite fails whenever one of its specs does, so it is not returned if a
 // spec failed.
-func unlisted(result *packageResult, known []string) []string {
+func unlisted(result *packageResult, known []knownFailure) []string {
 	seen := make(map[string]bool)
 	var unknown []string
 	for _, failure := range result.failures {
@@ -161,7 +240,7 @@
 			continue
 		}
 		seen[failure] = true
-		if !matches(failure, known) {
+		if !tolerated(failure, result.messages[failure], known) {
 			unknown = append(unknown, failure)
 		}
 	}
@@ -179,12 +258,25 @@
 	return false
 }
 
-// matches reports whether the name of an entry is part of the failure's name.
-func matches(failure string, known []string) bool {
-	for _, name := range known {
-		if strings.Contains(failure, name) {
+// tolerated reports whether the name of an entry is part of the failure's name, and
+// each of the failure's messages has a symptom of such an entry. A failure without a
+// message is tolerated only by an entry without symptoms.
+func tolerated(failure string, messages []string, known []knownFailure) bool {
+	var symptoms []string
+	for _, k := range known {
+		if !strings.Contains(failure, k.test) {
+			continue
+		}
+		if len(k.symptoms) == 0 {
 			return true
 		}
+		symptoms = append(symptoms, k.symptoms...)
 	}
-	return false
+	for _, message := range messages {
+		shown := singleSpaced(message)
+		if !slices.ContainsFunc(symptoms, func(symptom string) bool { return strings.Contains(shown, symptom) }) {
+			return false
+		}
+	}
+	return len(symptoms) > 0 && len(messages) > 0
 }
