Divide the rate of cold endpoints among the hosts

Cause: endpoints of services with coldPerS take few requests a second while they are cold, from all hosts together, and crash far above that. Hosts chose them like any other.

Change: the registry decides which endpoints are cold by their entries, responses and the reports of peers; one whose entry has just appeared counts as cold. The rate is divided by endpointlimit.NewStrict: parts of hosts that don't know of each other, or whose reports are late, add up to the rate. A cold endpoint without a request left is passed over for the next best one. Services without coldPerS are treated as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -135,7 +135,7 @@
 	s := h.settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	h.quarantine = quarantine.New(time.Now)
-	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, OnVanished: func(e fleet.Endpoint) {
+	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, ColdStart: h.coldStart, OnVanished: func(e fleet.Endpoint) {
 		h.quarantine.RecordGone(quarantine.Incarnation{Endpoint: e.ID, StartedMillis: e.StartedMillis()})
 	}})
 	h.quota = quota.NewService(s.Host.Name, s.Bounds.QuotaWindow.Std(), s.FirstStart)
@@ -189,6 +189,20 @@
 	return nil
 }
 
+// coldStart returns the cold start of a service's endpoints, by the configuration in
+// force.
+func (h *host) coldStart(service string) fleet.ColdStart {
+	current := h.source.Current()
+	if current == nil {
+		return fleet.ColdStart{}
+	}
+	s := current.Service(service)
+	if s == nil {
+		return fleet.ColdStart{}
+	}
+	return fleet.ColdStart{Duration: s.ColdStart, PerSecond: s.ColdPerSecond}
+}
+
 // placementLease is the lease whose holder sends all orders to engines. There is
 // one for the whole fleet, since a lease holder is a single host and engines
 // reject orders that alternate between hosts.
@@ -282,6 +296,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
 	registry.MustRegister(h.adapter.Collectors()...)
 	registry.MustRegister(h.forwarder.Collectors()...)
+	registry.MustRegister(h.endpoints.Collectors()...)
 	registry.MustRegister(h.quarantine.Collectors()...)
 	registry.MustRegister(h.orders.Collectors()...)
 	registry.MustRegister(h.paths.Collectors()...)
--- a/internal/endpointlimit/endpointlimit.go
+++ b/internal/endpointlimit/endpointlimit.go
@@ -30,6 +30,17 @@
 	demandWindow = 4 * time.Second
 	// partTTL is how long a computed part is used.
 	partTTL = 100 * time.Millisecond
+	// strictOverage and strictReserve are what a strict limit may be exceeded by in a
+	// second, as a fraction of the rate and in requests. They are those of the platform's
+	// bounds for cold endpoints, and bound the number of members, of which each uses
+	// strictMemberReserve of it. A member may save up strictBurst requests. With 7.2 a
+	// second these allow 7 members and, in simulations, 15 requests in a second at most.
+	strictOverage, strictReserve = 0.5, 5
+	strictMemberReserve          = 1.2
+	strictBurst                  = 1.5
+	// strictFactor is the fraction of the rate of a strict limit that is divided. It makes
+	// up for what members lose while they wait for requests and for their peers' reports.
+	strictFactor = 1.25
 	// Hosts with at least eligibleFraction of an even part as their demand are members
 	// before others. An idle member counts with idleFraction of an even part, so that
 	// it can send a first request.
@@ -41,12 +52,18 @@
 type Limit struct {
 	self, endpoint string
 	perSecond      float64
+	// strict is set for a limit that must not be exceeded for a second; see NewStrict.
+	strict bool
 	// sendFrom is the end of the time in which the hosts learn of the limit and of each
 	// other's demand.
 	sendFrom time.Time
 	demand   *decay.Sum
 	selfHash uint64
-	peers    map[string]peer
+	// reported is this host's demand in its last two reports.
+	reported reports
+	// reportedAt is when the last of these was computed.
+	reportedAt time.Time
+	peers      map[string]peer
 	// part is this host's part of the rate, computed at partAt.
 	part   float64
 	partAt time.Time
@@ -59,9 +76,29 @@
 type peer struct {
 	// demand is its demand, in requests per second.
 	demand float64
-	hash   uint64
+	// reported is its demand in its last two reports.
+	reported reports
+	hash     uint64
+}
+
+// reports are the last two reported demands of a host, in requests per second. Some hosts
+// have received the last one, and others only the one before it.
+type reports struct {
+	last, before float64
+	// count is the number of reports, up to two.
+	count int
 }
 
+func (r *reports) add(perSecond float64) {
+	r.before, r.last, r.count = r.last, perSecond, min(r.count+1, 2)
+}
+
+// lowest returns the lower demand; zero if there are fewer than two.
+func (r *reports) lowest() float64 { return min(r.before, r.last) }
+
+// highest returns the higher demand.
+func (r *reports) highest() float64 { return max(r.before, r.last) }
+
 // New returns the limit of an endpoint that takes perSecond requests a second. This
 // host, self, sends none for the time settle.
 func New(self, endpoint string, now time.Time, perSecond float64, settle time.Duration) *Limit {
@@ -71,6 +108,18 @@
 	}
 }
 
+// NewStrict returns a limit, as New does, that the endpoint may crash under if it is
+// exceeded for a second, and that may last only a few rounds of reports. A host whose
+// demand is unknown is assumed to have as much as this one. A host counts with the lower
+// demand of its last two reports in its own division, and with the higher one in those of
+// its peers. So the parts add up to the rate at most, whether the hosts know of each other
+// and have received each other's last report or not.
+func NewStrict(self, endpoint string, now time.Time, perSecond float64, settle time.Duration) *Limit {
+	l := New(self, endpoint, now, perSecond, settle)
+	l.strict = true
+	return l
+}
+
 // SetPerSecond changes the rate.
 func (l *Limit) SetPerSecond(now time.Time, perSecond float64) {
 	l.advance(now)
@@ -82,7 +131,7 @@
 func (l *Limit) PerSecond() float64 { return l.perSecond }
 
 // SetPeers sets the names of the other hosts that may send requests. Those that are
-// new have no demand.
+// new have no demand, or an unknown one in a strict limit.
 func (l *Limit) SetPeers(now time.Time, names []string) {
 	l.advance(now)
 	peers := make(map[string]peer, len(names))
@@ -104,6 +153,16 @@
 func (l *Limit) SetPeerDemand(name string, perSecond float64) {
 	if known, ok := l.peers[name]; ok {
 		known.demand = perSecond
+		known.reported.add(perSecond)
+		l.peers[name] = known
+	}
+}
+
+// SetPeerUnknown makes the demand of another host unknown. It has an effect on strict
+// limits only.
+func (l *Limit) SetPeerUnknown(name string) {
+	if known, ok := l.peers[name]; ok {
+		known.reported = reports{}
 		l.peers[name] = known
 	}
 }
@@ -114,6 +173,17 @@
 // Demand returns this host's demand, in requests per second.
 func (l *Limit) Demand(now time.Time) float64 { return l.demand.PerSecond(now) }
 
+// ReportDemand returns this host's demand, in requests per second, to be reported to its
+// peers. It changes once per interval, that in which each peer receives a report, so that
+// a peer has received one of the last two.
+func (l *Limit) ReportDemand(now time.Time, interval time.Duration) float64 {
+	if l.reported.count == 0 || now.Sub(l.reportedAt) >= interval {
+		l.reported.add(l.Demand(now))
+		l.reportedAt = now
+	}
+	return l.reported.last
+}
+
 // Ready reports whether this host may send a request now.
 func (l *Limit) Ready(now time.Time) bool {
 	l.advance(now)
@@ -148,12 +218,20 @@
 		l.tokens += l.part * elapsed
 	}
 	l.tokensAt = now
-	l.tokens = min(l.tokens, max(minBurst, l.part*burstTime.Seconds()))
+	l.tokens = min(l.tokens, l.burst())
 	if l.part == 0 {
 		l.tokens = 0
 	}
 }
 
+// burst returns the number of requests that this host may save up.
+func (l *Limit) burst() float64 {
+	if l.strict {
+		return strictBurst
+	}
+	return max(minBurst, l.part*burstTime.Seconds())
+}
+
 // candidate is a host that may be a member.
 type candidate struct {
 	demand   float64
@@ -161,16 +239,34 @@
 	hash     uint64
 }
 
+// members returns the maximum number of members.
+func (l *Limit) members() int {
+	if l.strict {
+		return max(1, int((l.perSecond*strictOverage+strictReserve)/strictMemberReserve))
+	}
+	return int(l.perSecond) + extraMembers
+}
+
 // computePart returns this host's part of the rate; zero if it is no member.
 func (l *Limit) computePart(now time.Time) float64 {
-	members := int(l.perSecond) + extraMembers
+	members := l.members()
 	even := l.perSecond / float64(members)
 	candidates := make([]candidate, 0, len(l.peers)+1)
 	add := func(demand float64, hash uint64) {
 		candidates = append(candidates, candidate{max(demand, idleFraction*even), demand >= eligibleFraction*even, hash})
 	}
-	add(l.Demand(now), l.selfHash)
+	self := l.Demand(now)
+	if l.strict {
+		self = l.reported.lowest()
+	}
+	add(self, l.selfHash)
 	for _, p := range l.peers {
+		switch {
+		case l.strict && p.reported.count == 0:
+			p.demand = self
+		case l.strict:
+			p.demand = p.reported.highest()
+		}
 		add(p.demand, p.hash)
 	}
 	if len(candidates) > members {
@@ -184,6 +280,9 @@
 			own = c.demand
 		}
 	}
+	if l.strict {
+		return strictFactor * l.perSecond * own / total
+	}
 	return l.perSecond * own / total
 }
 
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -16,6 +16,10 @@
 	// if it names none. LimitDemand is this host's demand for it.
 	LimitPerSecond float64 `json:"limitPerSecond"`
 	LimitDemand    float64 `json:"limitDemand"`
+	// ColdPerSecond is the rate that the endpoint takes from all hosts together while it
+	// is cold, or just after; zero if it is warm. ColdDemand is this host's demand for it.
+	ColdPerSecond float64 `json:"coldPerSecond"`
+	ColdDemand    float64 `json:"coldDemand"`
 }
 
 // DumpState returns the state of all endpoints, for the state dump.
@@ -32,6 +36,9 @@
 		if limit := m.limit.inForce; limit != nil {
 			state.LimitPerSecond, state.LimitDemand = limit.PerSecond(), limit.Demand(now)
 		}
+		if limit := m.cold.limit; limit != nil {
+			state.ColdPerSecond, state.ColdDemand = limit.PerSecond(), limit.Demand(now)
+		}
 		states = append(states, state)
 	}
 	return states
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -29,6 +29,11 @@
 	// Copies are the models of whose weights the endpoint keeps a copy, from
 	// which they load fast, whether they are loaded now or not.
 	Copies map[string]bool
+	// ColdRemaining is how much longer the endpoint stayed cold when it wrote the entry;
+	// zero if it was warm.
+	ColdRemaining time.Duration
+	// EntryVersion is the store's version of the entry. It rises with each write.
+	EntryVersion int64
 }
 
 // Adapters is a set of adapter names.
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -94,9 +94,12 @@
 // the mutex held.
 func (r *Registry) setLimitPeers(reachability exchange.Reachability) {
 	r.hosts = append(append([]string(nil), reachability.Reachable...), reachability.Unreachable...)
+	r.unreachable = reachability.Unreachable
+	r.reportInterval = reachability.Interval
 	r.limitSettle = reachability.SettleTime()
 	now := r.config.Clock()
 	for _, m := range r.members {
+		r.setColdPeers(m, now)
 		if m.limit.inForce != nil {
 			m.limit.inForce.SetPeers(now, r.hosts)
 		}
@@ -106,31 +109,42 @@
 // takeLimit records demand for the endpoint and charges a request to its limit. It
 // returns false if the limit allows none now.
 func (m *member) takeLimit(now time.Time) bool {
-	limit := m.limit.inForce
-	if limit == nil {
-		return true
+	if m.cold.limit != nil {
+		m.cold.limit.RecordDemand(now)
+		if !m.cold.limit.Ready(now) {
+			return false
+		}
+	}
+	if limit := m.limit.inForce; limit != nil {
+		limit.RecordDemand(now)
+		if !limit.Ready(now) {
+			return false
+		}
+		limit.Take(now)
 	}
-	limit.RecordDemand(now)
-	if !limit.Ready(now) {
-		return false
+	if m.cold.limit != nil {
+		m.cold.limit.Take(now)
 	}
-	limit.Take(now)
 	return true
 }
 
-// limitWait returns the time until a request may be sent within the endpoint's limit;
+// limitWait returns the time until a request may be sent within the endpoint's limits;
 // zero without one.
 func (m *member) limitWait(now time.Time) time.Duration {
-	if m.limit.inForce == nil || m.limit.inForce.Ready(now) {
-		return 0
+	wait := time.Duration(0)
+	for _, limit := range []*endpointlimit.Limit{m.limit.inForce, m.cold.limit} {
+		if limit != nil && !limit.Ready(now) {
+			wait = max(wait, limit.Wait(now))
+		}
 	}
-	return m.limit.inForce.Wait(now)
+	return wait
 }
 
-// reportLimit returns what to report of the endpoint's limit, or nil for nothing.
-func (m *member) reportLimit(now time.Time) *fleetv1.EndpointLimit {
+// reportLimit returns what to report of the endpoint's limits, or nil for nothing.
+// Interval is the time between two reports to a peer.
+func (m *member) reportLimit(now time.Time, interval time.Duration) *fleetv1.EndpointLimit {
 	dropped := !m.limit.droppedAt.IsZero() && now.Sub(m.limit.droppedAt) < droppedFor
-	if m.limit.inForce == nil && !dropped {
+	if m.limit.inForce == nil && !dropped && m.cold.limit == nil {
 		return nil
 	}
 	report := &fleetv1.EndpointLimit{Endpoint: m.ID, StartedMillis: m.StartedMillis()}
@@ -141,6 +155,7 @@
 	if m.limit.inForce != nil {
 		report.Demand = m.limit.inForce.Demand(now)
 	}
+	m.reportCold(now, interval, report)
 	return report
 }
 
@@ -148,7 +163,7 @@
 // mutex held.
 func (r *Registry) handleLimits(peer string, limits []*fleetv1.EndpointLimit) {
 	now := r.config.Clock()
-	demands := make(map[string]float64, len(limits))
+	demands, coldDemands := make(map[string]float64, len(limits)), make(map[string]float64)
 	for _, l := range limits {
 		m, ok := r.members[l.GetEndpoint()]
 		if !ok || m.StartedMillis() != l.GetStartedMillis() {
@@ -159,8 +174,13 @@
 			r.applyLimit(m, LimitStatement{Known: true, Named: l.GetNamed(), PerSecond: l.GetPerSecond()}, at, peer)
 		}
 		demands[m.ID] = l.GetDemand()
+		if l.GetCold() {
+			r.handlePeerCold(m, now, l)
+			coldDemands[m.ID] = float64(l.GetColdDemand())
+		}
 	}
 	for _, m := range r.members {
+		m.setPeerColdDemand(peer, coldDemands)
 		if m.limit.inForce != nil {
 			m.limit.inForce.SetPeerDemand(peer, demands[m.ID])
 		}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -50,11 +50,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.config.Clock()
+	r.refreshCold(now)
 	for id, m := range r.members {
 		if m.announcedLeaving {
 			report.Leaving = append(report.Leaving, &fleetv1.LeavingEndpoint{Endpoint: id, StartedMillis: m.StartedMillis()})
 		}
-		if limit := m.reportLimit(now); limit != nil {
+		if limit := m.reportLimit(now, r.reportInterval); limit != nil {
 			report.Limits = append(report.Limits, limit)
 		}
 		tenths := int32(10 * r.ejector.Penalty(now, id))
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -39,6 +40,9 @@
 	Ejector endpoint.EjectorConfig
 	// Clock returns the current time. Nil means time.Now.
 	Clock func() time.Time
+	// ColdStart returns the cold start of a service's endpoints. It must not call the
+	// Registry. Nil means that no service has cold endpoints.
+	ColdStart func(service string) ColdStart
 	// OnVanished is called with each endpoint whose entry is removed or replaced by
 	// that of another incarnation although it had not announced its shutdown. It must
 	// not call the Registry. Nil does nothing.
@@ -72,6 +76,8 @@
 	announcedLeaving bool
 	// limit is the limit that the endpoint names.
 	limit memberLimit
+	// cold is what is known of the endpoint's cold start.
+	cold memberCold
 	// backoffUntil is until when the endpoint asked this host to send no request.
 	backoffUntil time.Time
 }
@@ -114,6 +120,11 @@
 	// limitSettle is how long hosts take to learn of a limit and of each other's demand.
 	hosts       []string
 	limitSettle time.Duration
+	// unreachable are those of the hosts that don't report, and reportInterval is the
+	// time between two reports to a peer.
+	unreachable    []string
+	reportInterval time.Duration
+	cold           coldRegistry
 }
 
 // NewRegistry returns a Registry without endpoints.
@@ -124,6 +135,9 @@
 	if cfg.OnVanished == nil {
 		cfg.OnVanished = func(Endpoint) {}
 	}
+	if cfg.ColdStart == nil {
+		cfg.ColdStart = func(string) ColdStart { return ColdStart{} }
+	}
 	if cfg.Ejector == (endpoint.EjectorConfig{}) {
 		cfg.Ejector = endpoint.DefaultEjectorConfig()
 	}
@@ -131,6 +145,7 @@
 		config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector),
 		peers: make(map[string]peerLoad), peerTotals: make(map[string]endpointWork),
 		departed: make(map[string]departure), limitSettle: exchange.MaxSettleTime,
+		cold: newColdRegistry(cfg.Clock()),
 	}
 }
 
@@ -145,13 +160,14 @@
 			continue
 		}
 		listed[endpoints[i].ID] = true
-		r.put(endpoints[i])
+		r.put(endpoints[i], true)
 	}
 	for id := range r.members {
 		if !listed[id] {
 			r.remove(id)
 		}
 	}
+	r.cold.listed = true
 }
 
 // Put adds an endpoint or updates its description. A new incarnation starts
@@ -159,10 +175,13 @@
 func (r *Registry) Put(e Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.put(e)
+	r.put(e, false)
 }
 
-func (r *Registry) put(e Endpoint) {
+// put adds or updates an endpoint. Listed is set if the entry is from a listing, which
+// may show an older state.
+func (r *Registry) put(e Endpoint, listed bool) {
+	now := r.config.Clock()
 	known, ok := r.members[e.ID]
 	if ok && known.sameIncarnation(&e) {
 		if !known.Leaving && e.Leaving {
@@ -171,8 +190,10 @@
 		// Descriptions may arrive out of order, and an incarnation that drains
 		// never stops draining.
 		e.Leaving = e.Leaving || known.Leaving
+		returned := !known.removedAt.IsZero() && !r.usable(known, now)
 		known.Endpoint = e
 		known.removedAt = time.Time{}
+		r.handleColdEntry(known, now, returned, listed)
 		return
 	}
 	if ok && known.removedAt.IsZero() && !known.Leaving {
@@ -189,6 +210,7 @@
 	r.ejector.Remove(e.ID)
 	r.ejector.Add(e.ID, e.Service)
 	r.logChange("endpoint listed", &e)
+	r.handleColdEntry(r.members[e.ID], now, true, listed)
 }
 
 func (r *Registry) logChange(event string, e *Endpoint) {
@@ -318,14 +340,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.config.Clock()
+	r.refreshCold(now)
 	var limited []*member
 	for {
 		candidates, reason := r.candidates(work, now, limited)
 		if reason != ReasonNone {
 			return nil, reason
 		}
+		candidates, cold := splitCold(candidates, now)
+		if len(candidates) == 0 {
+			limited = append(limited, r.passOver(cold, math.Inf(1), work, now)...)
+			continue
+		}
 		chosen := cheapest(candidates, work, r.config.Zone)
 		if chosen.takeLimit(now) {
+			if len(cold) > 0 {
+				c := candidate{member: chosen, now: now, peers: r.peerTotals[chosen.ID]}
+				r.passOver(cold, c.cost(work, r.config.Zone, false), work, now)
+			}
 			return r.start(chosen, work), ReasonNone
 		}
 		limited = append(limited, chosen)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,6 +74,8 @@
 	Backoff time.Duration
 	// Limit is what the response says of the endpoint's limit.
 	Limit fleet.LimitStatement
+	// Cold is what the response says of the endpoint's cold start.
+	Cold fleet.ColdStatement
 	// Load is the endpoint's load; nil if the response doesn't report it.
 	Load *fleet.Load
 }
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -303,6 +303,7 @@
 		attempt.RecordLoad(*reply.Load)
 	}
 	attempt.RecordLimit(reply.Limit)
+	attempt.RecordCold(reply.Cold)
 	if reply.Leaving {
 		attempt.RecordLeaving()
 	}
--- a/internal/traffic/config.go
+++ b/internal/traffic/config.go
@@ -94,6 +94,11 @@
 	// MaxConnections is the number of connections that an endpoint accepts in
 	// total, from all hosts.
 	MaxConnections int
+	// ColdStart is how long an endpoint that has started stays cold.
+	ColdStart time.Duration
+	// ColdPerSecond is the number of requests a second that a cold endpoint accepts from
+	// all hosts together. Zero means that the service has no cold endpoints.
+	ColdPerSecond float64
 	// Engine describes the service's model engines. It is nil for services
 	// that run no models.
 	Engine *Engine
