Divide the slots of brittle endpoints among the hosts

Cause: endpoints that send Server-Brittle crash when they reject more requests in a second than it says. Hosts sent them all that came, so that one second of overload took the service down, again and again.

Change: the newest statement of any endpoint of the service is in force on all hosts. While it is, the slots of each endpoint are divided in whole numbers by the demand that the hosts report (endpointlimit.DivideSlots), and a host keeps to its part of the requests in flight. Where a service has fewer slots than there are hosts, more are divided, about one for each host.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// Collectors returns the metrics of cold endpoints.
+// Collectors returns the metrics of cold endpoints and brittle services.
 func (r *Registry) Collectors() []prometheus.Collector {
 	cold := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "bilberryslip_cold_endpoints", Help: "Endpoints that count as cold.",
@@ -90,7 +90,20 @@
 		}
 		return float64(count)
 	})
-	return []prometheus.Collector{cold, r.cold.passedOver}
+	brittle := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bilberryslip_brittle_services", Help: "Services whose endpoints say that they crash if they reject too many requests.",
+	}, func() float64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		count := 0
+		for _, s := range r.brittle {
+			if s.rejections > 0 {
+				count++
+			}
+		}
+		return float64(count)
+	})
+	return []prometheus.Collector{cold, r.cold.passedOver, brittle}
 }
 
 // handleColdEntry records what an endpoint's entry says of its cold start. Appeared is
@@ -247,9 +260,13 @@
 	report.ColdMillis = max(0, m.cold.until.Sub(now)).Milliseconds()
 }
 
-// splitCold separates the cold endpoints whose limit allows no request now.
-func splitCold(candidates []candidate, now time.Time) (ready, passed []candidate) {
-	isPassed := func(c candidate) bool { return c.member.cold.limit != nil && !c.member.cold.limit.Ready(now) }
+// splitLimited separates the cold endpoints whose limit allows no request now, and the
+// brittle ones of whose slots this host's part is in use.
+func (r *Registry) splitLimited(candidates []candidate, now time.Time) (ready, passed []candidate) {
+	isPassed := func(c candidate) bool {
+		limit := c.member.cold.limit
+		return limit != nil && !limit.Ready(now) || r.brittleFull(c.member, now)
+	}
 	for i, c := range candidates {
 		if isPassed(c) {
 			if passed == nil { // copies only if there is one
@@ -267,14 +284,15 @@
 }
 
 // passOver records demand for those cold endpoints that would have cost less than the
-// one that was chosen, and returns all of them. It must be called with the mutex held.
-func (r *Registry) passOver(cold []candidate, chosenCost float64, work Work, now time.Time) []*member {
-	members := make([]*member, 0, len(cold))
+// one that was chosen, and returns all that were passed over. It must be called with the
+// mutex held.
+func (r *Registry) passOver(passed []candidate, chosenCost float64, work Work, now time.Time) []*member {
+	members := make([]*member, 0, len(passed))
 	cheaper := false
-	for i := range cold {
-		members = append(members, cold[i].member)
-		if cold[i].cost(work, r.config.Zone, false) < chosenCost {
-			cold[i].member.cold.limit.RecordDemand(now)
+	for i := range passed {
+		members = append(members, passed[i].member)
+		if limit := passed[i].member.cold.limit; limit != nil && passed[i].cost(work, r.config.Zone, false) < chosenCost {
+			limit.RecordDemand(now)
 			cheaper = true
 		}
 	}
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -97,6 +97,7 @@
 	r.unreachable = reachability.Unreachable
 	r.reportInterval = reachability.Interval
 	r.limitSettle = reachability.SettleTime()
+	r.forgetUnreachableDemand()
 	now := r.config.Clock()
 	for _, m := range r.members {
 		r.setColdPeers(m, now)
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -51,6 +51,7 @@
 	defer r.mu.Unlock()
 	now := r.config.Clock()
 	r.refreshCold(now)
+	r.reportBrittle(report, now)
 	for id, m := range r.members {
 		if m.announcedLeaving {
 			report.Leaving = append(report.Leaving, &fleetv1.LeavingEndpoint{Endpoint: id, StartedMillis: m.StartedMillis()})
@@ -87,6 +88,7 @@
 	r.peers[report.GetHost()] = load
 	r.addPeerLoad(load, 1)
 	r.handleLimits(report.GetHost(), report.GetLimits())
+	r.handleBrittle(report.GetHost(), report.GetBrittle())
 	for _, l := range report.GetLeaving() {
 		if m, ok := r.members[l.GetEndpoint()]; ok && m.StartedMillis() == l.GetStartedMillis() {
 			r.markLeaving(m, report.GetHost())
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -78,6 +78,8 @@
 	limit memberLimit
 	// cold is what is known of the endpoint's cold start.
 	cold memberCold
+	// brittle is what is known of the endpoint if its service is brittle.
+	brittle memberBrittle
 	// backoffUntil is until when the endpoint asked this host to send no request.
 	backoffUntil time.Time
 }
@@ -125,6 +127,8 @@
 	unreachable    []string
 	reportInterval time.Duration
 	cold           coldRegistry
+	// brittle are the services that are brittle, or were.
+	brittle map[string]*brittleService
 }
 
 // NewRegistry returns a Registry without endpoints.
@@ -145,7 +149,7 @@
 		config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector),
 		peers: make(map[string]peerLoad), peerTotals: make(map[string]endpointWork),
 		departed: make(map[string]departure), limitSettle: exchange.MaxSettleTime,
-		cold: newColdRegistry(cfg.Clock()),
+		cold: newColdRegistry(cfg.Clock()), brittle: make(map[string]*brittleService),
 	}
 }
 
@@ -341,22 +345,23 @@
 	defer r.mu.Unlock()
 	now := r.config.Clock()
 	r.refreshCold(now)
+	r.recordBrittleDemand(work.Service, now)
 	var limited []*member
 	for {
 		candidates, reason := r.candidates(work, now, limited)
 		if reason != ReasonNone {
 			return nil, reason
 		}
-		candidates, cold := splitCold(candidates, now)
+		candidates, passed := r.splitLimited(candidates, now)
 		if len(candidates) == 0 {
-			limited = append(limited, r.passOver(cold, math.Inf(1), work, now)...)
+			limited = append(limited, r.passOver(passed, math.Inf(1), work, now)...)
 			continue
 		}
 		chosen := cheapest(candidates, work, r.config.Zone)
 		if chosen.takeLimit(now) {
-			if len(cold) > 0 {
+			if len(passed) > 0 {
 				c := candidate{member: chosen, now: now, peers: r.peerTotals[chosen.ID]}
-				r.passOver(cold, c.cost(work, r.config.Zone, false), work, now)
+				r.passOver(passed, c.cost(work, r.config.Zone, false), work, now)
 			}
 			return r.start(chosen, work), ReasonNone
 		}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -76,6 +76,8 @@
 	Limit fleet.LimitStatement
 	// Cold is what the response says of the endpoint's cold start.
 	Cold fleet.ColdStatement
+	// Brittle is what the response says of how its service takes overload.
+	Brittle fleet.BrittleStatement
 	// Load is the endpoint's load; nil if the response doesn't report it.
 	Load *fleet.Load
 }
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -304,6 +304,7 @@
 	}
 	attempt.RecordLimit(reply.Limit)
 	attempt.RecordCold(reply.Cold)
+	attempt.RecordBrittle(reply.Brittle)
 	if reply.Leaving {
 		attempt.RecordLeaving()
 	}
@@ -335,6 +336,8 @@
 	if reply.WrongEndpoint {
 		x.forwarder.config.Endpoints.RecordHeld(attempt.Endpoint.ID, x.call.Model, x.call.Adapter, false)
 		outcome = endpoint.OutcomeFailed
+	} else {
+		attempt.RecordRejection()
 	}
 	attempt.Finish(outcome)
 	err := errors.Newf("endpoint %s did not run the request: status %d", attempt.Endpoint.ID, exchange.Response.StatusCode)
