--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -127,6 +127,24 @@
 		Expect(rejected).To(BeZero())
 	})
 
+	// Guards against a zone whose endpoints crash, or idle, when they come back together.
+	It("is used within its rate when a whole zone returns", func() {
+		const returned = 6
+		start(entry("warm-2", 0), entry("warm-3", 0))
+		run(3*time.Second, 0)
+		for i := range returned {
+			put(entry(fmt.Sprint("e", i), 20*time.Second))
+		}
+		run(18*time.Second, 600)
+		for i := range returned {
+			times := sent[fmt.Sprint("e", i)]
+			GinkgoWriter.Printf("at most %d in a second, %.1f on average\n", mostInASecond(fmt.Sprint("e", i)), float64(len(times))/18)
+			Expect(mostInASecond(fmt.Sprint("e", i))).To(BeNumerically("<=", allowed))
+			Expect(len(times)).To(BeNumerically(">=", 0.9*perSecond*18))
+		}
+		Expect(rejected).To(BeZero())
+	})
+
 	// Guards against a restart of all hosts while endpoints are cold.
 	It("gets nothing until the hosts that have just started know of each other", func() {
 		start(entry("e", 10*time.Second))
