--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -146,7 +146,7 @@
 		h.evacuation = evacuation.NewTracker()
 		evacuated = h.evacuation.Evacuated
 	}
-	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Evacuated: evacuated, OnVanished: func(e fleet.Endpoint) {
+	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Evacuated: evacuated, ColdStart: h.coldStart, OnVanished: func(e fleet.Endpoint) {
 		h.quarantine.RecordGone(quarantine.Incarnation{Endpoint: e.ID, StartedMillis: e.StartedMillis()})
 	}})
 	h.quota = quota.NewService(s.Host.Name, s.Bounds.QuotaWindow.Std(), s.FirstStart)
@@ -227,6 +227,20 @@
 	return s.Source.Current()
 }
 
+// coldStart returns the cold start of a service's endpoints, by the configuration in
+// force.
+func (h *host) coldStart(service string) fleet.ColdStart {
+	current := h.source.Current()
+	if current == nil {
+		return fleet.ColdStart{}
+	}
+	s := current.Service(service)
+	if s == nil {
+		return fleet.ColdStart{}
+	}
+	return fleet.ColdStart{Duration: s.ColdStart, PerSecond: s.ColdPerSecond}
+}
+
 // placementLease is the lease whose holder sends all orders to engines. There is
 // one for the whole fleet, since a lease holder is a single host and engines
 // reject orders that alternate between hosts.
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -199,6 +199,13 @@
 	return tokensEngineWork
 }
 
+// cost returns the cost of a candidate that is not the preferred endpoint.
+func (r *Registry) cost(c *candidate, work *Work) float64 {
+	m := c.member
+	slowness := r.speeds.estimator.Slowness(m.ID) * m.currentSlowdown(c.now)
+	return c.cost(work, r.config.Zone, uncachedTokens(*work, m, false), slowness)
+}
+
 // cheapest returns the candidate with the lowest cost; among endpoints of different
 // speeds, that of a sample.
 func (r *Registry) cheapest(candidates []candidate, work Work) *member {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -54,11 +54,13 @@
 	defer r.mu.Unlock()
 	now := r.config.Clock()
 	r.refreshSpeeds(now)
+	r.refreshCold(now)
+	r.reportBrittle(report, now)
 	for id, m := range r.members {
 		if m.announcedLeaving {
 			report.Leaving = append(report.Leaving, &fleetv1.LeavingEndpoint{Endpoint: id, StartedMillis: m.StartedMillis()})
 		}
-		if limit := m.reportLimit(now); limit != nil {
+		if limit := m.reportLimit(now, r.reportInterval); limit != nil {
 			report.Limits = append(report.Limits, limit)
 		}
 		tenths := int32(10 * r.ejector.Penalty(now, id))
@@ -91,6 +93,7 @@
 	r.peers[report.GetHost()] = load
 	r.addPeerLoad(load, 1)
 	r.handleLimits(report.GetHost(), report.GetLimits())
+	r.handleBrittle(report.GetHost(), report.GetBrittle())
 	for _, l := range report.GetLeaving() {
 		if m, ok := r.members[l.GetEndpoint()]; ok && m.StartedMillis() == l.GetStartedMillis() {
 			r.markLeaving(m, report.GetHost())
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +44,9 @@
 	// Evacuated reports whether an availability zone is evacuated: its endpoints get no
 	// requests. It must not call the Registry. Nil means that no zone ever is.
 	Evacuated func(zone string) bool
+	// ColdStart returns the cold start of a service's endpoints. It must not call the
+	// Registry. Nil means that no service has cold endpoints.
+	ColdStart func(service string) ColdStart
 	// OnVanished is called with each endpoint whose entry is removed or replaced by
 	// that of another incarnation although it had not announced its shutdown. It must
 	// not call the Registry. Nil does nothing.
@@ -76,6 +80,10 @@
 	announcedLeaving bool
 	// limit is the limit that the endpoint names.
 	limit memberLimit
+	// cold is what is known of the endpoint's cold start.
+	cold memberCold
+	// brittle is what is known of the endpoint if its service is brittle.
+	brittle memberBrittle
 	// backoffUntil is until when the endpoint asked this host to send no request.
 	backoffUntil time.Time
 }
@@ -120,6 +128,13 @@
 	limitSettle time.Duration
 	speeds      speeds
 	sampler     sampler
+	// unreachable are those of the hosts that don't report, and reportInterval is the
+	// time between two reports to a peer.
+	unreachable    []string
+	reportInterval time.Duration
+	cold           coldRegistry
+	// brittle are the services that are brittle, or were.
+	brittle map[string]*brittleService
 }
 
 // NewRegistry returns a Registry without endpoints.
@@ -133,6 +148,9 @@
 	if cfg.Evacuated == nil {
 		cfg.Evacuated = func(string) bool { return false }
 	}
+	if cfg.ColdStart == nil {
+		cfg.ColdStart = func(string) ColdStart { return ColdStart{} }
+	}
 	if cfg.Ejector == (endpoint.EjectorConfig{}) {
 		cfg.Ejector = endpoint.DefaultEjectorConfig()
 	}
@@ -140,6 +158,7 @@
 		config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector),
 		peers: make(map[string]peerLoad), peerTotals: make(map[string]endpointWork),
 		departed: make(map[string]departure), limitSettle: exchange.MaxSettleTime, speeds: newSpeeds(), sampler: sampler{state: xxhash.Sum64String(cfg.Host)},
+		cold: newColdRegistry(cfg.Clock()), brittle: make(map[string]*brittleService),
 	}
 }
 
@@ -154,13 +173,14 @@
 			continue
 		}
 		listed[endpoints[i].ID] = true
-		r.put(endpoints[i])
+		r.put(endpoints[i], true)
 	}
 	for id := range r.members {
 		if !listed[id] {
 			r.remove(id)
 		}
 	}
+	r.cold.listed = true
 }
 
 // Put adds an endpoint or updates its description. A new incarnation starts
@@ -168,10 +188,13 @@
 func (r *Registry) Put(e Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.put(e)
+	r.put(e, false)
 }
 
-func (r *Registry) put(e Endpoint) {
+// put adds or updates an endpoint. Listed is set if the entry is from a listing, which
+// may show an older state.
+func (r *Registry) put(e Endpoint, listed bool) {
+	now := r.config.Clock()
 	known, ok := r.members[e.ID]
 	if ok && known.sameIncarnation(&e) {
 		if !known.Leaving && e.Leaving {
@@ -180,8 +203,10 @@
 		// Descriptions may arrive out of order, and an incarnation that drains
 		// never stops draining.
 		e.Leaving = e.Leaving || known.Leaving
+		returned := !known.removedAt.IsZero() && !r.usable(known, now)
 		known.Endpoint = e
 		known.removedAt = time.Time{}
+		r.handleColdEntry(known, now, returned, listed)
 		return
 	}
 	if ok && known.removedAt.IsZero() && !known.Leaving {
@@ -198,6 +223,7 @@
 	r.ejector.Remove(e.ID)
 	r.ejector.Add(e.ID, e.Service)
 	r.logChange("endpoint listed", &e)
+	r.handleColdEntry(r.members[e.ID], now, true, listed)
 }
 
 func (r *Registry) logChange(event string, e *Endpoint) {
@@ -331,14 +357,25 @@
 	defer r.mu.Unlock()
 	now := r.config.Clock()
 	r.refreshSpeeds(now)
+	r.refreshCold(now)
+	r.recordBrittleDemand(work.Service, now)
 	var limited []*member
 	for {
 		candidates, reason := r.candidates(work, now, limited)
 		if reason != ReasonNone {
 			return nil, reason
 		}
+		candidates, passed := r.splitLimited(candidates, now)
+		if len(candidates) == 0 {
+			limited = append(limited, r.passOver(passed, math.Inf(1), work, now)...)
+			continue
+		}
 		chosen := r.cheapest(candidates, work)
 		if chosen.takeLimit(now) {
+			if len(passed) > 0 {
+				c := candidate{member: chosen, now: now, peers: r.peerTotals[chosen.ID]}
+				r.passOver(passed, r.cost(&c, &work), work, now)
+			}
 			return r.start(chosen, work), ReasonNone
 		}
 		limited = append(limited, chosen)
--- a/internal/fleet/speed.go
+++ b/internal/fleet/speed.go
@@ -50,9 +50,6 @@
 	}, []string{"service"})}
 }
 
-// Collectors returns the registry's metrics.
-func (r *Registry) Collectors() []prometheus.Collector { return []prometheus.Collector{r.speeds.gauge} }
-
 // pace is what an attempt measures of its endpoint's speed.
 type pace struct {
 	model string
