Write a restarted host's entry with one call

A host that restarts first tried to create its entry, got a conflict and then updated it: two calls for each host when all restart. It now waits for the first listing of the entries (300 ms at most) and updates the entry at the listed version, or creates it if there is none.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -45,6 +45,9 @@
 	// attempts to write this host's entry.
 	registerMinBackoff = 100 * time.Millisecond
 	registerMaxBackoff = time.Second
+	// maxListingWait limits how long the first write of this host's entry waits for the
+	// listing of the entries.
+	maxListingWait = 300 * time.Millisecond
 )
 
 // hostEntry is the value of a KindHost object in the store.
@@ -134,6 +137,11 @@
 	inFlight map[string]bool
 	// registered is set once this host's entry was written.
 	registered bool
+	// entryVersion is the version of this host's entry in the last listing, which may be
+	// one of an earlier process; zero if it lacks the entry. listed is closed at the first
+	// listing.
+	entryVersion objectstore.Version
+	listed       chan struct{}
 	// rounds counts the rounds of reports.
 	rounds int
 	// cachedResponse is the report last built as a response, at cachedAt.
@@ -151,8 +159,8 @@
 	return &Service{
 		config: cfg, started: time.Now(),
 		client:    &http.Client{Transport: &boundedhttp.Transport{Base: transport, Limit: maxPeerResponse}},
-		entryLost: make(chan struct{}, 1),
-		roster:    newRoster(cfg.Host), clients: make(map[string]fleetv1.Fleet), inFlight: make(map[string]bool),
+		entryLost: make(chan struct{}, 1), listed: make(chan struct{}),
+		roster: newRoster(cfg.Host), clients: make(map[string]fleetv1.Fleet), inFlight: make(map[string]bool),
 	}
 }
 
@@ -214,6 +222,11 @@
 // keepRegistered writes this host's entry at the start and whenever the store has
 // lost it, until ctx is cancelled.
 func (s *Service) keepRegistered(ctx context.Context) {
+	select { // the listing shows whether to create or to update the entry
+	case <-s.listed:
+	case <-ctx.Done():
+	case <-time.After(maxListingWait):
+	}
 	s.register(ctx)
 	for {
 		select {
@@ -252,7 +265,19 @@
 
 func (s *Service) writeEntry(ctx context.Context, value json.RawMessage) error {
 	store, writeID := s.config.Store, uuid.NewString()
-	_, err := store.Create(ctx, KindHost, s.config.Host, writeID, value)
+	s.mu.Lock()
+	version := s.entryVersion
+	s.mu.Unlock()
+	var err error
+	if version == 0 {
+		_, err = store.Create(ctx, KindHost, s.config.Host, writeID, value)
+	} else {
+		_, err = store.Update(ctx, KindHost, s.config.Host, version, writeID, value)
+	}
+	var notFound *objectstore.NotFoundError
+	if errors.As(err, &notFound) { // removed since the listing
+		_, err = store.Create(ctx, KindHost, s.config.Host, writeID, value)
+	}
 	var conflict *objectstore.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
@@ -269,10 +294,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ownEntry := false
+	s.entryVersion = 0
 	for _, item := range listing.Items {
 		s.applyEntry(item)
+		if item.Name == s.config.Host {
+			s.entryVersion = item.Version
+		}
 		ownEntry = ownEntry || item.Name == s.config.Host && s.isOwnEntry(item)
 	}
+	select {
+	case <-s.listed:
+	default:
+		close(s.listed)
+	}
 	// The listing may be older than the entry, so that the write changes nothing.
 	if s.registered && !ownEntry {
 		select {
