Let only the first candidates of a large fleet compete for a lease

Each host read a free lease at once and tried to write it, and read it every renewal interval while no holder reported. A holder renews regardless of its rank.

--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -48,6 +48,14 @@
 	// Eligible reports whether this candidate may hold the lease now. One that may no
 	// longer releases it. Nil means always.
 	Eligible func() bool
+	// Yield returns how long this candidate lets others go first: it neither reads nor
+	// acquires the lease for that time after its start, after the end of the lease that a
+	// peer reported, and after its last attempt. A holder renews it regardless. Nil means
+	// always zero.
+	Yield func() time.Duration
+	// AwaitPeers, if set, is called by Serve before the first attempt. It blocks until
+	// Yield can tell how many candidates there are.
+	AwaitPeers func(ctx context.Context)
 }
 
 // Status is the state of a lease as seen by a candidate.
@@ -93,6 +101,9 @@
 	// peerReportedAt is when a peer last reported the lease at the view's
 	// version or a later one.
 	peerReportedAt time.Time
+	// yieldingSince is the start of the time that Config.Yield bounds: the start, the last
+	// attempt, the end of the lease that a peer reported, or ReadAgain.
+	yieldingSince time.Time
 }
 
 // New returns a candidate. It competes for the lease while its Serve runs.
@@ -109,8 +120,11 @@
 	if cfg.Eligible == nil {
 		cfg.Eligible = func() bool { return true }
 	}
+	if cfg.Yield == nil {
+		cfg.Yield = func() time.Duration { return 0 }
+	}
 	return &Lease{
-		cfg:     cfg,
+		cfg: cfg, yieldingSince: cfg.Now(),
 		self:    Value{Holder: cfg.Host, Incarnation: cfg.Incarnation},
 		changed: make(chan struct{}),
 	}
@@ -153,6 +167,9 @@
 
 // Serve implements suture.Service. It releases the lease when ctx ends.
 func (l *Lease) Serve(ctx context.Context) error {
+	if l.cfg.AwaitPeers != nil {
+		l.cfg.AwaitPeers(ctx)
+	}
 	ticker := time.NewTicker(l.cfg.RenewalInterval)
 	defer ticker.Stop()
 	for {
@@ -189,6 +206,9 @@
 }
 
 func (l *Lease) step(ctx context.Context) error {
+	if l.yields() {
+		return nil
+	}
 	if !l.heldBySelf() && !l.recentlyReported() {
 		if err := l.read(ctx); err != nil {
 			return err
@@ -242,7 +262,31 @@
 func (l *Lease) ReadAgain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peerReportedAt = time.Time{}
+	if !l.peerReportedAt.IsZero() { // not again at each further report of the host
+		l.peerReportedAt, l.yieldingSince = time.Time{}, l.cfg.Now()
+	}
+}
+
+// yields reports whether the candidate lets others go first for now. If it does not, its
+// next turn begins after another Config.Yield. The holder, also one of the previous era,
+// never yields.
+func (l *Lease) yields() bool {
+	yield := l.cfg.Yield()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.enterCurrentEra()
+	now := l.cfg.Now()
+	if yield <= 0 || l.view.heldBy(l.self) || l.eras.carried(now) {
+		return false
+	}
+	if until := l.peerReportedAt.Add(l.cfg.Duration); !l.peerReportedAt.IsZero() && until.After(l.yieldingSince) {
+		l.yieldingSince = until
+	}
+	if now.Sub(l.yieldingSince) < yield {
+		return true
+	}
+	l.yieldingSince = now
+	return false
 }
 
 // recentlyReported reports whether a peer reported the lease within the last
