Rank the hosts of a large fleet that call the store

Each host watched the store until it knew two watchers with lower names, and again whenever their readings became stale, so that a store outage or a restart of all hosts made every host call it at once. Both watchers of a zone polled endpoints at the same rate, and every host competed for the placement lease.

Followers read through the first one; the second one polls endpoints less often and reads the other kinds through the first. A follower whose watcher lost the store turns to a watcher of another zone, or keeps asking its own, but doesn't call the store. Only the first hosts compete for the lease.

TestALaggingHostReturnsToItsWatcherIfTheStoreDoesNotAnswer only sets a new field of the coordinator; what it checks is unchanged.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -46,14 +45,14 @@
 // their reports while these arrive. It implements exchange.Participant and is
 // safe for concurrent use.
 type watchCoordinator struct {
-	host *host
+	host  *host
+	peers peerCalls
 	// mirrors holds the mirrors that must be fresh; served holds those that
 	// followers can read.
 	mirrors, served map[objectstore.Kind]*mirror.Mirror
 
 	mu sync.Mutex
-	// watchers holds the peers that are watchers and whose names sort before
-	// this host's.
+	// watchers holds the peers that are watchers.
 	watchers map[string]*watcherPeer
 	// lags holds how far this host lags behind its peers in each kind.
 	// directUntil holds the end of the time in which it reads a kind directly
@@ -62,15 +61,41 @@
 	// failed it.
 	lags                        map[objectstore.Kind]*lag
 	directUntil, notDirectUntil map[objectstore.Kind]time.Time
-	// watcher is set while this host is a watcher.
-	watcher bool
+	role                        watcherRole
+	// paused is set while this host of a large fleet is no watcher and knows none.
+	paused bool
+	// startedAt is when this host started, followedAt when a peer last read through it,
+	// and completeAt when targetWatchers watchers were last known.
+	startedAt, followedAt, completeAt time.Time
+	// listedPaused holds when each kind was last listed from the store while paused.
+	listedPaused map[objectstore.Kind]time.Time
+	// reachable holds the names of the reachable peers, and zones the zones of peers.
+	reachable []string
+	zones     map[string]string
+	// hosts is the mirror of the hosts' entries. sized is set once it has shown whether the
+	// fleet is large.
+	hosts *mirror.Mirror
+	sized bool
 	// large is set while the fleet is so large that each zone has watchers of
 	// its own.
 	large bool
-	// followed is the watcher that this host reads from; nil for the store.
+	// endpoints is the kind that a standby watcher reads from the store.
+	endpoints objectstore.Kind
+	// followed is the watcher that this host reads from; nil for the store. A standby
+	// watcher reads all kinds but endpoints from it.
 	followed *watcherSource
 }
 
+// peerCalls is what the coordinator needs of the exchange with the peers.
+type peerCalls interface {
+	// FollowPeer requests the changes that the watcher at an address has read.
+	FollowPeer(ctx context.Context, address string, request *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error)
+	// Interval returns the time between two reports of a peer.
+	Interval() time.Duration
+	// Reachability returns the current reachability of the peers.
+	Reachability() exchange.Reachability
+}
+
 // watcherPeer is a peer that is a watcher.
 type watcherPeer struct {
 	source *watcherSource
@@ -81,20 +106,24 @@
 	// validUntil is the end of the time in which it is considered connected to
 	// the store.
 	validUntil time.Time
+	// forgetAt is when it is forgotten unless it reports again.
+	forgetAt time.Time
 }
 
 // newWatchCoordinator returns a coordinator that keeps the mirrors of
 // configuration and endpoints fresh. The mirror of hosts may be stale: hosts
 // discover each other through reports and need the store's entries only for
 // hosts that they can't reach.
-func newWatchCoordinator(h *host, configuration, endpoints, hosts *mirror.Mirror) *watchCoordinator {
+func newWatchCoordinator(h *host, peers peerCalls, configuration, endpoints, hosts *mirror.Mirror) *watchCoordinator {
 	c := &watchCoordinator{
-		host: h, mirrors: make(map[objectstore.Kind]*mirror.Mirror), served: make(map[objectstore.Kind]*mirror.Mirror),
+		host: h, peers: peers, mirrors: make(map[objectstore.Kind]*mirror.Mirror), served: make(map[objectstore.Kind]*mirror.Mirror),
 		watchers: make(map[string]*watcherPeer),
 		lags: map[objectstore.Kind]*lag{
 			configuration.Kind(): {tolerance: configurationTolerance}, endpoints.Kind(): {tolerance: endpointTolerance},
 		},
-		directUntil: make(map[objectstore.Kind]time.Time), notDirectUntil: make(map[objectstore.Kind]time.Time), watcher: true,
+		directUntil: make(map[objectstore.Kind]time.Time), notDirectUntil: make(map[objectstore.Kind]time.Time),
+		listedPaused: make(map[objectstore.Kind]time.Time), zones: make(map[string]string), hosts: hosts, endpoints: endpoints.Kind(), role: fullWatcher,
+		startedAt: time.Now(), completeAt: time.Now(),
 	}
 	for _, m := range []*mirror.Mirror{configuration, endpoints} {
 		c.mirrors[m.Kind()] = m
@@ -104,9 +133,8 @@
 		c.served[m.Kind()] = m
 		m.SetSourceSelector(func() mirror.Source { return c.source(m.Kind()) })
 	}
-	h.exchange.SetFollowHandler(c.follow)
 	h.adapter.Store().OnRestore(c.handleRestore)
-	h.adapter.SetWatchWait(watcherWait)
+	h.adapter.SetWatchTiming(watchTiming(c.role))
 	return c
 }
 
@@ -195,9 +223,7 @@
 // age of the store's responses to it. It must be called with the mutex held.
 func (c *watchCoordinator) recordWatcher(now time.Time, report *fleetv1.Report, oldestAge time.Duration) {
 	name := report.GetHost()
-	if name >= c.host.settings.Host.Name {
-		return
-	}
+	c.zones[name] = report.GetZone()
 	if !report.GetLookout() || len(report.GetReadings()) < len(c.mirrors) {
 		delete(c.watchers, name)
 		return
@@ -205,12 +231,13 @@
 	p, ok := c.watchers[name]
 	if !ok || p.source.address != report.GetAddress() {
 		p = &watcherPeer{zone: report.GetZone()}
-		p.source = &watcherSource{exchange: c.host.exchange, address: report.GetAddress()}
-		p.source.onFailure = func() { c.watcherFailed(p.source) }
+		p.source = &watcherSource{peers: c.peers, address: report.GetAddress()}
+		p.source.onFailure = func(refused bool) { c.watcherFailed(p.source, refused) }
 		p.source.observeEra = c.host.adapter.Store().ObserveEra
 		c.watchers[name] = p
 	}
-	p.validUntil = now.Add(maxProofAge + c.host.exchange.Interval() - oldestAge)
+	p.validUntil = now.Add(maxProofAge + c.peers.Interval() - oldestAge)
+	p.forgetAt = now.Add(maxProofAge + 2*c.peers.Interval())
 }
 
 // checkLag returns what to do about a kind of which a peer has seen changes up to
@@ -227,7 +254,7 @@
 	}
 	logrus.WithFields(logrus.Fields{"kind": m.Kind(), "version": covered, "peer_version": l.awaited, "directly": step == relistFromStore}).
 		Info("a peer is ahead")
-	if !now.Before(c.directUntil[m.Kind()]) { // else it is the store that lags
+	if !now.Before(c.directUntil[m.Kind()]) && !c.readsDirectly(m.Kind()) { // else it is the store that lags
 		c.avoid(now, c.followed)
 	}
 	if step == relistFromStore {
@@ -249,11 +276,20 @@
 	}
 }
 
-// watcherFailed handles a failed call to a watcher.
-func (c *watchCoordinator) watcherFailed(source *watcherSource) {
+// watcherFailed handles a failed call to a watcher. refused reports that the peer answered
+// that it is no watcher or has no recent response of the store; its next report may show
+// otherwise. A watcher that doesn't answer is avoided.
+func (c *watchCoordinator) watcherFailed(source *watcherSource, refused bool) {
 	now := time.Now()
 	c.mu.Lock()
-	c.avoid(now, source)
+	if !refused || !c.large {
+		c.avoid(now, source)
+	}
+	for _, p := range c.watchers {
+		if p.source == source && c.large {
+			p.validUntil = now.Add(-1)
+		}
+	}
 	c.mu.Unlock()
 	c.updateRole(now)
 }
@@ -262,33 +298,35 @@
 func (c *watchCoordinator) SetReachability(reachability exchange.Reachability) {
 	c.mu.Lock()
 	c.large = len(reachability.Reachable)+len(reachability.Unreachable)+1 >= followFleetSize
+	c.reachable = reachability.Reachable
 	c.mu.Unlock()
 	c.updateRole(time.Now())
 }
 
-// updateRole makes this host a watcher if fewer than targetWatchers hosts with
-// lower names are, and ends that role when enough are. In a large fleet it also
-// chooses the watcher to follow, and makes this host a watcher if there is none.
+// updateRole sets this host's role and, in a large fleet, the watcher that it follows.
 func (c *watchCoordinator) updateRole(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endDirectReads(now)
-	names, followable := c.currentWatchers(now)
-	watcher, followed := len(names) < targetWatchers || c.large && len(followable) == 0, c.followed
-	switch {
-	case watcher || !c.large:
-		followed = nil
-	case !slices.ContainsFunc(followable, func(name string) bool { return c.watchers[name].source == followed }):
-		followed = c.watchers[followable[xxhash.Sum64String(c.host.settings.Host.Name)%uint64(len(followable))]].source
+	in, candidates := c.observeWatchers(now)
+	role, followed := decideRole(in), (*watcherSource)(nil)
+	if c.large && (role == nonWatcher || role == standbyWatcher && in.otherZones) {
+		if name := chooseSource(candidates, in.zoneHosts, xxhash.Sum64String(c.host.settings.Host.Name)); name != "" {
+			followed = c.watchers[name].source
+		}
 	}
-	if watcher == c.watcher && followed == c.followed {
+	paused := c.large && role == nonWatcher && followed == nil
+	if role == c.role && followed == c.followed && paused == c.paused {
 		return
 	}
-	logrus.WithFields(logrus.Fields{"lookout": watcher, "others": len(names), "follows_peer": followed != nil}).Info("watcher role or source of the mirrors changed")
-	replaceWatches := watcher && !c.watcher || followed != c.followed
-	c.watcher, c.followed = watcher, followed
-	c.host.adapter.SetWatchWait(watchWait(watcher))
-	if replaceWatches { // replaces running watches that are long or of another source
+	logrus.WithFields(logrus.Fields{
+		"lookout": role != nonWatcher, "standby": role == standbyWatcher, "others": in.watchers, "rank": in.rank, "follows_peer": followed != nil,
+	}).Info("watcher role or source of the mirrors changed")
+	// Replaces running watches that are long, of another source or less frequent.
+	replaceWatches := role != c.role && role != nonWatcher || followed != c.followed || paused != c.paused
+	c.role, c.followed, c.paused = role, followed, paused
+	c.host.adapter.SetWatchTiming(watchTiming(role))
+	if replaceWatches {
 		for _, m := range c.served {
 			m.ReselectSource()
 		}
@@ -307,38 +345,72 @@
 	}
 }
 
-// currentWatchers returns the names of the watchers that are relevant for this
-// host, and of those that it may follow, both sorted. It must be called with the
-// mutex held.
-func (c *watchCoordinator) currentWatchers(now time.Time) (names, followable []string) {
+// observeWatchers returns what this host's role depends on, and the watchers that it may
+// follow. It must be called with the mutex held.
+func (c *watchCoordinator) observeWatchers(now time.Time) (roleInput, []sourceCandidate) {
+	self := c.host.settings.Host
+	in := roleInput{
+		large: c.large, joining: now.Sub(c.startedAt) < joinGrace, zoneHosts: 1, interval: c.peers.Interval(),
+		followed: now.Sub(c.followedAt) < avoidDuration,
+	}
+	for _, name := range c.reachable {
+		if c.zones[name] != self.Zone {
+			continue
+		}
+		in.zoneHosts++
+		if p, ok := c.watchers[name]; name < self.Name && (!ok || now.After(p.avoidUntil)) {
+			in.rank++
+		}
+	}
+	var candidates []sourceCandidate
 	for name, p := range c.watchers {
+		connected, near := !now.After(p.validUntil), p.zone == self.Zone
+		if connected && name < self.Name && (near || !c.large) {
+			in.watchers++
+		}
+		in.otherZones = in.otherZones || connected && !near
 		switch {
-		case now.After(p.validUntil):
+		case now.After(p.forgetAt):
 			delete(c.watchers, name)
-		case !c.large || p.zone == c.host.settings.Host.Zone:
-			names = append(names, name)
-			if now.After(p.avoidUntil) {
-				followable = append(followable, name)
-			}
+		case now.After(p.avoidUntil):
+			candidates = append(candidates, sourceCandidate{name: name, sameZone: near, connected: connected})
 		}
 	}
-	slices.Sort(names)
-	slices.Sort(followable)
-	return names, followable
+	if in.watchers >= targetWatchers {
+		c.completeAt = now
+	}
+	in.missing = now.Sub(c.completeAt)
+	return in, candidates
 }
 
-func watchWait(watcher bool) time.Duration {
-	if watcher {
-		return watcherWait
+// watchTiming returns the parameters of Adapter.SetWatchTiming for a role.
+func watchTiming(role watcherRole) (wait, endpointPause time.Duration) {
+	switch role {
+	case nonWatcher:
+		return nonWatcherWait, 0
+	case standbyWatcher:
+		return watcherWait, standbyPause
 	}
-	return nonWatcherWait
+	return watcherWait, 0
 }
 
 // isWatcher reports whether this host is a watcher.
 func (c *watchCoordinator) isWatcher() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.watcher
+	return c.role != nonWatcher
+}
+
+// recordFollowed records that a peer reads through this host, which a standby watcher takes
+// as a sign that the first watcher of its zone has failed.
+func (c *watchCoordinator) recordFollowed(now time.Time) {
+	c.mu.Lock()
+	c.followedAt = now
+	standby := c.role == standbyWatcher
+	c.mu.Unlock()
+	if standby {
+		c.updateRole(now)
+	}
 }
 
 // source returns the source from which the mirror of a kind is to read: the
@@ -347,6 +419,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.readsDirectly(kind):
+		return c.host.adapter.Store()
+	case !c.sized:
+		return sizingSource{Source: c.host.adapter.Store(), coordinator: c}
+	case c.paused:
+		return pausedSource{Source: c.host.adapter.Store(), mayList: func() bool { return c.mayListPaused(kind) }}
 	case c.followed == nil:
 		return c.host.adapter.Store()
 	case time.Now().After(c.directUntil[kind]):
@@ -356,6 +434,12 @@
 	}
 }
 
+// readsDirectly reports whether this host, a standby watcher, reads a kind from the store
+// although it follows a peer. It must be called with the mutex held.
+func (c *watchCoordinator) readsDirectly(kind objectstore.Kind) bool {
+	return c.role == standbyWatcher && kind == c.endpoints
+}
+
 // endDirectRead handles a failed direct read from the store: the kind is read from the
 // followed peer again, and not directly for avoidDuration.
 func (c *watchCoordinator) endDirectRead(kind objectstore.Kind) {
--- a/internal/edge/direct_test.go
+++ b/internal/edge/direct_test.go
@@ -34,7 +34,7 @@
 	now := time.Now()
 	followed := &watcherSource{address: "watcher"}
 	c := &watchCoordinator{
-		host: &host{adapter: silentAdapter{}}, followed: followed, watchers: map[string]*watcherPeer{"watcher": {source: followed}},
+		host: &host{adapter: silentAdapter{}}, sized: true, followed: followed, watchers: map[string]*watcherPeer{"watcher": {source: followed}},
 		lags:        map[objectstore.Kind]*lag{kind: {tolerance: tolerance}},
 		directUntil: make(map[objectstore.Kind]time.Time), notDirectUntil: make(map[objectstore.Kind]time.Time),
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,8 +64,10 @@
 	Store() objectstore.RestorableStore
 	// Collectors returns the adapter's own metrics.
 	Collectors() []prometheus.Collector
-	// SetWatchWait sets how long the store holds a watch open without events.
-	SetWatchWait(wait time.Duration)
+	// SetWatchTiming sets how long the store holds a watch open without events. A positive
+	// endpointPause is added to the pause between two watches of endpoints and taken off
+	// the time that they are held.
+	SetWatchTiming(wait, endpointPause time.Duration)
 	// Codec returns the codec of the endpoints' protocol.
 	Codec() forward.Codec
 	// Configuration returns the source of configurations and the mirror that
@@ -99,6 +101,7 @@
 	quarantine *quarantine.Quarantine
 	quota      *quota.Service
 	exchange   *exchange.Service
+	watches    *watchCoordinator
 	lease      *lease.Lease
 	orders     *orders.Service
 	paths      *reach.Monitor
@@ -169,7 +172,9 @@
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
-	h.exchange.AddParticipant(newWatchCoordinator(h, configMirror, endpointMirror, hostMirror))
+	h.watches = newWatchCoordinator(h, h.exchange, configMirror, endpointMirror, hostMirror)
+	h.exchange.AddParticipant(h.watches)
+	h.exchange.SetFollowHandler(h.watches.follow)
 	branches := []supervise.Branch{
 		{Name: "store", Services: []suture.Service{configMirror, endpointMirror, hostMirror}},
 	}
@@ -206,6 +211,8 @@
 		Store: h.adapter.Store(), Name: placementLease, Host: s.Host.Name, Incarnation: s.Host.Name,
 		Duration: duration, RenewalInterval: duration / renewalsPerLease, Now: clock.Boot,
 		Era: h.adapter.Store().Era, FirstStart: s.FirstStart, Eligible: h.reachesEngines,
+		Yield:      func() time.Duration { return h.watches.leaseYield() },
+		AwaitPeers: func(ctx context.Context) { h.watches.awaitSize(ctx) },
 	})
 	h.orders = orders.New(orders.Config{
 		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -8,7 +8,6 @@
 	"github.com/twitchtv/twirp"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
-	"bilberryslip.example/bilberryslip/internal/exchange"
 	"bilberryslip.example/bilberryslip/internal/mirror"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
@@ -28,6 +27,7 @@
 	if !ok || !c.isWatcher() || c.stale(m) {
 		return nil, twirp.NewError(twirp.Unavailable, "this host is not on lookout; follow another")
 	}
+	c.recordFollowed(time.Now())
 	wait := min(time.Duration(request.GetWaitMillis())*time.Millisecond, followWait)
 	update := m.Follow(ctx, objectstore.NewVersion(request.GetEra(), request.GetAfter()), wait)
 	response := &fleetv1.FollowResponse{Era: update.Covered.Era(), Covered: update.Covered.Revision(), Whole: update.Whole}
@@ -50,20 +50,21 @@
 // watcherSource reads the store through a watcher host. It implements
 // mirror.Source.
 type watcherSource struct {
-	exchange *exchange.Service
-	address  string
-	// onFailure is called when a call to the peer fails, observeEra with the era of
-	// the store that a response shows.
-	onFailure  func()
+	peers   peerCalls
+	address string
+	// onFailure is called when a call to the peer fails, with whether the peer refused
+	// it, and observeEra with the era of the store that a response shows.
+	onFailure  func(refused bool)
 	observeEra func(era int64)
 }
 
 func (s *watcherSource) fetchChanges(ctx context.Context, kind objectstore.Kind, after objectstore.Version, wait time.Duration) (*fleetv1.FollowResponse, error) {
-	response, err := s.exchange.FollowPeer(ctx, s.address, &fleetv1.FollowRequest{
+	response, err := s.peers.FollowPeer(ctx, s.address, &fleetv1.FollowRequest{
 		Kind: string(kind), Era: after.Era(), After: after.Revision(), WaitMillis: wait.Milliseconds(),
 	})
 	if err != nil && ctx.Err() == nil {
-		s.onFailure()
+		var reply twirp.Error
+		s.onFailure(errors.As(err, &reply) && reply.Code() == twirp.Unavailable)
 	}
 	if era := response.GetEra(); era > 0 {
 		s.observeEra(era)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -213,6 +213,13 @@
 	return s.roster.interval()
 }
 
+// Reachability returns the current reachability of the peers.
+func (s *Service) Reachability() Reachability {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.reachability(time.Now())
+}
+
 func (s *Service) roundInterval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -91,6 +91,13 @@
 // Kind returns the kind that the mirror copies.
 func (m *Mirror) Kind() objectstore.Kind { return m.kind }
 
+// Len returns the number of objects in the copy.
+func (m *Mirror) Len() int {
+	m.cache.mu.Lock()
+	defer m.cache.mu.Unlock()
+	return len(m.cache.objects)
+}
+
 // recordReading raises the versions reached and sets the time of the last
 // response.
 func (m *Mirror) recordReading(covered, changed objectstore.Version) {
