Prefer endpoints with an open connection among nearly equal ones

A host chose among equal endpoints without regard to its connections, so that most requests found none that could be reused. The hook is Config.Warm of internal/fleet, which adds one term to the cost.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -138,7 +138,8 @@
 	s := h.settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	h.quarantine = quarantine.New(time.Now)
-	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, OnVanished: func(e fleet.Endpoint) {
+	pool := upstream.NewPool()
+	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Warm: pool.HasRecent, OnVanished: func(e fleet.Endpoint) {
 		h.quarantine.RecordGone(quarantine.Incarnation{Endpoint: e.ID, StartedMillis: e.StartedMillis()})
 	}})
 	h.quota = quota.NewService(s.Host.Name, s.Bounds.QuotaWindow.Std(), s.FirstStart)
@@ -155,7 +156,6 @@
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
 	h.exchange.AddParticipant(newGCTuner(time.Now))
-	pool := upstream.NewPool()
 	h.paths = reach.New(reach.Config{
 		Targets: h.endpoints.Targets, Ping: h.adapter.Ping(pool),
 		OnChange: func(service string, state reach.State, peerReaches bool) {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -76,6 +76,8 @@
 	now    time.Time
 	// peers is the work at the endpoint that peers have reported.
 	peers endpointWork
+	// connectionCost is the result of Registry.connectionCost.
+	connectionCost float64
 }
 
 // peersRunning estimates the requests of other hosts at the endpoint: the
@@ -98,7 +100,7 @@
 // cost returns the expected delay of the work at the endpoint, in prompt tokens.
 func (c *candidate) cost(work Work, zone string, preferred bool) float64 {
 	m := c.member
-	cost := float64(m.unreadTokens + c.peers.unreadTokens)
+	cost := float64(m.unreadTokens+c.peers.unreadTokens) + c.connectionCost
 	cost += tokensPerRunning * (float64(m.running) + c.peersRunning())
 	cost += tokensPerWaiting * c.waiting()
 	cost += float64(uncachedTokens(work, m, preferred))
