--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/detour"
+	"bilberryslip.example/bilberryslip/internal/evacuation"
 	"bilberryslip.example/bilberryslip/internal/exchange"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/forward"
@@ -75,6 +76,8 @@
 	Configuration(onChange ConfigHook) (forward.Source, *mirror.Mirror)
 	// Endpoints returns the mirror that updates the registry.
 	Endpoints(registry *fleet.Registry) *mirror.Mirror
+	// Evacuations returns the mirror that updates the tracker.
+	Evacuations(tracker *evacuation.Tracker) *mirror.Mirror
 	// Engines returns the client that sends orders to engines over the pool.
 	Engines(pool *upstream.Pool) orders.Engines
 	// Ping returns a function that calls an endpoint over a new connection of the pool and
@@ -96,12 +99,15 @@
 	path string
 	logs *logsink.Sink
 
-	source     forward.Source
-	endpoints  *fleet.Registry
+	source    forward.Source
+	endpoints *fleet.Registry
+	// evacuation is nil if the deployment evacuates no zones.
+	evacuation *evacuation.Tracker
 	quarantine *quarantine.Quarantine
 	quota      *quota.Service
 	exchange   *exchange.Service
 	watches    *watchCoordinator
+	origins    *streamorigin.Origins
 	lease      *lease.Lease
 	orders     *orders.Service
 	paths      *reach.Monitor
@@ -139,11 +145,19 @@
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	h.quarantine = quarantine.New(time.Now)
 	pool := upstream.NewPool()
-	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Warm: pool.HasRecent, OnVanished: func(e fleet.Endpoint) {
+	var evacuated func(zone string) bool
+	if s.Bounds.Evacuation > 0 {
+		h.evacuation = evacuation.NewTracker()
+		evacuated = h.evacuation.Evacuated
+	}
+	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Evacuated: evacuated, Warm: pool.HasRecent, OnVanished: func(e fleet.Endpoint) {
 		h.quarantine.RecordGone(quarantine.Incarnation{Endpoint: e.ID, StartedMillis: e.StartedMillis()})
 	}})
 	h.quota = quota.NewService(s.Host.Name, s.Bounds.QuotaWindow.Std(), s.FirstStart)
 	source, configMirror := h.adapter.Configuration(func(c *traffic.Config) { h.quota.Configure(c) })
+	if h.evacuation != nil {
+		source = knownZonesSource{Source: source, evacuation: h.evacuation}
+	}
 	h.source = source
 	h.exchange = exchange.New(exchange.Config{
 		Store: h.adapter.Store(), Host: s.Host.Name, Incarnation: incarnation, Zone: s.Host.Zone, Address: s.Listen.Peers,
@@ -151,8 +165,8 @@
 	h.exchange.AddParticipant(h.quota)
 	h.exchange.AddParticipant(h.endpoints)
 	h.exchange.AddParticipant(h.quarantine)
-	origins := streamorigin.New(h.endpoints.SoftwareVersions, time.Now)
-	h.exchange.AddParticipant(origins)
+	h.origins = streamorigin.New(streamorigin.Config{Listed: h.endpoints.SoftwareVersions, Recorded: true})
+	h.exchange.AddParticipant(h.origins)
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
 	h.exchange.AddParticipant(newGCTuner(time.Now))
@@ -167,17 +181,25 @@
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
-		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine, Origins: origins, Paths: h.paths, Detours: h.detours,
+		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine, Origins: h.origins, Paths: h.paths, Detours: h.detours,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
-	h.watches = newWatchCoordinator(h, h.exchange, configMirror, endpointMirror, hostMirror)
+	fresh := []freshMirror{
+		{Mirror: configMirror, tolerance: configurationTolerance},
+		{Mirror: endpointMirror, tolerance: endpointTolerance, endpoints: true},
+	}
+	store := []suture.Service{configMirror, endpointMirror, hostMirror}
+	if h.evacuation != nil {
+		h.exchange.AddParticipant(h.evacuation)
+		evacuationMirror := h.adapter.Evacuations(h.evacuation)
+		fresh, store = append(fresh, freshMirror{Mirror: evacuationMirror, tolerance: evacuationTolerance}), append(store, evacuationMirror)
+	}
+	h.watches = newWatchCoordinator(h, h.exchange, hostMirror, fresh...)
 	h.exchange.AddParticipant(h.watches)
 	h.exchange.SetFollowHandler(h.watches.follow)
-	branches := []supervise.Branch{
-		{Name: "store", Services: []suture.Service{configMirror, endpointMirror, hostMirror}},
-	}
+	branches := []supervise.Branch{{Name: "store", Services: store}}
 	servers, err := h.listen()
 	if err != nil {
 		return err
@@ -185,7 +207,11 @@
 	branches = append(branches,
 		supervise.Branch{Name: "peers", Services: []suture.Service{h.exchange}},
 		supervise.Branch{Name: "holds", Services: []suture.Service{&holdKeeper{
-			store: h.adapter.Store(), quarantine: h.quarantine, leads: func() bool { return h.lease.Status().Held },
+			store: h.adapter.Store(), quarantine: h.quarantine, leads: h.leads,
+		}}},
+		supervise.Branch{Name: "software", Services: []suture.Service{&softwareKeeper{
+			store: h.adapter.Store(), origins: h.origins, host: s.Host.Name, firstStart: s.FirstStart,
+			listed: h.endpoints.SoftwareVersions, leads: h.leads,
 		}}},
 		supervise.Branch{Name: "paths", Services: []suture.Service{h.paths}},
 		supervise.Branch{Name: "placement", Services: []suture.Service{h.lease, h.orders}},
@@ -194,6 +220,21 @@
 	return nil
 }
 
+// knownZonesSource provides no configuration until it is known which zones are evacuated,
+// so that a host that has just started sends nothing to an evacuated zone.
+type knownZonesSource struct {
+	forward.Source
+	evacuation *evacuation.Tracker
+}
+
+// Current implements forward.Source.
+func (s knownZonesSource) Current() *traffic.Config {
+	if !s.evacuation.Known() {
+		return nil
+	}
+	return s.Source.Current()
+}
+
 // placementLease is the lease whose holder sends all orders to engines. There is
 // one for the whole fleet, since a lease holder is a single host and engines
 // reject orders that alternate between hosts.
@@ -223,6 +264,9 @@
 	h.exchange.SetPlacementHandler(h.orders.Place)
 }
 
+// leads reports whether this host holds the placement lease.
+func (h *host) leads() bool { return h.lease.Status().Held }
+
 // reachesEngines reports whether this host can order engines: no peer reaches engines of a
 // service that it does not reach itself.
 func (h *host) reachesEngines() bool {
@@ -289,10 +333,15 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
 	registry.MustRegister(h.adapter.Collectors()...)
 	registry.MustRegister(h.forwarder.Collectors()...)
+	registry.MustRegister(h.endpoints.Collectors()...)
 	registry.MustRegister(h.quarantine.Collectors()...)
+	registry.MustRegister(h.origins.Collectors()...)
 	registry.MustRegister(h.orders.Collectors()...)
 	registry.MustRegister(h.paths.Collectors()...)
 	registry.MustRegister(h.detours.server.Collectors()...)
+	if h.evacuation != nil {
+		registry.MustRegister(h.evacuation.Collectors()...)
+	}
 	return registry
 }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/sirupsen/logrus"
 
@@ -39,6 +40,9 @@
 	Ejector endpoint.EjectorConfig
 	// Clock returns the current time. Nil means time.Now.
 	Clock func() time.Time
+	// Evacuated reports whether an availability zone is evacuated: its endpoints get no
+	// requests. It must not call the Registry. Nil means that no zone ever is.
+	Evacuated func(zone string) bool
 	// OnVanished is called with each endpoint whose entry is removed or replaced by
 	// that of another incarnation although it had not announced its shutdown. It must
 	// not call the Registry. Nil does nothing.
@@ -117,6 +121,8 @@
 	// limitSettle is how long hosts take to learn of a limit and of each other's demand.
 	hosts       []string
 	limitSettle time.Duration
+	speeds      speeds
+	sampler     sampler
 }
 
 // NewRegistry returns a Registry without endpoints.
@@ -127,13 +133,16 @@
 	if cfg.OnVanished == nil {
 		cfg.OnVanished = func(Endpoint) {}
 	}
+	if cfg.Evacuated == nil {
+		cfg.Evacuated = func(string) bool { return false }
+	}
 	if cfg.Ejector == (endpoint.EjectorConfig{}) {
 		cfg.Ejector = endpoint.DefaultEjectorConfig()
 	}
 	return &Registry{
 		config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector),
 		peers: make(map[string]peerLoad), peerTotals: make(map[string]endpointWork),
-		departed: make(map[string]departure), limitSettle: exchange.MaxSettleTime,
+		departed: make(map[string]departure), limitSettle: exchange.MaxSettleTime, speeds: newSpeeds(), sampler: sampler{state: xxhash.Sum64String(cfg.Host)},
 	}
 }
 
@@ -307,13 +316,16 @@
 	defer r.mu.Unlock()
 	now := r.config.Clock()
 	for _, m := range r.members {
-		if m.Service == service && r.usable(m, now) && m.holds(now, model, "") {
+		if m.Service == service && r.usable(m, now) && !r.config.Evacuated(m.Zone) && m.holds(now, model, "") {
 			return true
 		}
 	}
 	return false
 }
 
+// Evacuated reports whether a zone is evacuated, so that its endpoints get nothing.
+func (r *Registry) Evacuated(zone string) bool { return r.config.Evacuated(zone) }
+
 // Start chooses an endpoint for the work and counts the work as running there.
 // The caller must call Finish on the returned attempt. If no endpoint is
 // suitable, it returns nil and the reason.
@@ -321,13 +333,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.config.Clock()
+	r.refreshSpeeds(now)
 	var limited []*member
 	for {
 		candidates, reason := r.candidates(work, now, limited)
 		if reason != ReasonNone {
 			return nil, reason
 		}
-		chosen := cheapest(candidates, work, r.config.Zone)
+		chosen := r.cheapest(candidates, work)
 		if chosen.takeLimit(now) {
 			return r.start(chosen, work), ReasonNone
 		}
@@ -343,7 +356,7 @@
 	ejected := r.ejector.Ejected(now)
 	var holding, healthy, untried []candidate
 	reason := ReasonNoEndpoint
-	backoff, otherSoftware := false, false
+	backoff, otherSoftware, evacuated, unsettled := false, false, false, false
 	for _, m := range r.members {
 		if m.Service != work.Service || !r.usable(m, now) {
 			continue
@@ -352,10 +365,18 @@
 			otherSoftware = true
 			continue
 		}
+		if r.config.Evacuated(m.Zone) {
+			evacuated = true
+			continue
+		}
 		if !m.holds(now, work.Model, work.Adapter) {
 			reason = notHeldReason(reason, m.holds(now, work.Model, ""))
 			continue
 		}
+		if work.Software == "" && work.BeginAt != nil && !slices.Contains(work.BeginAt, m.Software) {
+			unsettled = true
+			continue
+		}
 		if now.Before(m.backoffUntil) || slices.Contains(limited, m) {
 			backoff = true
 			continue
@@ -378,6 +399,10 @@
 	switch {
 	case backoff:
 		reason = ReasonBackoff
+	case unsettled:
+		reason = ReasonSoftwareUnsettled
+	case evacuated && reason == ReasonNoEndpoint:
+		reason = ReasonZoneEvacuated
 	case otherSoftware && reason == ReasonNoEndpoint:
 		reason = ReasonOtherSoftware
 	}
@@ -398,21 +423,24 @@
 
 func (r *Registry) start(m *member, work Work) *Attempt {
 	tokens := uncachedTokens(work, m, false)
+	pace := pace{model: work.Model, startedAt: r.config.Clock(), queued: m.load.Waiting > 0}
 	m.running++
 	m.unreadTokens += tokens
 	for _, segment := range work.PromptSegments {
 		m.segments.Add(segmentKey(work, segment), struct{}{})
 	}
-	return &Attempt{registry: r, member: m, Endpoint: m.Endpoint, unread: tokens}
+	return &Attempt{registry: r, member: m, Endpoint: m.Endpoint, unread: tokens, pace: pace}
 }
 
-// SoftwareVersions returns the software versions of the listed endpoints by service.
+// SoftwareVersions returns the software versions by service of the endpoints that are
+// listed, or still usable since an outage of the store may have delisted them.
 func (r *Registry) SoftwareVersions() map[string][]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.config.Clock()
 	versions := make(map[string][]string)
 	for _, m := range r.members {
-		if m.removedAt.IsZero() && !slices.Contains(versions[m.Service], m.Software) {
+		if (m.removedAt.IsZero() || r.usable(m, now)) && !slices.Contains(versions[m.Service], m.Software) {
 			versions[m.Service] = append(versions[m.Service], m.Software)
 		}
 	}
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -15,6 +15,7 @@
 	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/reach"
 	"bilberryslip.example/bilberryslip/internal/repeat"
+	"bilberryslip.example/bilberryslip/internal/retry"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
@@ -34,6 +35,9 @@
 	// restartRetryAfter is when to retry if no endpoint of the required software is left:
 	// about the time in which an endpoint restarts.
 	restartRetryAfter = 1500 * time.Millisecond
+	// evacuationRetryAfter is when to retry if all endpoints are in evacuated zones. Zones
+	// stay evacuated for much longer; endpoints may start in another zone.
+	evacuationRetryAfter = 2 * time.Second
 	// maxDials limits the number of endpoints tried that could not be reached.
 	maxDials = 4
 )
@@ -128,6 +132,9 @@
 		if outcome == repeat.Final {
 			return nil
 		}
+		if errors.Is(err, errZoneEvacuated) {
+			continue // nothing was sent, and the zone is left out from now on
+		}
 		if !x.inVain(err) && x.shouldRetry(outcome) {
 			continue
 		}
@@ -160,16 +167,31 @@
 }
 
 func (x *inflightCall) work() fleet.Work {
-	return fleet.Work{
+	work := fleet.Work{
 		Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter,
 		PromptSegments: x.call.PromptSegments, PromptTokens: x.call.PromptTokens, Software: x.boundTo, Tried: x.tried,
 	}
+	if x.route.Resumable && x.boundTo == "" {
+		work.BeginAt = x.forwarder.config.Origins.MayBegin(x.service)
+	}
+	return work
 }
 
+// unsettledTries and unsettledPause bound the wait until streams may begin at a software
+// version that has just appeared, and no other one is left: 0.5 s. In fleets of up to 24
+// hosts, which report every 0.2 s, it mostly takes less.
+const (
+	unsettledTries = 10
+	unsettledPause = 50 * time.Millisecond
+)
+
 // startAttempt chooses an endpoint and starts an attempt on it. If no endpoint
 // holds the model or adapter, it first waits for one to load it.
 func (x *inflightCall) startAttempt() (*fleet.Attempt, error) {
 	attempt, reason := x.forwarder.config.Endpoints.Start(x.work())
+	for tries := 0; reason == fleet.ReasonSoftwareUnsettled && tries < unsettledTries && retry.Sleep(x.ctx, unsettledPause); tries++ {
+		attempt, reason = x.forwarder.config.Endpoints.Start(x.work())
+	}
 	// An adapter can only be loaded on an endpoint that holds its model.
 	for _, missing := range []fleet.Reason{fleet.ReasonModelNotHeld, fleet.ReasonAdapterNotHeld} {
 		if reason == missing && x.awaitHeld(missing) {
@@ -193,6 +215,10 @@
 		return nil, refusal
 	case reason == fleet.ReasonBackoff:
 		return nil, newRefusal(ReasonOverloaded, cmp.Or(x.forwarder.config.Endpoints.RemainingBackoff(x.work()), capacityRetryAfter))
+	case reason == fleet.ReasonZoneEvacuated:
+		return nil, newRefusal(ReasonZoneEmptied, evacuationRetryAfter)
+	case reason == fleet.ReasonSoftwareUnsettled:
+		return nil, newRefusal(ReasonNoEndpoint, capacityRetryAfter)
 	case reason == fleet.ReasonOtherSoftware:
 		return nil, newRefusal(ReasonVersionGone, restartRetryAfter)
 	case reason == fleet.ReasonModelNotHeld || reason == fleet.ReasonAdapterNotHeld:
@@ -202,6 +228,17 @@
 	}
 }
 
+// errZoneEvacuated means that an endpoint's zone was evacuated after the endpoint was chosen.
+var errZoneEvacuated = errors.New("the endpoint's availability zone is evacuated")
+
+// checkZone returns errZoneEvacuated if the endpoint of an attempt must get nothing any more.
+func (x *inflightCall) checkZone(attempt *fleet.Attempt) error {
+	if x.forwarder.config.Endpoints.Evacuated(attempt.Endpoint.Zone) {
+		return errZoneEvacuated
+	}
+	return nil
+}
+
 // awaitHeld waits until an endpoint may hold the model or adapter that none
 // holds. It returns false if that takes too long.
 func (x *inflightCall) awaitHeld(missing fleet.Reason) bool {
@@ -226,6 +263,7 @@
 		EncodeHeader: func() http.Header { return codec.Encode(x.call, x.attemptParams(attempt)) },
 		Body:         x.call.Body, RecentOnly: !x.route.MayRepeat(),
 	}
+	message.Check = func() error { return x.checkZone(attempt) }
 	x.chooseWay(attempt, &message)
 	belongs := func(header http.Header) bool { return codec.Belongs(x.call, header) }
 	sentAt := x.forwarder.config.Clock()
@@ -281,6 +319,11 @@
 		attempt.Finish(endpoint.OutcomeCancelled)
 		return repeat.CallerGone, err
 	}
+	if errors.Is(err, errZoneEvacuated) {
+		attempt.Finish(endpoint.OutcomeCancelled)
+		x.logAttempt(attempt, "zone evacuated before the request was sent", err)
+		return repeat.NotReached, err
+	}
 	attempt.Finish(chargeTo(err))
 	x.forwarder.config.Upstream.CloseIdle(attempt.Endpoint.Address)
 	x.logAttempt(attempt, "endpoint failed", err)
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -25,8 +25,9 @@
 	// planInterval is the time between two planning cycles, before jitter.
 	planInterval = 400 * time.Millisecond
 	// takeoverMargin is the wait before a new holder's first order, on top of the
-	// lease time.
-	takeoverMargin = 400 * time.Millisecond
+	// lease time. The previous holder may have checked its lease just before it lost
+	// it, and its last order arrives within orderTimeout.
+	takeoverMargin = orderTimeout + 100*time.Millisecond
 	// announceTTL is how long the effect of an order is included in reports to
 	// peers. The engines' own entries show it within a heartbeat.
 	announceTTL = 3 * time.Second
@@ -263,7 +264,8 @@
 }
 
 // currentViews returns the views of a service's engines, updated with the
-// engines' current entries. It must be called with the mutex held.
+// engines' current entries. Engines in evacuated zones are left out; their reports are
+// read again when the evacuation has ended. It must be called with the mutex held.
 func (s *Service) currentViews(service string) []*view {
 	var views []*view
 	for _, e := range s.config.Registry.Endpoints() {
@@ -276,6 +278,10 @@
 			s.views[e.ID] = v
 		}
 		v.update(e)
+		if s.config.Registry.Evacuated(e.Zone) {
+			v.stale = true
+			continue
+		}
 		views = append(views, v)
 	}
 	return views
