--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,8 +65,10 @@
 	Store() objectstore.RestorableStore
 	// Collectors returns the adapter's own metrics.
 	Collectors() []prometheus.Collector
-	// SetWatchWait sets how long the store holds a watch open without events.
-	SetWatchWait(wait time.Duration)
+	// SetWatchTiming sets how long the store holds a watch open without events. A positive
+	// endpointPause is added to the pause between two watches of endpoints and taken off
+	// the time that they are held.
+	SetWatchTiming(wait, endpointPause time.Duration)
 	// Codec returns the codec of the endpoints' protocol.
 	Codec() forward.Codec
 	// Configuration returns the source of configurations and the mirror that
@@ -104,6 +106,7 @@
 	quarantine *quarantine.Quarantine
 	quota      *quota.Service
 	exchange   *exchange.Service
+	watches    *watchCoordinator
 	origins    *streamorigin.Origins
 	lease      *lease.Lease
 	orders     *orders.Service
@@ -141,12 +144,13 @@
 	s := h.settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	h.quarantine = quarantine.New(time.Now)
+	pool := upstream.NewPool()
 	var evacuated func(zone string) bool
 	if s.Bounds.Evacuation > 0 {
 		h.evacuation = evacuation.NewTracker()
 		evacuated = h.evacuation.Evacuated
 	}
-	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Evacuated: evacuated, ColdStart: h.coldStart, OnVanished: func(e fleet.Endpoint) {
+	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Evacuated: evacuated, ColdStart: h.coldStart, Warm: pool.HasRecent, OnVanished: func(e fleet.Endpoint) {
 		h.quarantine.RecordGone(quarantine.Incarnation{Endpoint: e.ID, StartedMillis: e.StartedMillis()})
 	}})
 	h.quota = quota.NewService(s.Host.Name, s.Bounds.QuotaWindow.Std(), s.FirstStart)
@@ -166,7 +170,6 @@
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
 	h.exchange.AddParticipant(newGCTuner(time.Now))
-	pool := upstream.NewPool()
 	h.paths = reach.New(reach.Config{
 		Targets: h.endpoints.Targets, Ping: h.adapter.Ping(pool),
 		OnChange: func(service string, state reach.State, peerReaches bool) {
@@ -183,14 +186,19 @@
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
-	fresh := []freshMirror{{configMirror, configurationTolerance}, {endpointMirror, endpointTolerance}}
+	fresh := []freshMirror{
+		{Mirror: configMirror, tolerance: configurationTolerance},
+		{Mirror: endpointMirror, tolerance: endpointTolerance, endpoints: true},
+	}
 	store := []suture.Service{configMirror, endpointMirror, hostMirror}
 	if h.evacuation != nil {
 		h.exchange.AddParticipant(h.evacuation)
 		evacuationMirror := h.adapter.Evacuations(h.evacuation)
-		fresh, store = append(fresh, freshMirror{evacuationMirror, evacuationTolerance}), append(store, evacuationMirror)
+		fresh, store = append(fresh, freshMirror{Mirror: evacuationMirror, tolerance: evacuationTolerance}), append(store, evacuationMirror)
 	}
-	h.exchange.AddParticipant(newWatchCoordinator(h, hostMirror, fresh...))
+	h.watches = newWatchCoordinator(h, h.exchange, hostMirror, fresh...)
+	h.exchange.AddParticipant(h.watches)
+	h.exchange.SetFollowHandler(h.watches.follow)
 	branches := []supervise.Branch{{Name: "store", Services: store}}
 	servers, err := h.listen()
 	if err != nil {
@@ -258,6 +266,8 @@
 		Store: h.adapter.Store(), Name: placementLease, Host: s.Host.Name, Incarnation: s.Host.Name,
 		Duration: duration, RenewalInterval: duration / renewalsPerLease, Now: clock.Boot,
 		Era: h.adapter.Store().Era, FirstStart: s.FirstStart, Eligible: h.reachesEngines,
+		Yield:      func() time.Duration { return h.watches.leaseYield() },
+		AwaitPeers: func(ctx context.Context) { h.watches.awaitSize(ctx) },
 	})
 	h.orders = orders.New(orders.Config{
 		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
