--- a/internal/evacuation/tracker.go
+++ b/internal/evacuation/tracker.go
@@ -46,7 +46,7 @@
 func (t *Tracker) Collectors() []prometheus.Collector { return []prometheus.Collector{t.gauge} }
 
 // Evacuated reports whether this host must send nothing to the endpoints of a zone. While
-// it knows of no statement of the operators, that applies to all zones.
+// it has read no statement of the operators, that applies to all zones.
 func (t *Tracker) Evacuated(zone string) bool {
 	current := t.current.Load()
 	return !current.known || slices.Contains(current.inForce, zone)
--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -39,7 +39,7 @@
 	// ownAt is when the last statement to this host was made, own; zero for none.
 	own   BrittleStatement
 	ownAt time.Time
-	// demand is this host's, reported what the peers were told of it at reportedAt.
+	// demand is this host's demand, and reported its value in the report at reportedAt.
 	demand     *decay.Sum
 	reported   float64
 	reportedAt time.Time
--- a/internal/fleet/speed.go
+++ b/internal/fleet/speed.go
@@ -24,7 +24,7 @@
 	// stepGrowth is the relative growth of an engine's step with each running request.
 	stepGrowth = 0.01
 	// minPacedEvents is the smallest number of events from which the pace of a stream is
-	// measured. Events hold 4 to 9 tokens, so that few of them measure it badly.
+	// used as a sample. Events hold 4 to 9 tokens, so that the pace of fewer is too noisy.
 	minPacedEvents = 8
 	// maxBlocked is the fraction of a stream's duration in which its caller may keep the host
 	// from reading on. Beyond it, the pace may be the caller's.
@@ -34,7 +34,7 @@
 	slowSpeed, recoveredSpeed = 0.8, 0.85
 )
 
-// speeds is what the Registry knows of the speeds of its endpoints.
+// speeds holds the estimated speeds of the Registry's endpoints.
 type speeds struct {
 	estimator   *speed.Estimator
 	refreshedAt time.Time
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -29,7 +29,7 @@
 	maxResidual = 1
 	// assumedVariance is the variance of a sample's logarithm until it is measured: that of
 	// a log-normal spread of 0.5. assumedStreamVariance is that at a model, whose samples are
-	// means over a stream; 0.01 to 0.015 were measured in the simulation of internal/fleet.
+	// means over a stream and thus vary less.
 	assumedVariance, assumedStreamVariance = 0.25, 0.02
 	// assumedResiduals is the weight of the assumed variance, in samples.
 	assumedResiduals = 10
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -3,7 +3,7 @@
 // takes up again, at any host, may go on only at the version that began it. Each host
 // reports the streams that it relays while several versions of their service are
 // listed. The versions that services had lately are kept in the store, so that a host that
-// has just started knows of those that are gone.
+// has just started also has those that are no longer listed.
 package streamorigin
 
 import (
