Give each request that may not be repeated a connection of its own again

Cause: the reuse of connections and the preference for a warm one make requests at low load stick to one endpoint, so that others get none (two specs), and a request that was sent on a connection just as its endpoint closed it ended in a reset (the reuse's own test, once beside load).

Change: reverts.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -144,13 +144,12 @@
 	s := h.settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	h.quarantine = quarantine.New(time.Now)
-	pool := upstream.NewPool()
 	var evacuated func(zone string) bool
 	if s.Bounds.Evacuation > 0 {
 		h.evacuation = evacuation.NewTracker()
 		evacuated = h.evacuation.Evacuated
 	}
-	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Evacuated: evacuated, ColdStart: h.coldStart, Warm: pool.HasRecent, OnVanished: func(e fleet.Endpoint) {
+	h.endpoints = fleet.NewRegistry(fleet.Config{Host: s.Host.Name, Zone: s.Host.Zone, Evacuated: evacuated, ColdStart: h.coldStart, OnVanished: func(e fleet.Endpoint) {
 		h.quarantine.RecordGone(quarantine.Incarnation{Endpoint: e.ID, StartedMillis: e.StartedMillis()})
 	}})
 	h.quota = quota.NewService(s.Host.Name, s.Bounds.QuotaWindow.Std(), s.FirstStart)
@@ -170,6 +169,7 @@
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
 	h.exchange.AddParticipant(newGCTuner(time.Now))
+	pool := upstream.NewPool()
 	h.paths = reach.New(reach.Config{
 		Targets: h.endpoints.Targets, Ping: h.adapter.Ping(pool),
 		OnChange: func(service string, state reach.State, peerReaches bool) {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -91,8 +91,6 @@
 	now    time.Time
 	// peers is the work at the endpoint that peers have reported.
 	peers endpointWork
-	// connectionCost is the result of Registry.connectionCost.
-	connectionCost float64
 }
 
 // ratedCandidate is a candidate with its cost.
@@ -128,7 +126,7 @@
 // relative to the service's median.
 func (c *candidate) cost(work *Work, zone string, uncached int, slowness float64) float64 {
 	m := c.member
-	cost := float64(m.unreadTokens+c.peers.unreadTokens) + c.connectionCost
+	cost := float64(m.unreadTokens + c.peers.unreadTokens)
 	cost += tokensPerRunning * (float64(m.running) + c.peersRunning())
 	cost += tokensPerWaiting * c.waiting()
 	cost += float64(uncached)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -51,9 +51,6 @@
 	// that of another incarnation although it had not announced its shutdown. It must
 	// not call the Registry. Nil does nothing.
 	OnVanished func(Endpoint)
-	// Warm reports whether this host has an open connection to an address that can carry
-	// any request. Nil means that connections have no cost. It must not call the Registry.
-	Warm func(address string) bool
 }
 
 // member is one endpoint in the Registry.
@@ -419,7 +416,7 @@
 			continue
 		}
 		m.penalty = r.ejector.Penalty(now, m.ID)
-		c := candidate{member: m, now: now, peers: r.peerTotals[m.ID], connectionCost: r.connectionCost(m)}
+		c := candidate{member: m, now: now, peers: r.peerTotals[m.ID]}
 		holding = append(holding, c)
 		if !ejected[m.ID] {
 			healthy = append(healthy, c)
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -261,7 +261,7 @@
 	message := upstream.Message{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
 		EncodeHeader: func() http.Header { return codec.Encode(x.call, x.attemptParams(attempt)) },
-		Body:         x.call.Body, RecentOnly: !x.route.MayRepeat(),
+		Body:         x.call.Body, Dedicated: !x.route.MayRepeat(),
 	}
 	message.Check = func() error { return x.checkZone(attempt) }
 	x.chooseWay(attempt, &message)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,11 +32,7 @@
 	// maxStrayResponses is how many responses to other requests are skipped on
 	// one connection before it is closed.
 	maxStrayResponses = 3
-	// recentResponse is for how long after a response a connection is reused for a request
-	// with RecentOnly: under half of the shortest idle timeout that endpoints have, 1.5 s;
-	// the rest covers a late clock of theirs and a slow path.
-	recentResponse = 700 * time.Millisecond
-	readBuffer     = 4 << 10
+	readBuffer        = 4 << 10
 )
 
 // Message is a request to an endpoint.
@@ -50,11 +45,6 @@
 	Body   []byte
 	// Dedicated makes Send dial a connection for this request alone.
 	Dedicated bool
-	// RecentOnly makes Send reuse a connection only if it carried a response within
-	// recentResponse and is open. It is for requests that may not be repeated: an endpoint
-	// that has silently dropped a connection resets it when the next request arrives, after
-	// which it is unknown whether that request ran.
-	RecentOnly bool
 	// EncodeHeader, unless nil, returns the header in place of Header once the connection
 	// stands, for fields that depend on the time.
 	EncodeHeader func() http.Header
@@ -101,9 +91,8 @@
 type conn struct {
 	*boundedConn
 	reader *bufio.Reader
-	// expires is when the idle connection may no longer be used. respondedAt is when it
-	// last carried a whole response.
-	expires, respondedAt time.Time
+	// expires is when the idle connection may no longer be used.
+	expires time.Time
 }
 
 // Pool sends requests to endpoints and keeps idle connections by address. It is
@@ -127,31 +116,13 @@
 	delete(p.idle, address)
 }
 
-// HasRecent reports whether an idle connection to an address carried a response within
-// recentResponse.
-func (p *Pool) HasRecent(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	last := len(p.idle[address]) - 1
-	return last >= 0 && p.idle[address][last].recent(p.now())
-}
-
-func (c *conn) recent(now time.Time) bool {
-	return now.Before(c.expires) && now.Sub(c.respondedAt) < recentResponse
-}
-
-// takeIdle returns the open idle connection that carried a response last, or nil.
-// recentOnly excludes those that carried none within recentResponse, which stay idle.
-func (p *Pool) takeIdle(address string, recentOnly bool) *conn {
+func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	for len(p.idle[address]) > 0 {
 		last := len(p.idle[address]) - 1
 		c := p.idle[address][last]
-		if recentOnly && !c.recent(now) {
-			return nil
-		}
 		p.idle[address] = p.idle[address][:last]
 		if now.Before(c.expires) && openAndIdle(c.Conn) {
 			return c
@@ -162,8 +133,7 @@
 }
 
 func (p *Pool) putIdle(address string, c *conn, timeout time.Duration) {
-	c.respondedAt = p.now()
-	c.expires = c.respondedAt.Add(timeout)
+	c.expires = p.now().Add(timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[address]) >= maxIdle {
@@ -173,25 +143,6 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// closeExpired closes the idle connections to an address whose time is over. Those that
-// carried a request with RecentOnly are closed soon, since an endpoint accepts a limited
-// number of connections from all hosts.
-func (p *Pool) closeExpired(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.now()
-	p.idle[address] = slices.DeleteFunc(p.idle[address], func(c *conn) bool {
-		if now.Before(c.expires) {
-			return false
-		}
-		_ = c.Close()
-		return true
-	})
-	if len(p.idle[address]) == 0 {
-		delete(p.idle, address)
-	}
-}
-
 // Exchange is a request whose response header has arrived. The caller reads
 // Response.Body, calls MarkBodyRead if it read all of it, and must then call Close.
 type Exchange struct {
@@ -204,11 +155,9 @@
 	conn    *conn
 	// dedicated is set if the connection must not carry other requests.
 	dedicated bool
-	// recentOnly is the field of the message.
-	recentOnly bool
-	stop       func() bool
-	written    chan error
-	bodyRead   bool
+	stop      func() bool
+	written   chan error
+	bodyRead  bool
 }
 
 // Send sends a message and waits for the response header. belongs reports whether
@@ -229,7 +178,7 @@
 	if m.EncodeHeader != nil {
 		m.Header = m.EncodeHeader()
 	}
-	x := &Exchange{pool: p, address: address, conn: c, dedicated: m.dedicated(), recentOnly: m.RecentOnly, Reused: reused, written: make(chan error, 1)}
+	x := &Exchange{pool: p, address: address, conn: c, dedicated: m.dedicated(), Reused: reused, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	request := newRequest(address, m)
 	x.write(request)
@@ -242,7 +191,7 @@
 
 func (p *Pool) connect(ctx context.Context, address string, m Message) (*conn, bool, error) {
 	if !m.dedicated() {
-		if c := p.takeIdle(address, m.RecentOnly); c != nil {
+		if c := p.takeIdle(address); c != nil {
 			return c, true, nil
 		}
 	}
@@ -354,14 +303,7 @@
 		_ = x.conn.Close()
 		return
 	}
-	timeout := idleTimeout(x.Response.Header)
-	if x.recentOnly {
-		timeout = min(timeout, recentResponse)
-	}
-	x.pool.putIdle(x.address, x.conn, timeout)
-	if x.recentOnly {
-		time.AfterFunc(timeout, func() { x.pool.closeExpired(x.address) })
-	}
+	x.pool.putIdle(x.address, x.conn, idleTimeout(x.Response.Header))
 }
 
 func (x *Exchange) reusable() bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -86,65 +86,6 @@
 		Expect(third.Reused).To(BeFalse())
 	})
 
-	// Guards against a request that is reset on a connection that the endpoint has dropped,
-	// after which it is unknown whether it ran.
-	It("that may not be repeated reuse a connection only soon after a response and while it is open", func() {
-		closing := make(chan bool, 1)
-		address := endpoint(func(conn net.Conn, reader *bufio.Reader) {
-			for id, ok := next(reader); ok; id, ok = next(reader) {
-				_, _ = io.WriteString(conn, responseTo(id, "to "+id))
-				if len(closing) > 0 {
-					<-closing
-					return
-				}
-			}
-		})
-		now := time.Now()
-		pool.now = func() time.Time { return now }
-		reused := func(id string, recentOnly bool) bool {
-			m := Message{Method: "POST", Target: "/", Host: "h", Header: http.Header{"Request-Id": {id}}, RecentOnly: recentOnly}
-			x, err := pool.Send(ctx, address, m, func(h http.Header) bool { return h.Get("Request-Id") == id })
-			Expect(err).NotTo(HaveOccurred())
-			_, err = io.Copy(io.Discard, x.Response.Body)
-			Expect(err).NotTo(HaveOccurred())
-			x.MarkBodyRead()
-			x.Close()
-			return x.Reused
-		}
-		Expect(pool.HasRecent(address)).To(BeFalse())
-		Expect(reused("1", true)).To(BeFalse())
-		now = now.Add(recentResponse - 1)
-		Expect(pool.HasRecent(address)).To(BeTrue())
-		Expect(reused("2", true)).To(BeTrue())
-		now = now.Add(recentResponse)
-		Expect(pool.HasRecent(address)).To(BeFalse())
-		Expect(reused("3", false)).To(BeFalse())
-		now = now.Add(recentResponse)
-		Expect(reused("4", false)).To(BeTrue(), "others reuse older ones")
-		closing <- true
-		Expect(reused("5", true)).To(BeTrue())
-		time.Sleep(50 * time.Millisecond)
-		Expect(reused("6", true)).To(BeFalse(), "the endpoint closed it")
-	})
-
-	// Guards against idle connections that use up the number that an endpoint accepts.
-	It("that may not be repeated leave no connection open for long", func() {
-		ended := make(chan bool)
-		address := endpoint(func(conn net.Conn, reader *bufio.Reader) {
-			id, _ := next(reader)
-			_, _ = io.WriteString(conn, responseTo(id, ""))
-			_, _ = reader.ReadByte()
-			close(ended)
-		})
-		m := Message{Method: "POST", Target: "/", Host: "h", Header: http.Header{"Request-Id": {"1"}}, RecentOnly: true}
-		x, err := pool.Send(ctx, address, m, func(http.Header) bool { return true })
-		Expect(err).NotTo(HaveOccurred())
-		x.MarkBodyRead()
-		x.Close()
-		Consistently(ended, recentResponse/2).ShouldNot(BeClosed())
-		Eventually(ended, recentResponse).Should(BeClosed())
-	})
-
 	It("never mistake an extra response for the next one, whenever it arrives", func() {
 		for _, delay := range []time.Duration{0, 30 * time.Millisecond} {
 			address := endpoint(func(conn net.Conn, reader *bufio.Reader) {
