Write stored objects through one function

The holds and the software versions had the same 25 lines for a conditional write with its conflicts. Behaviour is unchanged; the tests of internal/edge pass.

--- a/internal/edge/holds.go
+++ b/internal/edge/holds.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/objectstore"
@@ -112,29 +111,15 @@
 	if !exists && len(holds) == 0 || exists && sameJSON(value, k.object.Value) {
 		return nil
 	}
-	writeID := uuid.NewString()
-	var written objectstore.Object
-	if exists {
-		written, err = k.store.Update(ctx, kindHolds, holdsName, k.object.Version, writeID, value)
-	} else {
-		written, err = k.store.Create(ctx, kindHolds, holdsName, writeID, value)
-	}
-	var conflict *objectstore.ConflictError
-	var notFound *objectstore.NotFoundError
+	current, replaced, err := writeStored(ctx, k.store, kindHolds, holdsName, k.object, value)
 	switch {
-	case errors.As(err, &conflict) && conflict.Current.WriteID != writeID:
-		k.restore(conflict.Current)
-		return nil
-	case errors.As(err, &conflict):
-		written = conflict.Current
-	case errors.As(err, &notFound): // the store was restored from an older copy
-		k.object = objectstore.Object{}
-		return nil
 	case err != nil:
 		return err
+	case replaced:
+		k.restore(current)
+	default:
+		k.object = current
 	}
-	k.object = written
-	k.object.Value = value
 	return nil
 }
 
--- a/internal/edge/software.go
+++ b/internal/edge/software.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/objectstore"
@@ -146,30 +145,19 @@
 	if !exists && len(record.Services) == 0 || exists && sameJSON(value, k.object.Value) {
 		return nil
 	}
-	writeID := uuid.NewString()
-	var written objectstore.Object
-	if exists {
-		written, err = k.store.Update(ctx, kindSoftware, softwareName, k.object.Version, writeID, value)
-	} else {
-		written, err = k.store.Create(ctx, kindSoftware, softwareName, writeID, value)
-	}
-	var conflict *objectstore.ConflictError
-	var notFound *objectstore.NotFoundError
+	current, replaced, err := writeStored(ctx, k.store, kindSoftware, softwareName, k.object, value)
 	switch {
-	case errors.As(err, &conflict) && conflict.Current.WriteID != writeID:
-		k.restore(conflict.Current)
-		return nil
-	case errors.As(err, &conflict):
-		written = conflict.Current
-	case errors.As(err, &notFound): // the store was restored from an older copy
-		k.object = objectstore.Object{}
-		return nil
 	case err != nil:
 		return err
+	case replaced:
+		k.restore(current)
+		return nil
+	}
+	k.object = current
+	if current.Name == "" {
+		return nil
 	}
-	k.object = written
-	k.object.Value = value
 	k.origins.Written(record)
-	logrus.WithFields(logrus.Fields{"version": written.Version, "services": string(value)}).Info("software versions recorded")
+	logrus.WithFields(logrus.Fields{"version": current.Version, "services": string(value)}).Info("software versions recorded")
 	return nil
 }
