--- a/review/_src/kit/edge.go
+++ b/review/_src/kit/edge.go
@@ -137,16 +137,38 @@
 		store = d.Store.Address
 	}
 	e := &Edge{Name: fmt.Sprintf("edge-%s-%d", zone, len(d.Edges)+1), Zone: zone, program: filepath.Join("target", "bilberryslip-edge")}
-	for _, address := range []*string{&e.Callers, &e.Readiness, &e.Peers, &e.Metrics} {
-		free, err := d.freeAddress()
-		if err != nil {
+	e.settings, e.log = filepath.Join(d.dir, e.Name+".json"), filepath.Join(d.dir, e.Name+".log")
+	const attempts = 10
+	for range attempts { // an outgoing connection may take a port in between
+		for _, address := range []*string{&e.Callers, &e.Readiness, &e.Peers, &e.Metrics} {
+			free, err := d.freeAddress()
+			if err != nil {
+				return nil, err
+			}
+			*address = free
+		}
+		if err := e.start(store, true); err != nil {
 			return nil, err
 		}
-		*address = free
+		if e.listens() {
+			d.Edges = append(d.Edges, e)
+			return e, nil
+		}
 	}
-	e.settings, e.log = filepath.Join(d.dir, e.Name+".json"), filepath.Join(d.dir, e.Name+".log")
-	d.Edges = append(d.Edges, e)
-	return e, e.start(store, true)
+	return nil, fmt.Errorf("%s did not start", e.Name)
+}
+
+// listens waits until the process listens for callers. It returns false if the process ends
+// instead.
+func (e *Edge) listens() bool {
+	for !e.Ended() {
+		if conn, err := net.Dial("tcp", e.Callers); err == nil {
+			_ = conn.Close()
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
 }
 
 func (e *Edge) start(store string, first bool) error {
