--- a/review/_src/kit/engine.go
+++ b/review/_src/kit/engine.go
@@ -191,3 +191,10 @@
 	}
 	return "202 Accepted"
 }
+
+// Busy reports whether an order for a model is being carried out.
+func (e *Engine) Busy() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.busy
+}
