--- a/review/_src/slashes/main.go
+++ b/review/_src/slashes/main.go
@@ -93,13 +93,14 @@
 
 // answer runs a request and compares its target with the client's.
 func (r *run) answer(w *kit.Worker, conn net.Conn, q *kit.Request) bool {
+	r.Record("worker %s runs %s, request line %q", w.ID, q.ID, q.Line)
 	fields := strings.Fields(q.Line)
 	r.mu.Lock()
 	sent := r.sent[q.ID]
 	r.ran++
 	if len(fields) != 3 || fields[1] != sent {
 		r.broken++
-		r.Record("UNASKED broken: worker %s runs %s as %q, path %s, sent as POST %s", w.ID, q.ID, q.Line, q.URL.Path, sent)
+		r.Record("UNASKED broken: worker %s runs %s with the path %s, sent as POST %s", w.ID, q.ID, q.URL.Path, sent)
 	}
 	r.mu.Unlock()
 	return kit.Reply(conn, "200 OK", q, map[string]string{kit.Wire.Stamp: w.Stamp(q)}, "done")
