Log the requests that the end of a shutdown cuts, and how late requests arrived

The operators' record of requests that were cut around a SIGTERM could not be matched with the hosts' logs: a request is logged when it ends, so that one that ends with the process left no line. Now each request that still runs at the time limit of a shutdown is logged with the age of its connection, the requests before it there, the time that its body took, and when its head and body came relative to the signal; the lines of requests that end while the host shuts down have the same fields. bilberryslip_routed_unfinished_total counts them. No decision changes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/detour"
+	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/evacuation"
 	"bilberryslip.example/bilberryslip/internal/exchange"
 	"bilberryslip.example/bilberryslip/internal/fleet"
@@ -116,6 +117,7 @@
 	callers    *httpserver.Server
 	tree       *suture.Supervisor
 	draining   atomic.Bool
+	stopping   drain.Window
 }
 
 // Run runs a host until SIGINT or SIGTERM, and then shuts it down gracefully.
@@ -182,6 +184,7 @@
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
 		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine, Origins: h.origins, Paths: h.paths, Detours: h.detours,
+		Shutdown:    &h.stopping,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
@@ -419,8 +422,11 @@
 // shutdown drains the host without interrupting requests: first the readiness
 // check fails, then the listener closes, and in-flight requests complete.
 func (h *host) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, h.settings.Bounds.Grace.Std()-stopMargin)
+	limit := h.settings.Bounds.Grace.Std() - stopMargin
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	now := time.Now()
+	h.stopping.Begin(now, now.Add(limit))
 	h.draining.Store(true)
 	h.callers.Drain()
 	select {
@@ -429,4 +435,5 @@
 	}
 	h.callers.StopAccepting(ctx)
 	h.detours.server.Stop(ctx)
+	h.forwarder.LogUnfinished()
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/quarantine"
 	"bilberryslip.example/bilberryslip/internal/quota"
@@ -34,6 +35,7 @@
 	// NeedsLength is set if the caller can't receive chunks. Its response is sent
 	// with a length, since it can't tell a cut response without one from a whole one.
 	NeedsLength bool
+	Arrival     Arrival
 }
 
 // AttemptParams holds the values of one attempt that are sent to its endpoint in
@@ -143,6 +145,8 @@
 	// BufferBytes bounds the responses that are held at the same time because they are
 	// read completely before they are relayed. Zero means 32 MiB.
 	BufferBytes int64
+	// Shutdown is the time in which the host shuts down. Nil means that it never does.
+	Shutdown *drain.Window
 	// Clock defaults to time.Now.
 	Clock func() time.Time
 }
@@ -152,10 +156,11 @@
 	config  Config
 	metrics *metrics
 	buffers bufferBudget
+	running runningCalls
 }
 
-// New returns a forwarder. A nil cfg.Clock, cfg.Quarantine, cfg.Origins, cfg.Paths
-// or cfg.Detours is replaced by its default.
+// New returns a forwarder. A nil cfg.Clock, cfg.Quarantine, cfg.Origins, cfg.Paths,
+// cfg.Detours or cfg.Shutdown is replaced by its default.
 func New(cfg Config) *Forwarder {
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
@@ -169,6 +174,9 @@
 	if cfg.Paths == nil {
 		cfg.Paths = reach.New(reach.Config{Targets: func(string) []reach.Target { return nil }})
 	}
+	if cfg.Shutdown == nil {
+		cfg.Shutdown = &drain.Window{}
+	}
 	if cfg.Detours == nil {
 		cfg.Detours = noDetours{}
 	}
@@ -187,6 +195,8 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, x.deadline.Add(responseGrace), errDeadline)
 		defer cancel()
 		x.ctx, x.writer = ctx, w
+		f.running.add(x)
+		defer f.running.remove(x)
 		failure = x.serve()
 		x.endStream()
 	}
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -97,7 +97,8 @@
 	attemptCtx context.Context
 	// wait is the last attempt's wait on this host's own path; nil if it goes by way of a
 	// peer.
-	wait *reach.Wait
+	wait     *reach.Wait
+	progress progress
 	// lastReason is why the last choice of an endpoint failed; ReasonNone if it
 	// succeeded.
 	lastReason fleet.Reason
@@ -257,6 +258,7 @@
 func (x *inflightCall) send(attempt *fleet.Attempt) (repeat.Outcome, error) {
 	x.tried, x.software = append(x.tried, attempt.Endpoint.ID), attempt.Endpoint.Software
 	x.events = 0
+	x.progress.endpoint.Store(&attempt.Endpoint.ID)
 	codec := x.forwarder.config.Codec
 	message := upstream.Message{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
@@ -267,6 +269,7 @@
 	x.chooseWay(attempt, &message)
 	belongs := func(header http.Header) bool { return codec.Belongs(x.call, header) }
 	sentAt := x.forwarder.config.Clock()
+	x.progress.sentAt.Store(&sentAt)
 	ctx, end := x.beginOnPath()
 	defer end()
 	x.attemptCtx = ctx
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -9,12 +9,13 @@
 )
 
 type metrics struct {
-	requests  *prometheus.CounterVec
-	retries   *prometheus.CounterVec
-	responses *prometheus.CounterVec
-	oversized *prometheus.CounterVec
-	duration  *prometheus.HistogramVec
-	firstByte *prometheus.HistogramVec
+	requests   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	responses  *prometheus.CounterVec
+	oversized  *prometheus.CounterVec
+	duration   *prometheus.HistogramVec
+	firstByte  *prometheus.HistogramVec
+	unfinished *prometheus.CounterVec
 }
 
 // latencyBuckets range from the latency of a lookup to that of the longest
@@ -49,6 +50,10 @@
 			Help:    "Time to the first byte of an answer passed on, by service.",
 			Buckets: latencyBuckets,
 		}, []string{"service"}),
+		unfinished: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberryslip_routed_unfinished_total",
+			Help: "Requests that the end of a shutdown cut, by service.",
+		}, []string{"service"}),
 	}
 }
 
@@ -60,7 +65,7 @@
 )
 
 func (m *metrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.retries, m.responses, m.oversized, m.duration, m.firstByte}
+	return []prometheus.Collector{m.requests, m.retries, m.responses, m.oversized, m.duration, m.firstByte, m.unfinished}
 }
 
 func (m *metrics) recordRequest(service, outcome string, elapsed, firstByte time.Duration) {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -108,6 +109,9 @@
 	default:
 		fields["status"] = x.status
 	}
+	if _, draining := x.forwarder.config.Shutdown.Left(x.started); draining {
+		maps.Copy(fields, x.arrivalFields())
+	}
 	fields["outcome"] = outcome
 	x.forwarder.metrics.recordRequest(x.service, outcome, elapsed, x.firstByte)
 	logrus.WithFields(fields).Info("request ended")
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -146,6 +146,7 @@
 			x.recordSurvival()
 		}
 		x.events = events.boundaries.events
+		x.progress.events.Store(int64(x.events))
 		readAt := x.forwarder.config.Clock()
 		timer.recordEvents(readAt, x.events)
 		if len(ready) > 0 {
--- /dev/null
+++ b/internal/forward/running.go
@@ -0,0 +1,100 @@
+package forward
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Arrival tells how a request reached this host.
+type Arrival struct {
+	// ConnectionAge is the age of the caller's connection when the head of the request had
+	// been read, and EarlierRequests the number of requests on it before.
+	ConnectionAge   time.Duration
+	EarlierRequests int
+	// HeadAt and BodyAt are when the head and the whole body had been read.
+	HeadAt, BodyAt time.Time
+}
+
+// progress is how far a call has come. It is read while the call is served.
+type progress struct {
+	// endpoint is the identifier of the last attempt's endpoint; nil before the first.
+	endpoint atomic.Pointer[string]
+	sentAt   atomic.Pointer[time.Time]
+	events   atomic.Int64
+}
+
+// runningCalls holds the calls that are being served.
+type runningCalls struct {
+	mu    sync.Mutex
+	calls map[*inflightCall]struct{}
+}
+
+func (r *runningCalls) add(x *inflightCall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls == nil {
+		r.calls = make(map[*inflightCall]struct{})
+	}
+	r.calls[x] = struct{}{}
+}
+
+func (r *runningCalls) remove(x *inflightCall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.calls, x)
+}
+
+func (r *runningCalls) list() []*inflightCall {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]*inflightCall, 0, len(r.calls))
+	for x := range r.calls {
+		list = append(list, x)
+	}
+	return list
+}
+
+// Running returns the number of calls that are being served.
+func (f *Forwarder) Running() int { return len(f.running.list()) }
+
+// LogUnfinished logs the calls that are still served when the time to shut down is over,
+// and counts them.
+func (f *Forwarder) LogUnfinished() {
+	now := f.config.Clock()
+	for _, x := range f.running.list() {
+		f.metrics.unfinished.WithLabelValues(x.service).Inc()
+		x.log().WithFields(x.arrivalFields()).WithFields(x.progressFields(now)).Warn("request still running at the time limit of the shutdown")
+	}
+}
+
+func (x *inflightCall) progressFields(now time.Time) logrus.Fields {
+	fields := logrus.Fields{
+		"age_ms": now.Sub(x.started).Milliseconds(), "events": x.progress.events.Load(),
+		"deadline_in_ms": x.deadline.Sub(now).Milliseconds(),
+	}
+	if endpoint := x.progress.endpoint.Load(); endpoint != nil {
+		fields["endpoint"] = *endpoint
+	}
+	if sentAt := x.progress.sentAt.Load(); sentAt != nil {
+		fields["sent_ago_ms"] = now.Sub(*sentAt).Milliseconds()
+	}
+	return fields
+}
+
+// arrivalFields describes the request's arrival, relative to the start of a shutdown if
+// one has begun.
+func (x *inflightCall) arrivalFields() logrus.Fields {
+	a := x.call.Arrival
+	fields := logrus.Fields{
+		"connection_age_ms": a.ConnectionAge.Milliseconds(), "earlier_requests": a.EarlierRequests,
+		"body_ms": a.BodyAt.Sub(a.HeadAt).Milliseconds(),
+	}
+	if elapsed, draining := x.forwarder.config.Shutdown.Elapsed(a.HeadAt); draining {
+		fields["head_after_stop_ms"] = elapsed.Milliseconds()
+		fields["body_after_stop_ms"] = (elapsed + a.BodyAt.Sub(a.HeadAt)).Milliseconds()
+	}
+	return fields
+}
--- a/internal/httpserver/idle_test.go
+++ b/internal/httpserver/idle_test.go
@@ -97,7 +97,7 @@
 	defer clientConn.Close()
 	server.idle[serverConn] = nil
 	server.closeIdleConns()
-	request, err := http.NewRequestWithContext(context.WithValue(context.Background(), connKey{}, serverConn), http.MethodPost, "/", nil)
+	request, err := http.NewRequestWithContext(context.WithValue(context.Background(), connKey{}, &connection{Conn: serverConn}), http.MethodPost, "/", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -95,7 +95,7 @@
 		Handler:   s.withConnectionClose(s.config.Handler),
 		ConnState: s.trackConnState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, conn)
+			return context.WithValue(ctx, connKey{}, &connection{Conn: conn, info: Connection{AcceptedAt: time.Now()}})
 		},
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -127,17 +127,43 @@
 // don't send a request on a connection that is about to be closed.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// connKey is the context key of a request's connection.
+// Connection describes the connection of a request.
+type Connection struct {
+	AcceptedAt time.Time
+	// EarlierRequests is the number of requests on the connection before.
+	EarlierRequests int
+}
+
+// ConnectionOf returns the connection of a request by its context. It returns false for
+// requests that no Server has read.
+func ConnectionOf(ctx context.Context) (Connection, bool) {
+	conn, ok := ctx.Value(connKey{}).(*connection)
+	if !ok {
+		return Connection{}, false
+	}
+	return conn.info, true
+}
+
+// connKey is the context key of a request's *connection.
 type connKey struct{}
 
+// connection is a connection that requests were read from, one at a time.
+type connection struct {
+	net.Conn
+	info Connection
+}
+
 // withConnectionClose returns a handler that sets "Connection: close" on the
 // responses of a draining server. A request that was read after its connection
 // was closed as idle is not handled: the client never gets the response and may
 // send the request again.
 func (s *Server) withConnectionClose(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && s.wasClosed(conn) {
-			panic(http.ErrAbortHandler)
+		if conn, ok := r.Context().Value(connKey{}).(*connection); ok {
+			if s.wasClosed(conn.Conn) {
+				panic(http.ErrAbortHandler)
+			}
+			defer func() { conn.info.EarlierRequests++ }()
 		}
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
