Keep 'Connection: close' on the answers of a host that stops

Callers used their connections again after a host had begun to stop, until it closed them. httpserver set 'Connection: close', and the codec of the endpoints' protocol deleted it with the connection headers of the endpoint's response. The field is set when the response begins, so that one whose request came before the signal has it as well.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -165,13 +165,42 @@
 			}
 			defer func() { conn.info.EarlierRequests++ }()
 		}
-		if s.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+		closing := &closingWriter{ResponseWriter: w, draining: &s.draining}
+		next.ServeHTTP(closing, r)
+		closing.begin() // an empty response begins after the handler
 	})
 }
 
+// closingWriter sets "Connection: close" on a response that begins while the server
+// drains.
+type closingWriter struct {
+	http.ResponseWriter
+	draining *atomic.Bool
+	began    bool
+}
+
+// Unwrap returns the underlying writer for http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(data []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(data)
+}
+
+func (w *closingWriter) begin() {
+	if !w.began && w.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.began = true
+}
+
 // wasClosed reports whether the server closed the connection while it was idle.
 func (s *Server) wasClosed(conn net.Conn) bool {
 	s.mu.Lock()
