Answer a request that was read behind another one on a host that stops

A caller that sent a second request behind a stream got no answer to it if the host was told to stop meanwhile: the connection was closed the moment it became idle, by its state in net/http, though the next request had been read. A connection that becomes idle on a stopping server now stays for 50 ms, in which a request that is there already is handled; and one whose first request has arrived in part counts as in use, where net/http still calls it new.

Not covered: a second request behind one whose response says 'Connection: close', which HTTP leaves unprocessed.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -27,6 +27,10 @@
 	// newConnGrace is how long a stopping server waits for the first request of
 	// an accepted connection.
 	newConnGrace = time.Second
+	// idleLinger is how long a stopping server keeps a connection that has become idle. A
+	// request may have been read behind the one before, whose response did not say that
+	// the connection closes.
+	idleLinger = 50 * time.Millisecond
 	// idlePollInterval is how often a stopping server checks for requests in
 	// flight.
 	idlePollInterval = 10 * time.Millisecond
@@ -251,20 +255,17 @@
 	if state != http.StateIdle {
 		return
 	}
-	if s.stopping {
-		// The response may have started before the server began to stop, without
-		// "Connection: close".
-		s.close(conn)
-		return
-	}
 	s.idle[conn] = nil
-	if s.config.Idle != nil {
+	switch {
+	case s.stopping:
+		s.idle[conn] = time.AfterFunc(idleLinger, func() { s.closeIfIdle(conn) })
+	case s.config.Idle != nil:
 		s.idle[conn] = time.AfterFunc(s.config.Idle(), func() { s.closeIfIdle(conn) })
 	}
 }
 
 // closeIdleConns closes all idle connections, and makes each connection that
-// becomes idle later close, so that no further request arrives on them.
+// becomes idle later close after idleLinger.
 func (s *Server) closeIdleConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -275,7 +276,8 @@
 }
 
 // StopAccepting drains the server: it closes the listener and waits until no
-// connection carries a request or ctx is done. http.Server.Shutdown is called
+// connection carries a request or ctx is done. Meanwhile, requests are served that
+// arrive on connections that were accepted before. http.Server.Shutdown is called
 // last because it drops requests whose headers arrive while it runs.
 func (s *Server) StopAccepting(ctx context.Context) {
 	s.Drain()
@@ -288,22 +290,45 @@
 	_ = listener.Close()
 	s.closeIdleConns()
 	newConnDeadline := time.Now().Add(newConnGrace)
-	for s.hasActiveConn(time.Now().Before(newConnDeadline)) && retry.Sleep(ctx, idlePollInterval) {
+	for !s.closeIfDrained(time.Now().Before(newConnDeadline)) && retry.Sleep(ctx, idlePollInterval) {
 	}
 	_ = server.Shutdown(ctx)
 }
 
-// hasActiveConn reports whether a connection is active or, if includeNew is set,
-// new, that is, accepted without any data read yet.
-func (s *Server) hasActiveConn(includeNew bool) bool {
+// Close closes the listener, waits for the requests in flight up to the timeout and closes
+// all connections.
+func (s *Server) Close(timeout time.Duration) {
+	s.mu.Lock()
+	server := s.server
+	s.mu.Unlock()
+	if server == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
+// closeIfDrained closes the connections on which nothing was received, and returns true,
+// once no connection carries a request. If awaitNew is set, those that were just accepted
+// count as carrying one.
+func (s *Server) closeIfDrained(awaitNew bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, state := range s.busy {
-		if state == http.StateActive || includeNew {
-			return true
+	for conn, state := range s.busy {
+		if state == http.StateActive || awaitNew || hasReceived(conn) {
+			return false
 		}
 	}
-	return false
+	if len(s.idle) > 0 {
+		return false
+	}
+	for conn := range s.busy {
+		s.close(conn)
+	}
+	return true
 }
 
 // serve opens the listener and serves requests until the server is shut down or
@@ -319,6 +344,7 @@
 	s.idle = make(map[net.Conn]*time.Timer)
 	s.closed = make(map[net.Conn]bool)
 	s.mu.Unlock()
+	listener = receiptListener{listener}
 	if s.config.TLS == nil {
 		return server.Serve(listener)
 	}
