Refuse at once what a host that stops can't serve to its end

Callers of a host that had its SIGTERM got 200 and a part of their stream, and the connection closed 8 s after the signal, when the process was killed. Such requests came after the balancer had taken the host out: on connections that were opened before and not used until then, with bodies that ended late, or behind another request. The host took each, though nothing could be served whole any more: a stream of 4 s that comes 4.2 s after the signal has 3.4 s. Cause: the decision to take work rested on the state of the connection, never on the time left.

Now a request is taken on a stopping host only if its deadline lies within the time left, or if 99 in 100 of the recent requests like it end in that time (internal/drain; for streams in proportion to the declared output tokens). Any other is refused at once, 503 as not run, and its connection closes: its caller comes back at another host. The check comes after the body was read, and again before each attempt, since waits for models lie between. What still runs at the limit, 0.4 s before SIGKILL, is logged and ended by the host itself: without a response it is answered (502, or 503 if it has not run), and resumable streams end after a whole event. Connections for peers are refused from the signal on, not from the end of the host's own requests on, which could be the last moment of the grace period.

Unit specs: internal/drain, 'is not made by a peer that has begun to stop' (internal/detour).

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -278,6 +278,14 @@
 		Eventually(stopped).Should(BeClosed())
 	})
 
+	// Guards against a relayed request that is taken late in a stop and cut with the process.
+	It("is not made by a peer that has begun to stop", func() {
+		peer.server.Refuse()
+		_, err := client.Dial(context.Background(), to)
+		var noPeer *NoPeerError
+		Expect(errors.As(err, &noPeer)).To(BeTrue(), "%v", err)
+	})
+
 	// Guards against a chain of hosts none of which reaches the endpoint.
 	It("is not made by a peer whose own path does not work", func() {
 		Expect(endpoint.Close()).To(Succeed())
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -84,12 +84,17 @@
 	return s.relaying
 }
 
+// Refuse makes the server refuse further connections.
+func (s *Server) Refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
 // Stop makes the server refuse further connections and waits until those that it relays
 // have ended, or ctx has.
 func (s *Server) Stop(ctx context.Context) {
-	s.mu.Lock()
-	s.stopping = true
-	s.mu.Unlock()
+	s.Refuse()
 	for s.Relaying() > 0 && retry.Sleep(ctx, waitPollInterval) {
 	}
 }
--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,84 @@
+package drain_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bilberryslip.example/bilberryslip/internal/drain"
+)
+
+func TestDrain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Drain")
+}
+
+var _ = Describe("The admission of requests while a host shuts down", func() {
+	const tokens = 100
+	var (
+		now     time.Time
+		window  *drain.Window
+		admits  func(after, deadline time.Duration, r drain.Request) bool
+		samples *drain.Estimator
+	)
+	stream := drain.Request{Service: "llm", OutputTokens: tokens}
+	plain := drain.Request{Service: "app"}
+	BeforeEach(func() {
+		now = time.Now()
+		window = &drain.Window{}
+		samples = drain.NewEstimator(func() time.Time { return now })
+		admission := drain.Admission{Window: window, Estimator: samples}
+		admits = func(after, deadline time.Duration, r drain.Request) bool {
+			return admission.Admits(now.Add(after), now.Add(after+deadline), r)
+		}
+	})
+	begin := func() { window.Begin(now, now.Add(8*time.Second)) }
+
+	// Guards against refusals while nothing shuts down.
+	It("admits all requests before the shutdown", func() {
+		Expect(admits(0, time.Hour, stream)).To(BeTrue())
+	})
+
+	// Guards against requests that are taken though the process ends before they do.
+	It("refuses what is expected to outlast the process, by its size", func() {
+		for range 100 {
+			samples.Record(stream, 200*time.Millisecond, 4200*time.Millisecond)
+		}
+		begin()
+		Expect(admits(3*time.Second, 15*time.Second, stream)).To(BeTrue())
+		Expect(admits(4*time.Second, 15*time.Second, stream)).To(BeFalse())
+		Expect(admits(5*time.Second, 15*time.Second, drain.Request{Service: "llm", OutputTokens: tokens / 2})).To(BeTrue())
+	})
+
+	// Guards against an estimate by the mean, which one in two requests exceeds.
+	It("goes by the slowest of the recent requests", func() {
+		for range 97 {
+			samples.Record(plain, 0, 50*time.Millisecond)
+		}
+		for range 3 {
+			samples.Record(plain, 0, 3*time.Second)
+		}
+		begin()
+		Expect(admits(4*time.Second, 15*time.Second, plain)).To(BeTrue())
+		Expect(admits(5500*time.Millisecond, 15*time.Second, plain)).To(BeFalse())
+	})
+
+	// Guards against guesses for requests like which none was served.
+	It("goes by the deadline where nothing is known", func() {
+		begin()
+		Expect(admits(3*time.Second, 4*time.Second, plain)).To(BeTrue())
+		Expect(admits(5*time.Second, 4*time.Second, plain)).To(BeFalse())
+		Expect(admits(0, 15*time.Second, stream)).To(BeFalse())
+	})
+
+	// Guards against estimates that outlive the load that they rest on.
+	It("forgets requests after half a minute", func() {
+		samples.Record(stream, 0, 20*time.Second)
+		now = now.Add(31 * time.Second)
+		samples.Record(stream, 0, time.Second)
+		begin()
+		Expect(admits(4*time.Second, 15*time.Second, stream)).To(BeTrue())
+	})
+})
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -27,6 +27,7 @@
 	ReasonStreamUnknown   Reason = "stream_unknown"
 	ReasonZoneEmptied     Reason = "zone_emptied"
 	ReasonEndpointFailed  Reason = "endpoint_failed"
+	ReasonStopping        Reason = "stopping"
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "caller_gone"
 )
@@ -47,6 +48,7 @@
 	ReasonStreamUnknown:   "retry, or start the stream from its beginning; no host knows the software version that began it",
 	ReasonZoneEmptied:     "retry after the time given; end an evacuation, or start endpoints in another availability zone",
 	ReasonEndpointFailed:  "check the endpoint's log for the request's identifier",
+	ReasonStopping:        "retry on a new connection; this host shuts down",
 	ReasonTimeout:         "check the endpoint's load; the request may have run",
 	ReasonCallerGone:      "none; the caller closed its connection",
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -157,6 +157,8 @@
 	metrics *metrics
 	buffers bufferBudget
 	running runningCalls
+	// durations predicts how long calls take.
+	durations *drain.Estimator
 }
 
 // New returns a forwarder. A nil cfg.Clock, cfg.Quarantine, cfg.Origins, cfg.Paths,
@@ -180,7 +182,10 @@
 	if cfg.Detours == nil {
 		cfg.Detours = noDetours{}
 	}
-	return &Forwarder{config: cfg, metrics: newMetrics(), buffers: bufferBudget{limit: cmp.Or(cfg.BufferBytes, defaultBufferBudget)}}
+	return &Forwarder{
+		config: cfg, metrics: newMetrics(), buffers: bufferBudget{limit: cmp.Or(cfg.BufferBytes, defaultBufferBudget)},
+		durations: drain.NewEstimator(cfg.Clock),
+	}
 }
 
 // Collectors returns the forwarder's metrics.
@@ -191,6 +196,8 @@
 func (f *Forwarder) Serve(ctx context.Context, call *Call, w http.ResponseWriter) error {
 	x, failure := f.prepare(call)
 	if failure == nil {
+		ctx, x.abort = context.WithCancelCause(ctx)
+		defer x.abort(nil)
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadlineCause(ctx, x.deadline.Add(responseGrace), errDeadline)
 		defer cancel()
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -51,7 +51,9 @@
 	call      *Call
 	ctx       context.Context
 	writer    http.ResponseWriter
-	started   time.Time
+	// abort ends ctx.
+	abort   context.CancelCauseFunc
+	started time.Time
 	// version is the version of the configuration that the call is served with.
 	version      int64
 	route        *traffic.Route
@@ -107,6 +109,9 @@
 // serve charges the quota, then attempts the call on endpoints until it succeeds
 // or may not be retried.
 func (x *inflightCall) serve() error {
+	if refusal := x.checkShutdown(); refusal != nil {
+		return refusal
+	}
 	if refusal := x.checkHeld(); refusal != nil {
 		return refusal
 	}
@@ -202,6 +207,9 @@
 	x.lastReason = reason
 	// A segment may have been held back since the last attempt or during the wait.
 	refusal := x.checkHeld()
+	if refusal == nil && !x.responseStarted {
+		refusal = x.checkShutdown()
+	}
 	if refusal != nil && attempt != nil {
 		attempt.Finish(endpoint.OutcomeCancelled)
 	}
@@ -390,25 +398,3 @@
 	x.logAttempt(attempt, "endpoint refused", err)
 	return repeat.NotRun, err
 }
-
-// maxRank is the last of the engines' ranks, 0 to 9; engines default to 5.
-const maxRank = 9
-
-// rank returns the scheduling rank of the request in an engine. It orders
-// requests by their organisation's priority, then by their route's priority, then
-// by whether the route's objective is short.
-func (x *inflightCall) rank() int {
-	const (
-		ranksPerPriority = 3
-		// Objectives above relaxedObjective rank behind others of their priority.
-		relaxedObjective = 2 * time.Second
-	)
-	rank := x.route.Priority
-	if x.route.LatencyObjective > relaxedObjective {
-		rank++
-	}
-	if x.organisation != nil && x.organisation.Priority != nil {
-		rank = ranksPerPriority**x.organisation.Priority + min(rank, ranksPerPriority-1)
-	}
-	return min(rank, maxRank)
-}
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -35,6 +35,8 @@
 	switch {
 	case x.responseStarted:
 		return ErrTruncated
+	case outcome == repeat.CallerGone && errors.Is(context.Cause(x.ctx), errStopped):
+		return x.stoppedFailure(err)
 	case outcome == repeat.CallerGone && errors.Is(context.Cause(x.ctx), errDeadline):
 		return &Failure{Reason: ReasonTimeout, NotRun: !x.mayHaveRun, Cause: err}
 	case outcome == repeat.CallerGone:
@@ -108,6 +110,7 @@
 		outcome = "broken"
 	default:
 		fields["status"] = x.status
+		x.recordDuration(elapsed)
 	}
 	if _, draining := x.forwarder.config.Shutdown.Left(x.started); draining {
 		maps.Copy(fields, x.arrivalFields())
--- /dev/null
+++ b/internal/forward/stopping.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bilberryslip.example/bilberryslip/internal/drain"
+)
+
+// stoppingRetryAfter is when to retry if this host shuts down: at once, on another host.
+const stoppingRetryAfter = 10 * time.Millisecond
+
+// errStopped is the cancellation cause of calls that still run at the end of a shutdown.
+var errStopped = errors.New("this host has shut down")
+
+// checkShutdown returns a refusal if this host is expected to end before the call does.
+func (x *inflightCall) checkShutdown() *Failure {
+	f := x.forwarder
+	admission := drain.Admission{Window: f.config.Shutdown, Estimator: f.durations}
+	if admission.Admits(f.config.Clock(), x.deadline.Add(responseGrace), x.size()) {
+		return nil
+	}
+	return newRefusal(ReasonStopping, stoppingRetryAfter)
+}
+
+// size returns what the duration of the call depends on.
+func (x *inflightCall) size() drain.Request {
+	return drain.Request{Service: x.service, OutputTokens: x.call.OutputTokens}
+}
+
+// recordDuration records the duration of a call whose response was relayed.
+func (x *inflightCall) recordDuration(elapsed time.Duration) {
+	if x.status < 300 {
+		x.forwarder.durations.Record(x.size(), x.firstByte, elapsed)
+	}
+}
+
+// stoppedFailure returns the error of a call that was aborted before its response began.
+func (x *inflightCall) stoppedFailure(cause error) *Failure {
+	failure := &Failure{Reason: ReasonStopping, NotRun: !x.mayHaveRun, Cause: cause}
+	if failure.NotRun {
+		failure.RetryAfter = stoppingRetryAfter
+	}
+	return failure
+}
+
+// Abort logs and ends the calls that still run at the end of a shutdown. Those whose
+// response has not begun are answered; streams end after a whole event if their callers
+// may take them up elsewhere.
+func (f *Forwarder) Abort() {
+	f.LogUnfinished()
+	for _, x := range f.running.list() {
+		x.abort(errStopped)
+	}
+}
