Refuse fewer requests in the first seconds of a stop

Until the balancer has noticed, the 90th percentile decides now; later, when few requests come, still the 99th.

--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+// A request is admitted if this percentage of those like it ends in the time left. While the
+// balancer sends new callers, a refusal of many costs each an attempt, which may find the
+// other hosts' endpoints full; afterwards few requests arrive, and none should be cut.
+const (
+	percentileAtFirst  = 90
+	percentileBalanced = 99
+)
+
 // Admission decides whether a request may start while its host shuts down.
 type Admission struct {
 	Window    *Window
@@ -15,6 +23,10 @@
 	if !draining || deadline.Sub(now) <= left {
 		return true
 	}
-	expected, known := a.Estimator.Estimate(r)
+	percentile := float64(percentileAtFirst)
+	if a.Window.Balanced(now) {
+		percentile = percentileBalanced
+	}
+	expected, known := a.Estimator.Estimate(r, percentile)
 	return known && expected <= left
 }
--- a/internal/drain/estimate.go
+++ b/internal/drain/estimate.go
@@ -14,9 +14,6 @@
 	maxSeconds = 300
 	// digits is the precision of the durations, in decimal digits.
 	digits = 2
-	// estimateQuantile is the percentile of recent durations that an estimate takes. A
-	// refused request costs its caller one more attempt, a cut one its result.
-	estimateQuantile = 99
 )
 
 // Request is what the duration of a request depends on.
@@ -69,9 +66,9 @@
 	record(d.perToken, (whole-firstByte).Microseconds()/int64(r.OutputTokens))
 }
 
-// Estimate returns the time that a request takes with few exceptions. It returns false if
-// none like it was served lately.
-func (e *Estimator) Estimate(r Request) (time.Duration, bool) {
+// Estimate returns a percentile of the time that a request takes. It returns false if none
+// like it was served lately.
+func (e *Estimator) Estimate(r Request, percentile float64) (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.rotate()
@@ -80,11 +77,11 @@
 		return 0, false
 	}
 	if r.OutputTokens <= 0 {
-		whole, ok := quantile(d.whole)
+		whole, ok := valueAt(d.whole, percentile)
 		return time.Duration(whole) * time.Millisecond, ok
 	}
-	firstByte, _ := quantile(d.firstByte)
-	perToken, ok := quantile(d.perToken)
+	firstByte, _ := valueAt(d.firstByte, percentile)
+	perToken, ok := valueAt(d.perToken, percentile)
 	return time.Duration(firstByte)*time.Millisecond + time.Duration(perToken)*time.Microsecond*time.Duration(r.OutputTokens), ok
 }
 
@@ -119,7 +116,7 @@
 	_ = h.Current.RecordValue(min(max(value, 1), h.Current.HighestTrackableValue()))
 }
 
-func quantile(h *hdrhistogram.WindowedHistogram) (value int64, ok bool) {
+func valueAt(h *hdrhistogram.WindowedHistogram, percentile float64) (value int64, ok bool) {
 	merged := h.Merge()
-	return merged.ValueAtQuantile(estimateQuantile), merged.TotalCount() > 0
+	return merged.ValueAtQuantile(percentile), merged.TotalCount() > 0
 }
--- a/internal/drain/window.go
+++ b/internal/drain/window.go
@@ -14,11 +14,21 @@
 }
 
 type period struct {
-	began, limit time.Time
+	began, balanced, limit time.Time
 }
 
-// Begin records that a shutdown has begun and that requests may run until limit.
-func (w *Window) Begin(now, limit time.Time) { w.period.Store(&period{began: now, limit: limit}) }
+// Begin records that a shutdown has begun, that the balancer sends new callers until
+// balanced, and that requests may run until limit.
+func (w *Window) Begin(now, balanced, limit time.Time) {
+	w.period.Store(&period{began: now, balanced: balanced, limit: limit})
+}
+
+// Balanced reports whether the balancer has noticed the shutdown, so that few requests
+// arrive any more. It returns false if no shutdown has begun.
+func (w *Window) Balanced(now time.Time) bool {
+	p := w.period.Load()
+	return p != nil && !now.Before(p.balanced)
+}
 
 // Left returns the time that requests may still run. It returns false if no shutdown has
 // begun.
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	now := time.Now()
-	h.stopping.Begin(now, now.Add(limit))
+	h.stopping.Begin(now, now.Add(balancerDelay), now.Add(limit))
 	h.draining.Store(true)
 	h.callers.Drain()
 	h.detours.server.Refuse()
