Refuse on a draining bilberryslipd what can't end before its limit

The gateway of bilberryslipd had the same fault as the edge host: it took each request that arrived while it drained, however little time was left until shutdown.limit, and aborted it there. It now decides by internal/drain as well, before it reserves tokens or claims a key, and answers 503 (code stopping, not run). Kept responses are still replayed. Requests like which none was served lately are taken until the balancer has noticed, on both kinds of hosts.

Spec: 'A gateway that drains refuses what can't end before the limit, and still replays kept responses'; before, the late request got 200. 'A graceful shutdown cuts and refuses no request while every host is replaced under load' passes as before.

--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -17,7 +17,8 @@
 }
 
 // Admits reports whether a request that starts now and must have ended by deadline is
-// expected to end before the host's process does. Without a shutdown all are admitted.
+// expected to end before the host's process does. Without a shutdown all are admitted. One
+// like which none was served is admitted until the balancer has noticed.
 func (a Admission) Admits(now, deadline time.Time, r Request) bool {
 	left, draining := a.Window.Left(now)
 	if !draining || deadline.Sub(now) <= left {
@@ -28,5 +29,8 @@
 		percentile = percentileBalanced
 	}
 	expected, known := a.Estimator.Estimate(r, percentile)
-	return known && expected <= left
+	if !known {
+		return !a.Window.Balanced(now)
+	}
+	return expected <= left
 }
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -47,6 +47,9 @@
 	if failure := parsed.limit(resolved.model.GetMaxTokens(), g.config.DefaultMaxTokens); failure != nil {
 		return failure
 	}
+	if failure := g.checkShutdown(ctx, parsed.size()); failure != nil {
+		return failure
+	}
 	engineBody, err := parsed.engineBody(resolved)
 	if err != nil {
 		return err
@@ -78,7 +81,11 @@
 	} else {
 		gen.sink = newBufferedSink(gen)
 	}
-	return gen.run(ctx)
+	if err := gen.run(ctx); err != nil {
+		return err
+	}
+	gen.request.recordDuration(gen.completion.size())
+	return nil
 }
 
 // reserve reserves tokens from the rate limit of the caller's organisation.
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -60,6 +60,7 @@
 	CodeAnswerNotKept         ErrorCode = "answer_not_kept"
 	CodeClaimUnavailable      ErrorCode = "claim_unavailable"
 	CodeNotReady              ErrorCode = "not_ready"
+	CodeStopping              ErrorCode = "stopping"
 	CodeCallerGone            ErrorCode = "caller_gone"
 	CodeInternal              ErrorCode = "internal"
 )
@@ -208,6 +209,10 @@
 	return newError(http.StatusServiceUnavailable, CodeOverloaded, "the queue can't serve this request in time: retry after the time in Retry-After").withRetryAfter(delay)
 }
 
+func errStopping() *Error {
+	return newError(http.StatusServiceUnavailable, CodeStopping, "this host shuts down and can't serve this request to its end: retry on a new connection").withRetryAfter(time.Second)
+}
+
 func errNoEndpoint(delay time.Duration) *Error {
 	return newError(http.StatusServiceUnavailable, CodeNoEndpoint, "no endpoint can take this request now: retry after the time in Retry-After").withRetryAfter(delay)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/config"
+	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/routing"
@@ -108,6 +109,8 @@
 	metrics   *metrics
 	demand    *demand
 	running   tracker
+	shutdown  drain.Window
+	durations *drain.Estimator
 	retries   *repeat.Budgets
 }
 
@@ -118,6 +121,7 @@
 		config:    cfg,
 		scheduler: newScheduler(cfg),
 		metrics:   newMetrics(),
+		durations: drain.NewEstimator(cfg.Clock),
 		demand:    newDemand(),
 		running:   tracker{requests: make(map[*request]struct{})},
 		retries:   repeat.NewBudgets(cfg.Retry, cfg.Clock),
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -17,6 +17,7 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/claims"
+	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/routing"
@@ -53,16 +54,25 @@
 		return failure
 	}
 	defer cancel()
+	size := drain.Request{Service: call.request.model}
+	if failure := g.checkShutdown(ctx, size); failure != nil {
+		return call.replayOrReject(ctx, failure)
+	}
 	settle, failure := g.reserveCost(ctx, call)
 	if failure != nil {
 		return call.replayOrReject(ctx, failure)
 	}
 	defer settle()
 	g.recordFirstAttempt()
+	run := call.runOnce
 	if call.route.GetRepeatable() {
-		return call.runRepeatable(ctx)
+		run = call.runRepeatable
 	}
-	return call.runOnce(ctx)
+	if err := run(ctx); err != nil {
+		return err
+	}
+	r.recordDuration(size)
+	return nil
 }
 
 // parseServiceCall authenticates and validates a call, using only local state.
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -89,7 +89,7 @@
 // balancerDelay, then stops accepting and waits until no request is running. It
 // returns the requests that were still running when ctx was done.
 func (g *Gateway) Drain(ctx context.Context, balancerDelay time.Duration) []UnfinishedRequest {
-	g.running.startDrain()
+	g.beginShutdown(ctx, balancerDelay)
 	logrus.WithField("balancer_delay_ms", balancerDelay.Milliseconds()).Info("gateway is draining")
 	select {
 	case <-ctx.Done():
