Copy a peer's address while the lock is held

handleReport read a peer's name and address for a log line, and RequestPlacement the lease holder's address, after the lock was released, while another report of the same peer wrote them: a data race that the race detector found in the soak. Both now use copies; the log takes them from the report.

Spec: 'Reports of one peer that arrive at the same time are recorded while placements are requested of it'; with the race detector it fails on (DATA RACE between recordReport and handleReport, and between recordReport and RequestPlacement) and passes now.

--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -67,23 +67,27 @@
 // the placement lease. It returns an error if no reachable peer holds the lease. A
 // process that has recently started waits for the holder's first report.
 func (s *Service) RequestPlacement(ctx context.Context, request *fleetv1.PlaceRequest) (*fleetv1.PlaceResponse, error) {
-	leader := s.leader()
-	for leader == nil && s.joining() && retry.Sleep(ctx, leaderPollInterval) {
-		leader = s.leader()
+	leader, known := s.leaderAddress()
+	for !known && s.joining() && retry.Sleep(ctx, leaderPollInterval) {
+		leader, known = s.leaderAddress()
 	}
-	if leader == nil {
+	if !known {
 		return nil, errors.New("no holder of the placement lease is in reach; check the hosts' path to the store")
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.peerClient(leader.address).Place(ctx, request)
+	return s.peerClient(leader).Place(ctx, request)
 }
 
-// leader returns the peer that holds the placement lease, or nil.
-func (s *Service) leader() *peer {
+// leaderAddress returns the address of the peer that holds the placement lease. It returns
+// false if none is known.
+func (s *Service) leaderAddress() (address string, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roster.leader(time.Now())
+	if leader := s.roster.leader(time.Now()); leader != nil {
+		return leader.address, true
+	}
+	return "", false
 }
 
 // joining reports whether this process has recently started.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -454,13 +454,13 @@
 	if previous, ok := s.roster.peers[report.GetHost()]; ok {
 		wasReachable = s.roster.reachable(asOf, previous)
 	}
-	p := s.roster.recordReport(asOf, report)
+	recorded := s.roster.recordReport(asOf, report)
 	s.mu.Unlock()
-	if p == nil {
+	if !recorded {
 		return
 	}
 	if !wasReachable {
-		logrus.WithFields(logrus.Fields{"peer": p.name, "address": p.address}).Info("peer in reach")
+		logrus.WithFields(logrus.Fields{"peer": report.GetHost(), "address": report.GetAddress()}).Info("peer in reach")
 	}
 	joining := s.joining()
 	for _, participant := range s.participants {
--- a/internal/exchange/report_test.go
+++ b/internal/exchange/report_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -59,3 +61,28 @@
 		Expect(sent.GetWithoutDemand()).To(BeTrue())
 	})
 })
+
+var _ = Describe("Reports of one peer that arrive at the same time", func() {
+	// Guards against reads of a peer's name and address without the lock, which the race
+	// detector finds.
+	It("are recorded while placements are requested of it", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // the calls to the peer fail at once
+		s := New(Config{Host: "h1"})
+		var group sync.WaitGroup
+		for i := range 8 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				for range 50 {
+					report := &fleetv1.Report{Host: "h2", Address: fmt.Sprint("127.0.0.1:", 1+i), Lease: &fleetv1.Lease{Holder: "h2", LeftMillis: 3000}}
+					_, err := s.Exchange(ctx, report)
+					Expect(err).NotTo(HaveOccurred())
+					_, err = s.RequestPlacement(ctx, &fleetv1.PlaceRequest{})
+					Expect(err).To(HaveOccurred())
+				}
+			})
+		}
+		group.Wait()
+		Expect(s.ReachablePeers()).To(HaveLen(1))
+	})
+})
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -87,12 +87,12 @@
 
 func (r *roster) removeEntry(name string) { delete(r.peers, name) }
 
-// recordReport stores a peer's report and returns the peer, or nil for a report
-// of this host or without a host name. asOf is the local time that the report
+// recordReport stores a peer's report. It returns false for a report of this host or
+// without a host name, which is dropped. asOf is the local time that the report
 // counts for: the start of the call for a response, the arrival for a request.
-func (r *roster) recordReport(asOf time.Time, report *fleetv1.Report) *peer {
+func (r *roster) recordReport(asOf time.Time, report *fleetv1.Report) bool {
 	if report.GetHost() == r.self || report.GetHost() == "" {
-		return nil
+		return false
 	}
 	p, ok := r.peers[report.GetHost()]
 	if !ok { // its store entry is not read yet
@@ -106,7 +106,7 @@
 		p.report = report
 		p.leaseUntil = asOf.Add(time.Duration(report.GetLease().GetLeftMillis()) * time.Millisecond)
 	}
-	return p
+	return true
 }
 
 // reachability returns the reachable peers and those that may be serving though
--- a/internal/exchange/roster_test.go
+++ b/internal/exchange/roster_test.go
@@ -54,8 +54,8 @@
 		r.recordReport(now, report("b", 0))
 		Expect(r.reportTargets(now, true)).To(HaveLen(1))
 		Expect(r.reportTargets(now, true)[0].address).To(Equal("b:1"))
-		Expect(r.recordReport(now, report("a", 0))).To(BeNil(), "its own report")
-		Expect(r.recordReport(now, report("", 0))).To(BeNil())
+		Expect(r.recordReport(now, report("a", 0))).To(BeFalse(), "its own report")
+		Expect(r.recordReport(now, report("", 0))).To(BeFalse())
 	})
 
 	It("includes unreachable hosts only in the rounds that call them", func() {
