--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-# Targets: build, demo, test, lint, fmt, unit, generate, check-generated, measure, soak, soak-edge, unseen, fuzz.
+# Targets: build, demo, test, lint, fmt, unit, generate, check-generated, measure, soak, soak-edge, soak-race, unseen, fuzz.
 
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN ?= bin
 SOURCES = $(shell git ls-files '*.go' ':!*.pb.go' ':!*.twirp.go')
 
-.PHONY: build demo test lint unit generate check-generated measure soak soak-edge unseen fuzz fmt
+.PHONY: build demo test lint unit generate check-generated measure soak soak-edge soak-race unseen fuzz fmt
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -50,6 +50,10 @@
 	SOAK_FIRST=$(SEED) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(LENGTH) \
 		$(GO) test -count=1 -timeout 24h ./platform/platformtest -ginkgo.timeout 24h -ginkgo.v -ginkgo.focus 'A fault soak'
 
+# Runs the same with the race detector, in the tests and in the hosts' programs.
+soak-race:
+	GOFLAGS="$$($(GO) env GOFLAGS) -race" $(MAKE) soak-edge
+
 # Runs deployments of up to HOSTS hosts, generated from the seeds SEED to SEED+SEEDS-1.
 HOSTS ?= 8
 unseen:
