Bound the memory of the request bodies that a host holds

A host kept each body whole until its response had ended, without a bound on their sum: bodies of 4 MB at 24 a second, with endpoints that take 3 s, took 324 MB of a host with 284 MB. Bodies now count against a quarter of memory_mb (internal/membudget); one that exceeds it is refused with 503 and Retry-After before it is read, and dropped as it arrives, since a connection that is closed with unread bytes is reset and its caller may not get the response. Bodies of unknown length are charged as they are read. A quarter of the budget is kept for bodies of up to 64 KiB.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,6 +29,7 @@
 	"bilberryslip.example/bilberryslip/internal/httpserver"
 	"bilberryslip.example/bilberryslip/internal/lease"
 	"bilberryslip.example/bilberryslip/internal/logsink"
+	"bilberryslip.example/bilberryslip/internal/membudget"
 	"bilberryslip.example/bilberryslip/internal/mirror"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/orders"
@@ -49,6 +50,8 @@
 	// bufferFraction is the fraction of the host's memory for responses that are read
 	// completely before they are relayed.
 	bufferFraction = 0.125
+	// bodyFraction is the fraction of the host's memory for the bodies of callers' requests.
+	bodyFraction = 0.25
 	// defaultIdleTimeout is how long idle connections of callers are kept open
 	// while no configuration sets a timeout.
 	defaultIdleTimeout = 15 * time.Second
@@ -82,9 +85,9 @@
 	// Ping returns a function that calls an endpoint over a new connection of the pool and
 	// returns nil if it answered.
 	Ping(pool *upstream.Pool) func(ctx context.Context, address string) error
-	// Callers returns the handler that serves callers' requests through the
-	// forwarder.
-	Callers(forwarder *forward.Forwarder) http.Handler
+	// Callers returns the handler that serves callers' requests through the forwarder. The
+	// bodies that it holds count against the budget.
+	Callers(forwarder *forward.Forwarder, bodies *membudget.Budget) http.Handler
 	// Readiness returns the handler of the readiness check, which succeeds while
 	// ready returns true.
 	Readiness(ready func() bool) http.Handler
@@ -112,6 +115,7 @@
 	paths      *reach.Monitor
 	detours    *detours
 	forwarder  *forward.Forwarder
+	bodies     *membudget.Budget
 	callers    *httpserver.Server
 	tree       *suture.Supervisor
 	draining   atomic.Bool
@@ -185,6 +189,7 @@
 		Shutdown:    &h.stopping,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
+	h.bodies = membudget.New(int64(bodyFraction * float64(s.MemoryMB) * (1 << 20)))
 	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
 	fresh := []freshMirror{
@@ -301,7 +306,7 @@
 		handler       http.Handler
 		idle          func() time.Duration
 	}{
-		{"callers", h.settings.Listen.Callers, h.adapter.Callers(h.forwarder), h.idleTimeout},
+		{"callers", h.settings.Listen.Callers, h.adapter.Callers(h.forwarder, h.bodies), h.idleTimeout},
 		{"readiness", h.settings.Listen.Readiness, h.adapter.Readiness(h.ready), nil},
 		{"peers", h.settings.Listen.Peers, h.peerHandler(), nil},
 		{"metrics", h.settings.Listen.Metrics, h.metricsHandler(), nil},
@@ -348,6 +353,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
 	registry.MustRegister(h.adapter.Collectors()...)
 	registry.MustRegister(h.forwarder.Collectors()...)
+	registry.MustRegister(h.bodies.Collectors()...)
 	registry.MustRegister(h.endpoints.Collectors()...)
 	registry.MustRegister(h.quarantine.Collectors()...)
 	registry.MustRegister(h.origins.Collectors()...)
