Estimate durations by size class

Durations are now kept by service and size class, a factor of two of the declared output tokens each.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -44,22 +44,23 @@
 	// Guards against requests that are taken though the process ends before they do.
 	It("refuses what is expected to outlast the process, by its size", func() {
 		for range 100 {
-			samples.Record(stream, 200*time.Millisecond, 4200*time.Millisecond)
+			samples.Record(drain.Request{Service: "llm", OutputTokens: tokens / 4}, time.Second)
+			samples.Record(stream, 4200*time.Millisecond)
 		}
 		begin()
 		Expect(admits(3*time.Second, 15*time.Second, stream)).To(BeTrue())
 		Expect(admits(4*time.Second, 15*time.Second, stream)).To(BeFalse())
-		Expect(admits(5*time.Second, 15*time.Second, drain.Request{Service: "llm", OutputTokens: tokens / 2})).To(BeTrue())
+		Expect(admits(5*time.Second, 15*time.Second, drain.Request{Service: "llm", OutputTokens: tokens / 4})).To(BeTrue())
 	})
 
 	// Guards against refusals of what is mostly served, and against cuts once few requests
 	// come.
 	It("goes by the slowest of the recent requests once the balancer has noticed", func() {
 		for range 95 {
-			samples.Record(plain, 0, 50*time.Millisecond)
+			samples.Record(plain, 50*time.Millisecond)
 		}
 		for range 5 {
-			samples.Record(plain, 0, 7*time.Second)
+			samples.Record(plain, 7*time.Second)
 		}
 		begin()
 		Expect(admits(1900*time.Millisecond, 15*time.Second, plain)).To(BeTrue())
@@ -77,9 +78,9 @@
 
 	// Guards against estimates that outlive the load that they rest on.
 	It("forgets requests after half a minute", func() {
-		samples.Record(stream, 0, 20*time.Second)
+		samples.Record(stream, 20*time.Second)
 		now = now.Add(31 * time.Second)
-		samples.Record(stream, 0, time.Second)
+		samples.Record(stream, time.Second)
 		begin()
 		Expect(admits(4*time.Second, 15*time.Second, stream)).To(BeTrue())
 	})
--- a/internal/drain/estimate.go
+++ b/internal/drain/estimate.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"math/bits"
 	"sync"
 	"time"
 
@@ -10,10 +11,12 @@
 const (
 	// windows and windowLength bound the age of the requests that an estimate rests on.
 	windows, windowLength = 3, 10 * time.Second
-	// maxSeconds bounds the durations that are told apart.
-	maxSeconds = 300
+	// maxDuration bounds the durations that are told apart.
+	maxDuration = time.Hour
 	// digits is the precision of the durations, in decimal digits.
 	digits = 2
+	// maxClass bounds the size classes, and with them the memory of the estimates.
+	maxClass = 24
 )
 
 // Request is what the duration of a request depends on.
@@ -24,65 +27,71 @@
 	OutputTokens int
 }
 
-// Estimator predicts how long requests take from those that were served in the last 20 to
-// 30 s. It is safe for concurrent use.
+// class returns the request's size class: the number of bits of its output tokens, so that
+// the requests of a class differ by a factor of two at most.
+func (r Request) class() int { return min(bits.Len(uint(max(r.OutputTokens, 0))), maxClass) }
+
+// Estimator predicts how long requests take from those that ran in the last 20 to 30 s. It
+// is safe for concurrent use.
 type Estimator struct {
 	clock func() time.Time
 
 	mu        sync.Mutex
 	rotatedAt time.Time
-	services  map[string]*durations
-}
-
-// durations are those of a service's requests.
-type durations struct {
-	// firstByte is the time to the first byte in milliseconds, and perToken the time
-	// from then to the end, in microseconds for each declared output token.
-	firstByte, perToken *hdrhistogram.WindowedHistogram
-	// whole is the duration of requests without declared tokens, in milliseconds.
-	whole *hdrhistogram.WindowedHistogram
+	// durations are those of requests in milliseconds, by service and size class.
+	durations map[string]*[maxClass + 1]*hdrhistogram.WindowedHistogram
 }
 
 // NewEstimator returns an Estimator that knows of no request.
 func NewEstimator(clock func() time.Time) *Estimator {
-	return &Estimator{clock: clock, rotatedAt: clock(), services: make(map[string]*durations)}
+	return &Estimator{clock: clock, rotatedAt: clock(), durations: make(map[string]*[maxClass + 1]*hdrhistogram.WindowedHistogram)}
 }
 
-// Record records a request whose whole response was relayed.
-func (e *Estimator) Record(r Request, firstByte, whole time.Duration) {
+// Record records how long a request took to its end.
+func (e *Estimator) Record(r Request, duration time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.rotate()
-	d, ok := e.services[r.Service]
+	classes, ok := e.durations[r.Service]
 	if !ok {
-		d = newDurations()
-		e.services[r.Service] = d
+		classes = new([maxClass + 1]*hdrhistogram.WindowedHistogram)
+		e.durations[r.Service] = classes
 	}
-	if r.OutputTokens <= 0 {
-		record(d.whole, whole.Milliseconds())
-		return
+	h := classes[r.class()]
+	if h == nil {
+		h = hdrhistogram.NewWindowed(windows, 1, maxDuration.Milliseconds(), digits)
+		classes[r.class()] = h
 	}
-	record(d.firstByte, firstByte.Milliseconds())
-	record(d.perToken, (whole-firstByte).Microseconds()/int64(r.OutputTokens))
+	// The value is within the histogram's range, so that there is no error.
+	_ = h.Current.RecordValue(min(max(duration.Milliseconds(), 1), maxDuration.Milliseconds()))
 }
 
 // Estimate returns a percentile of the time that a request takes. It returns false if none
-// like it was served lately.
+// like it ran lately: one of its size class, else of the next larger one, else of the next
+// smaller one, in proportion to the size.
 func (e *Estimator) Estimate(r Request, percentile float64) (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.rotate()
-	d, ok := e.services[r.Service]
+	classes, ok := e.durations[r.Service]
 	if !ok {
 		return 0, false
 	}
-	if r.OutputTokens <= 0 {
-		whole, ok := valueAt(d.whole, percentile)
-		return time.Duration(whole) * time.Millisecond, ok
+	class := r.class()
+	if class == 0 { // requests without declared tokens say nothing of those with them
+		return valueAt(classes[0], percentile)
+	}
+	for larger := class; larger <= maxClass; larger++ {
+		if expected, ok := valueAt(classes[larger], percentile); ok {
+			return expected, true
+		}
+	}
+	for smaller := class - 1; smaller > 0; smaller-- {
+		if expected, ok := valueAt(classes[smaller], percentile); ok {
+			return expected << (class - smaller), true
+		}
 	}
-	firstByte, _ := valueAt(d.firstByte, percentile)
-	perToken, ok := valueAt(d.perToken, percentile)
-	return time.Duration(firstByte)*time.Millisecond + time.Duration(perToken)*time.Microsecond*time.Duration(r.OutputTokens), ok
+	return 0, false
 }
 
 // rotate drops the requests of the oldest window at its end. It must be called with the
@@ -90,10 +99,12 @@
 func (e *Estimator) rotate() {
 	now := e.clock()
 	for i := 0; i < windows && now.Sub(e.rotatedAt) >= windowLength; i++ {
-		for _, d := range e.services {
-			d.firstByte.Rotate()
-			d.perToken.Rotate()
-			d.whole.Rotate()
+		for _, classes := range e.durations {
+			for _, h := range classes {
+				if h != nil {
+					h.Rotate()
+				}
+			}
 		}
 		e.rotatedAt = e.rotatedAt.Add(windowLength)
 	}
@@ -102,21 +113,12 @@
 	}
 }
 
-func newDurations() *durations {
-	return &durations{
-		firstByte: hdrhistogram.NewWindowed(windows, 1, maxSeconds*1000, digits),
-		perToken:  hdrhistogram.NewWindowed(windows, 1, maxSeconds*1_000_000, digits),
-		whole:     hdrhistogram.NewWindowed(windows, 1, maxSeconds*1000, digits),
+// valueAt returns a percentile of the durations in a histogram. It returns false if there
+// are none.
+func valueAt(h *hdrhistogram.WindowedHistogram, percentile float64) (time.Duration, bool) {
+	if h == nil {
+		return 0, false
 	}
-}
-
-// record adds a value, limited to the histogram's range.
-func record(h *hdrhistogram.WindowedHistogram, value int64) {
-	// The value is in range, so that there is no error.
-	_ = h.Current.RecordValue(min(max(value, 1), h.Current.HighestTrackableValue()))
-}
-
-func valueAt(h *hdrhistogram.WindowedHistogram, percentile float64) (value int64, ok bool) {
 	merged := h.Merge()
-	return merged.ValueAtQuantile(percentile), merged.TotalCount() > 0
+	return time.Duration(merged.ValueAtQuantile(percentile)) * time.Millisecond, merged.TotalCount() > 0
 }
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -110,12 +110,12 @@
 		outcome = "broken"
 	default:
 		fields["status"] = x.status
-		x.recordDuration(elapsed)
 	}
 	if _, draining := x.forwarder.config.Shutdown.Left(x.started); draining {
 		maps.Copy(fields, x.arrivalFields())
 	}
 	fields["outcome"] = outcome
 	x.forwarder.metrics.recordRequest(x.service, outcome, elapsed, x.firstByte)
+	x.recordDuration(err, elapsed)
 	logrus.WithFields(fields).Info("request ended")
 }
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,10 +30,13 @@
 	return drain.Request{Service: x.service, OutputTokens: x.call.OutputTokens}
 }
 
-// recordDuration records the duration of a call whose response was relayed.
-func (x *inflightCall) recordDuration(elapsed time.Duration) {
-	if x.status < 300 {
-		x.forwarder.durations.Record(x.size(), x.firstByte, elapsed)
+// recordDuration records the duration of a call that an endpoint has run to its end or to
+// the caller's deadline. Errors of endpoints come sooner than responses.
+func (x *inflightCall) recordDuration(err error, elapsed time.Duration) {
+	var failure *Failure
+	timedOut := errors.As(err, &failure) && failure.Reason == ReasonTimeout && x.mayHaveRun || x.status == http.StatusGatewayTimeout
+	if err == nil && x.status < http.StatusMultipleChoices || timedOut {
+		x.forwarder.durations.Record(x.size(), elapsed)
 	}
 }
 
