Check the time left again after a request has waited for its slot

A draining bilberryslipd checked the time left before the queue only, so that a request that got its slot late was sent and outlasted the limit.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -101,6 +101,12 @@
 		gen.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
 		return nil, failure
 	}
+	if len(gen.tried) == 0 {
+		if failure := gen.gateway().checkShutdown(ctx, gen.completion.size()); failure != nil {
+			gen.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
+			return nil, failure
+		}
+	}
 	gen.gateway().metrics.queueWait.Observe(sl.waited.Seconds())
 	return sl, nil
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -17,7 +17,6 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admission"
 	"bilberryslip.example/bilberryslip/internal/claims"
-	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/routing"
@@ -54,8 +53,7 @@
 		return failure
 	}
 	defer cancel()
-	size := drain.Request{Service: call.request.model}
-	if failure := g.checkShutdown(ctx, size); failure != nil {
+	if failure := g.checkShutdown(ctx, call.size()); failure != nil {
 		return call.replayOrReject(ctx, failure)
 	}
 	settle, failure := g.reserveCost(ctx, call)
@@ -71,7 +69,7 @@
 	if err := run(ctx); err != nil {
 		return err
 	}
-	r.recordDuration(size)
+	r.recordDuration(call.size())
 	return nil
 }
 
@@ -294,6 +292,12 @@
 		c.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
 		return nil, failure.withRun(c.runState())
 	}
+	if !r.sent {
+		if failure := c.gateway().checkShutdown(ctx, c.size()); failure != nil {
+			c.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
+			return nil, failure
+		}
+	}
 	r.recordRoute(sl)
 	return sl, nil
 }
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -38,7 +38,10 @@
 	return drain.Request{Service: c.model, OutputTokens: int(c.maxTokens)}
 }
 
+// size returns what the duration of the call depends on.
+func (c *serviceCall) size() drain.Request { return drain.Request{Service: c.service} }
+
 // recordDuration records the duration of a request that was served.
 func (r *request) recordDuration(size drain.Request) {
-	r.gateway.durations.Record(size, 0, r.gateway.config.Clock().Sub(r.started))
+	r.gateway.durations.Record(size, r.gateway.config.Clock().Sub(r.started))
 }
