--- a/internal/detour/pipe.go
+++ b/internal/detour/pipe.go
@@ -123,7 +123,7 @@
 
 // reset closes a connection so that the other side sees that it failed.
 func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok { // also if a server wraps it
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/internal/httpserver/receipt.go
+++ b/internal/httpserver/receipt.go
@@ -1,7 +1,6 @@
 package httpserver
 
 import (
-	"crypto/tls"
 	"net"
 	"sync/atomic"
 )
@@ -36,12 +35,9 @@
 	return n, err
 }
 
-// hasReceived reports whether anything was received on an accepted connection. For TLS that
-// includes the handshake.
+// hasReceived reports whether anything was received on an accepted connection. For TLS it
+// returns false, since what was received may be no more than the handshake.
 func hasReceived(conn net.Conn) bool {
-	if secure, ok := conn.(*tls.Conn); ok {
-		conn = secure.NetConn()
-	}
 	c, ok := conn.(*receiptConn)
 	return ok && c.received.Load()
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -99,7 +99,7 @@
 		Handler:   s.withConnectionClose(s.config.Handler),
 		ConnState: s.trackConnState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, &connection{Conn: conn, info: Connection{AcceptedAt: time.Now()}})
+			return context.WithValue(ctx, connKey{}, &connection{Conn: conn, acceptedAt: time.Now()})
 		},
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -134,7 +134,7 @@
 // Connection describes the connection of a request.
 type Connection struct {
 	AcceptedAt time.Time
-	// EarlierRequests is the number of requests on the connection before.
+	// EarlierRequests is the number of requests on the connection that have ended.
 	EarlierRequests int
 }
 
@@ -145,16 +145,18 @@
 	if !ok {
 		return Connection{}, false
 	}
-	return conn.info, true
+	return Connection{AcceptedAt: conn.acceptedAt, EarlierRequests: int(conn.requests.Load())}, true
 }
 
 // connKey is the context key of a request's *connection.
 type connKey struct{}
 
-// connection is a connection that requests were read from, one at a time.
+// connection is a connection that requests are read from.
 type connection struct {
 	net.Conn
-	info Connection
+	acceptedAt time.Time
+	// requests is the number of requests that have ended.
+	requests atomic.Int64
 }
 
 // withConnectionClose returns a handler that sets "Connection: close" on the
@@ -167,7 +169,7 @@
 			if s.wasClosed(conn.Conn) {
 				panic(http.ErrAbortHandler)
 			}
-			defer func() { conn.info.EarlierRequests++ }()
+			defer conn.requests.Add(1)
 		}
 		closing := &closingWriter{ResponseWriter: w, draining: &s.draining}
 		next.ServeHTTP(closing, r)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -92,7 +92,7 @@
 // an answer to a request that was read behind one whose response began before the stop.
 func TestStopAnswersRequestBehindResponse(t *testing.T) {
 	proceed := make(chan struct{})
-	_, conn, stopped := startStopping(t, func(w http.ResponseWriter, r *http.Request) {
+	server, conn, stopped := startStopping(t, func(w http.ResponseWriter, r *http.Request) {
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
 		if r.URL.Path == "/first" {
@@ -100,6 +100,11 @@
 		}
 		_, _ = io.WriteString(w, r.URL.Path)
 	}, "GET /first HTTP/1.1\r\nHost: test\r\n\r\nGET /second HTTP/1.1\r\nHost: test\r\n\r\n")
+	waitFor(t, "idle connections are closed", func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		return server.stopping
+	})
 	close(proceed)
 	expectBodies(t, conn, "/first", "/second")
 	<-stopped
