Read the counts of calls in the store's simulation under their lock

The race detector reported a read of the counts beside the release of a lease in the simulation of 86 hosts (test code). The two specs of calls now pass with it; TestChangesReach86HostsInTimeDespiteAFault still has reports and was not looked into.

--- a/internal/edge/storecalls_test.go
+++ b/internal/edge/storecalls_test.go
@@ -434,6 +434,8 @@
 		spec(f)
 		f.stopAll()
 		time.Sleep(time.Minute)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		for _, label := range slices.Sorted(maps.Keys(f.calls)) {
 			t.Logf("%5d %s", f.calls[label], label)
 		}
