Use no worker by an entry with a value that can't be right, nor by an older entry in its place

An entry that could not be decoded left the one before it in use until the next listing, however long that took, and then looked like a removal. Each listing logged each bad entry again.

A worker whose entry can't be used is suspended: no new requests and no orders until a sound entry, which a live worker writes with its next heartbeat, also while the store is away. It counts as listed, so that nothing is blamed for a crash and its software version stays known. Removal in its place would have let an outage of the store put the older entry back into use.

--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -3,7 +3,9 @@
 // endpointState is one endpoint in the state dump.
 type endpointState struct {
 	Endpoint
-	Removed      bool `json:"gone"`
+	Removed bool `json:"gone"`
+	// Suspended is set while the entry can't be used.
+	Suspended    bool `json:"suspended"`
 	Running      int  `json:"running"`
 	UnreadTokens int  `json:"unreadTokens"`
 	Load         Load `json:"load"`
@@ -33,7 +35,7 @@
 	states := make([]endpointState, 0, len(r.members))
 	for _, m := range r.members {
 		state := endpointState{
-			Endpoint: m.Endpoint, Removed: !m.removedAt.IsZero(), Running: m.running, UnreadTokens: m.unreadTokens,
+			Endpoint: m.Endpoint, Removed: !m.removedAt.IsZero(), Suspended: m.suspended, Running: m.running, UnreadTokens: m.unreadTokens,
 			Load: m.load, LoadAgeMS: now.Sub(m.loadAt).Milliseconds(), Penalty: r.ejector.Penalty(now, m.ID), PeerFailures: r.peerTotals[m.ID].failures(),
 			Speed: 1 / r.speeds.estimator.Slowness(m.ID),
 		}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -58,6 +58,8 @@
 	Endpoint
 	// removedAt is when the endpoint was delisted; zero while listed.
 	removedAt time.Time
+	// suspended is set while the endpoint's entry can't be used; see Suspend.
+	suspended bool
 	// running counts this host's requests there. unreadTokens is the number of
 	// prompt tokens to be processed for those whose response has not started.
 	running      int
@@ -162,12 +164,16 @@
 	}
 }
 
-// Replace replaces the list of endpoints. Those missing from the new list are
-// delisted, as by Remove.
-func (r *Registry) Replace(endpoints []Endpoint) {
+// Replace replaces the list of endpoints. Those in neither list are delisted, as by
+// Remove. Suspended are the identifiers of those whose entries can't be used; see Suspend.
+func (r *Registry) Replace(endpoints []Endpoint, suspended ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	listed := make(map[string]bool, len(endpoints))
+	listed := make(map[string]bool, len(endpoints)+len(suspended))
+	for _, id := range suspended {
+		listed[id] = true
+		r.suspend(id)
+	}
 	for i := range endpoints {
 		if r.undone(&endpoints[i]) {
 			continue
@@ -205,7 +211,7 @@
 		e.Leaving = e.Leaving || known.Leaving
 		returned := !known.removedAt.IsZero() && !r.usable(known, now)
 		known.Endpoint = e
-		known.removedAt = time.Time{}
+		known.removedAt, known.suspended = time.Time{}, false
 		r.handleColdEntry(known, now, returned, listed)
 		return
 	}
@@ -252,57 +258,6 @@
 	}
 }
 
-// StoreUnavailable must be called when the store becomes unavailable, with the time of
-// its last response. Endpoints delisted during the outage or within relistGrace after it
-// stay usable until relistGrace after StoreAvailable, since the outage may have kept
-// them from renewing their entries. An outage shorter than minOutage can't have.
-func (r *Registry) StoreUnavailable(since time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.storeUnavailable, r.lastResponse = true, since
-	if now := r.config.Clock(); now.Sub(r.outageEndedAt) >= relistGrace {
-		r.outageBeganAt = now
-	}
-}
-
-// StoreAvailable must be called when the store is available again.
-func (r *Registry) StoreAvailable() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.config.Clock()
-	if r.storeUnavailable && now.Sub(r.lastResponse) >= minOutage {
-		r.outageEndedAt = now
-	}
-	r.storeUnavailable = false
-}
-
-// usable reports whether an endpoint may get new requests. A delisted one may get
-// them during a store outage and for relistGrace after it, if the outage may be
-// the reason for the delisting.
-func (r *Registry) usable(m *member, now time.Time) bool {
-	if m.Leaving {
-		return false
-	}
-	if m.removedAt.IsZero() {
-		return true
-	}
-	byOutage := !m.removedAt.Before(r.outageBeganAt) && (r.storeUnavailable || m.removedAt.Sub(r.outageEndedAt) < relistGrace)
-	return byOutage && (r.storeUnavailable || now.Sub(r.outageEndedAt) < relistGrace)
-}
-
-// sweep deletes delisted endpoints that are no longer usable and have no running
-// requests.
-func (r *Registry) sweep(now time.Time) {
-	for id, m := range r.members {
-		if !m.removedAt.IsZero() && m.running == 0 && !r.usable(m, now) {
-			r.departed[id] = departure{endpoint: m.Endpoint, removedAt: m.removedAt}
-			delete(r.members, id)
-			r.ejector.Remove(id)
-		}
-	}
-	r.forgetDepartures(now)
-}
-
 // holds reports whether an endpoint holds a model and adapter, by unexpired
 // observations or else by its own description.
 func (m *member) holds(now time.Time, model, adapter string) bool {
@@ -481,13 +436,14 @@
 	return versions
 }
 
-// Endpoints returns the descriptions of all listed endpoints, sorted by ID.
+// Endpoints returns the descriptions of all listed endpoints whose entries can be used,
+// sorted by ID.
 func (r *Registry) Endpoints() []Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]Endpoint, 0, len(r.members))
 	for _, m := range r.members {
-		if m.removedAt.IsZero() {
+		if m.removedAt.IsZero() && !m.suspended {
 			list = append(list, m.Endpoint)
 		}
 	}
