Go on without an object of the system's own that another program has overwritten

A lease that can't be decoded could never be acquired again, so that no host ordered engines any more; nor could one with the highest term be renewed under a higher one. A host's entry without an incarnation or with a bad address dropped the report of a peer in reach, or had it called at a wrong address. One stored hold that can't be read cost all others, and one with an end in the year 9999 lasted until then. A record of software versions of an era to come passed for that of the present one. A report could state a lease for longer than a time.Duration holds, so that it looked expired.

Each is checked where it is read now; for what applies instead see docs/design/platform.md.

--- a/internal/edge/holds.go
+++ b/internal/edge/holds.go
@@ -95,7 +95,7 @@
 		err = k.quarantine.Restore(value.Holds)
 	}
 	if err != nil {
-		logrus.WithError(err).Warn("stored holds ignored; they are replaced by those of this host")
+		logrus.WithError(err).Warn("stored holds that can't be read are ignored; they are replaced by those of this host")
 	}
 }
 
--- a/internal/edge/software.go
+++ b/internal/edge/software.go
@@ -115,7 +115,12 @@
 func (k *softwareKeeper) restore(object objectstore.Object) {
 	k.object = object
 	var record streamorigin.Record
-	if err := json.Unmarshal(object.Value, &record); err != nil {
+	err := json.Unmarshal(object.Value, &record)
+	if err == nil && (record.Era < 0 || record.Era > k.era()) {
+		// The response with the record has shown the store's era.
+		err = errors.Newf("field era is %d; the store is in era %d", record.Era, k.era())
+	}
+	if err != nil {
 		logrus.WithError(err).Warn("recorded software versions ignored; they are replaced by those of this host")
 		k.origins.Restore(nil, k.era(), false)
 		return
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -50,13 +50,6 @@
 	maxListingWait = 300 * time.Millisecond
 )
 
-// hostEntry is the value of a KindHost object in the store.
-type hostEntry struct {
-	// Address is the host's peer service as IP:PORT.
-	Address     string `json:"address"`
-	Incarnation string `json:"incarnation"`
-}
-
 // Participant is a component of the host that sends data in the periodic reports
 // between hosts and processes the data of peers.
 type Participant interface {
@@ -144,6 +137,8 @@
 	listed       chan struct{}
 	// rounds counts the rounds of reports.
 	rounds int
+	// ignored logs the entries that can't be used.
+	ignored objectstore.IgnoredLog
 	// cachedResponse is the report last built as a response, at cachedAt.
 	cachedResponse *fleetv1.Report
 	cachedAt       time.Time
@@ -302,6 +297,7 @@
 	defer s.mu.Unlock()
 	ownEntry := false
 	s.entryVersion = 0
+	s.ignored.Retain(listing)
 	for _, item := range listing.Items {
 		s.applyEntry(item)
 		if item.Name == s.config.Host {
@@ -334,18 +330,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if event.Type == objectstore.EventDelete {
+		s.ignored.Remove(event.Object.Name)
 		s.roster.removeEntry(event.Object.Name)
 		return
 	}
 	s.applyEntry(event.Object)
 }
 
+// applyEntry adds or updates the peer of an entry. One that can't be used changes nothing: a
+// peer that is known goes by its reports, and out of use without them.
 func (s *Service) applyEntry(object objectstore.Object) {
-	var entry hostEntry
-	if err := json.Unmarshal(object.Value, &entry); err != nil {
-		logrus.WithError(err).WithField("name", object.Name).Warn("host entry in the store cannot be decoded and is ignored; delete the object")
+	entry, err := decodeEntry(object)
+	if err != nil {
+		s.ignored.Add(object, err)
 		return
 	}
+	s.ignored.Remove(object.Name)
 	s.roster.addEntry(time.Now(), object.Name, entry.Address, entry.Incarnation)
 }
 
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -27,6 +27,9 @@
 	groupRetention  = 40 * time.Second
 	// largeFleetSize is the minimum number of hosts of a large fleet.
 	largeFleetSize = 24
+	// maxLeaseLeft bounds the time for which a report says that its sender holds the lease.
+	// Leases last for some seconds, and a longer time would overflow.
+	maxLeaseLeft = time.Minute
 	// roundsPerInterval is the number of rounds per interval in a large fleet.
 	roundsPerInterval = 2
 )
@@ -104,7 +107,7 @@
 	if asOf.After(p.reportedAt) {
 		p.reportedAt = asOf
 		p.report = report
-		p.leaseUntil = asOf.Add(time.Duration(report.GetLease().GetLeftMillis()) * time.Millisecond)
+		p.leaseUntil = asOf.Add(time.Duration(min(report.GetLease().GetLeftMillis(), maxLeaseLeft.Milliseconds())) * time.Millisecond)
 	}
 	return p
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -9,7 +9,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/objectstore"
 )
@@ -88,25 +88,35 @@
 	return v.heldBy(self) && !v.validFrom.IsZero() && now.Sub(v.validFrom) < duration
 }
 
-func decodeValue(obj objectstore.Object) (Value, error) {
-	var value Value
-	err := json.Unmarshal(obj.Value, &value)
-	return value, errors.Wrapf(err, "decode lease %s", obj.Name)
+// unknownHolder is the holder of a lease whose value can't be used. No host has the name.
+const unknownHolder = "?"
+
+// maxTerm bounds the term of a lease, so that later ones can follow.
+const maxTerm = 1 << 53
+
+// decodeValue decodes a lease. One that another program has overwritten, so that its value
+// can't be used, counts as held by an unknown holder: nobody acts by it, and candidates take
+// it over once it was not changed for the duration. Its term is the last one known.
+func decodeValue(obj objectstore.Object, lastTerm int64) (value Value, usable bool) {
+	if json.Unmarshal(obj.Value, &value) != nil || value.Term < 0 || value.Term > maxTerm || len(obj.Value) == 0 {
+		return Value{Holder: unknownHolder, Term: lastTerm, Era: obj.Version.Era()}, false
+	}
+	return value, true
 }
 
 // observe updates the view from an object that was read or written. Versions
 // older than the view's are ignored.
-func (v *view) observe(obj objectstore.Object, now time.Time) error {
+func (v *view) observe(obj objectstore.Object, now time.Time) {
 	if v.exists && obj.Version < v.object.Version {
-		return nil
-	}
-	value, err := decodeValue(obj)
-	if err != nil {
-		return err
+		return
 	}
+	value, usable := decodeValue(obj, v.value.Term)
 	if !v.exists || obj.Version != v.object.Version {
 		v.unchangedSince = now
+		if !usable {
+			logrus.WithFields(logrus.Fields{"lease": obj.Name, "version": obj.Version}).
+				Warn("value of the lease can't be used; another program wrote it, and it is replaced once it was not changed for the duration of the lease")
+		}
 	}
 	v.object, v.value, v.exists = obj, value, true
-	return nil
 }
--- a/internal/lease/service.go
+++ b/internal/lease/service.go
@@ -323,19 +323,18 @@
 	if err != nil {
 		return errors.Wrapf(err, "read lease %s", l.cfg.Name)
 	}
-	return l.observe(obj, time.Time{})
+	l.observe(obj, time.Time{})
+	return nil
 }
 
 // observe updates the view from an object. If the object is this candidate's
 // own write, startedAt is the time just before that write, otherwise zero.
-func (l *Lease) observe(obj objectstore.Object, startedAt time.Time) error {
+func (l *Lease) observe(obj objectstore.Object, startedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.enterEra(obj.Version.Era())
 	previous := l.view.value
-	if err := l.view.observe(obj, l.cfg.Now()); err != nil {
-		return err
-	}
+	l.view.observe(obj, l.cfg.Now())
 	// A write that was planned before a restore of the store grants nothing.
 	if !startedAt.IsZero() && l.view.value.Era == obj.Version.Era() {
 		l.view.validFrom = startedAt
@@ -347,7 +346,6 @@
 	if l.view.value.Holder != previous.Holder || l.view.value.Incarnation != previous.Incarnation {
 		l.notify()
 	}
-	return nil
 }
 
 // recordPreviousHolder sets the time until which the previous holder may have
@@ -408,9 +406,11 @@
 		l.markDeleted()
 		return nil
 	case err == nil:
-		return l.observe(obj, startedAt)
+		l.observe(obj, startedAt)
+		return nil
 	case errors.As(err, &conflict):
-		return l.observeUncertain(conflict.Current, writeID, startedAt)
+		l.observeUncertain(conflict.Current, writeID, startedAt)
+		return nil
 	case errors.As(err, &unavailable):
 		return l.readBack(ctx, writeID, startedAt, err)
 	default:
@@ -436,11 +436,11 @@
 
 // observeUncertain updates the view from an object that may be the result of
 // this candidate's own write, for example if the transport sent it twice.
-func (l *Lease) observeUncertain(obj objectstore.Object, writeID string, startedAt time.Time) error {
+func (l *Lease) observeUncertain(obj objectstore.Object, writeID string, startedAt time.Time) {
 	if obj.WriteID != writeID {
 		startedAt = time.Time{}
 	}
-	return l.observe(obj, startedAt)
+	l.observe(obj, startedAt)
 }
 
 // readBack resolves a write with unknown outcome by reading the lease.
@@ -449,7 +449,8 @@
 	if err != nil {
 		return errors.Wrapf(cause, "write lease %s", l.cfg.Name)
 	}
-	return l.observeUncertain(obj, writeID, startedAt)
+	l.observeUncertain(obj, writeID, startedAt)
+	return nil
 }
 
 // release frees the lease if this candidate holds it, so that another host
@@ -474,13 +475,11 @@
 	if errors.As(err, &conflict) { // an earlier release whose response was lost, or another holder
 		obj, err = conflict.Current, nil
 	}
-	if err == nil {
-		err = l.observe(obj, time.Time{})
-	}
 	if err != nil {
 		logrus.WithError(err).WithField("lease", l.cfg.Name).Warn("failed to release the lease; it expires by itself")
 		return
 	}
+	l.observe(obj, time.Time{})
 	logrus.WithField("lease", l.cfg.Name).Info("lease released")
 }
 
--- a/internal/quarantine/stored.go
+++ b/internal/quarantine/stored.go
@@ -31,16 +31,24 @@
 	return list
 }
 
-// Restore adds holds that an earlier process has stored. They end at their time, or when
-// a request that they hold back survives.
+// Restore adds holds that an earlier process has stored. They end at their time, but not
+// later than one for a crash now would, or when a request that they hold back survives. It
+// returns the error of the last hold that can't be read, and adds the others.
 func (q *Quarantine) Restore(list []StoredHold) error {
+	latest := q.clock().Add(evidenceTTL)
 	restored := make(map[Suspect]hold, len(list))
+	var invalid error
 	for _, stored := range list {
 		s, err := stored.suspect()
 		if err != nil {
-			return err
+			invalid = err
+			continue
+		}
+		until := stored.Until
+		if until.After(latest) {
+			until = latest
 		}
-		restored[s] = hold{crashes: stored.Crashes, until: stored.Until}
+		restored[s] = hold{crashes: stored.Crashes, until: until}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -48,7 +56,7 @@
 		q.evidence.restored[s] = h
 	}
 	q.update(q.clock())
-	return nil
+	return invalid
 }
 
 func (h StoredHold) suspect() (Suspect, error) {
