Go on after the last event that the caller has, whatever an attempt sent since

A resumed attempt had sent a comment and then broken off. Cause: the last event identifier belonged to the splitter of one attempt, so that a part without an identifier replaced the identifier of the call by an empty one. The same happened with a retry field or blank lines; a stream that the caller had taken up fell back to the caller's identifier.

The identifier now belongs to the call, starts with the caller's, and is read as the format has it (receivedEvents): identifiers with NUL are ignored, an empty one resets it, a field needs no colon, one space after the colon is no part of the value, a byte order mark is no part of the first line. A response that has begun breaks off for the caller where going on could leave out or repeat an event: after a reset, after an event without an identifier, after an identifier that no header field can carry, or if the next response is no stream of events. Of a stream with CRLF an event counts as whole once the LF has come, and the byte order mark of a further attempt is left out.

--- a/internal/forward/boundary_test.go
+++ b/internal/forward/boundary_test.go
@@ -11,13 +11,13 @@
 var _ = Describe("Boundary tracker", func() {
 	It("gives the same result however the bytes are split", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			text := strings.Join(rapid.SliceOf(rapid.SampledFrom([]string{"\n", "\r", "\r\n", ":", "id: 1", "data:x"})).Draw(t, "pieces"), "")
+			text := strings.Join(rapid.SliceOf(rapid.SampledFrom([]string{"\n", "\r", "\r\n", ":", "id: 1", "data:x", "\xEF", "\xBB", "\xBF", byteOrderMark})).Draw(t, "pieces"), "")
 			var whole, split boundaryTracker
 			wholeBoundary := whole.feed([]byte(text))
-			splitBoundary := 0
+			splitBoundary := noBoundary
 			for at := 0; at < len(text); {
 				n := rapid.IntRange(1, len(text)-at).Draw(t, "length")
-				if boundary := split.feed([]byte(text[at : at+n])); boundary > 0 {
+				if boundary := split.feed([]byte(text[at : at+n])); boundary != noBoundary {
 					splitBoundary = at + boundary
 				}
 				at += n
@@ -43,6 +43,12 @@
 			"data: x\n\n: comm":            true,
 			": comment\ndata: x\n":         true,
 			"event: a\n: comment\ndata: x": true,
+			"\uFEFF":                       false,
+			"\uFEFF: comment\n":            false,
+			"\uFEFFdata: x\n\n":            false,
+			"\uFEFFdata: x\n":              true,
+			"\xEF\xBB":                     true,
+			"\xEF\xBB: no comment\n":       true,
 		} {
 			var tracker boundaryTracker
 			tracker.feed([]byte(text))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -231,6 +231,9 @@
 	if call.ID == "" {
 		return x, &Failure{Reason: ReasonBadRequest}
 	}
+	if x.route.Resumable {
+		x.received = receivedBefore(call.ResumeAfter)
+	}
 	x.suspects = suspectsOf(call, x.organisation)
 	x.service = x.route.SelectService(x.streamAttempt())
 	if service := config.Service(x.service); service != nil {
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -80,9 +80,8 @@
 	mayHaveRun bool
 	// responseStarted is set once the response header was written to the caller.
 	responseStarted bool
-	// lastEventID is the identifier of the last complete event of a stream that
-	// was relayed.
-	lastEventID string
+	// received is what the caller has received of a resumable stream.
+	received receivedEvents
 	// events is the number of complete events in the stream of the last attempt.
 	events int
 	// framing is the framing of the last response whose body was read.
@@ -141,7 +140,7 @@
 		if errors.Is(err, errZoneEvacuated) {
 			continue // nothing was sent, and the zone is left out from now on
 		}
-		if !x.inVain(err) && x.shouldRetry(outcome) {
+		if !x.inVain(err) && x.mayGoOn() && x.shouldRetry(outcome) {
 			continue
 		}
 		return x.finalError(outcome, err)
@@ -297,7 +296,7 @@
 		Endpoint:    attempt.Endpoint.ID,
 		Remaining:   x.deadline.Sub(x.forwarder.config.Clock()),
 		Rank:        x.rank(),
-		ResumeAfter: x.resumeAfter(),
+		ResumeAfter: x.received.lastID,
 		Engine:      x.engine,
 	}
 	if x.organisation != nil {
@@ -306,19 +305,6 @@
 	return params
 }
 
-// resumeAfter returns the identifier of the event after which the stream is to
-// resume; empty if there is none or the route is not resumable.
-func (x *inflightCall) resumeAfter() string {
-	switch {
-	case !x.route.Resumable:
-		return ""
-	case x.lastEventID != "":
-		return x.lastEventID
-	default:
-		return x.call.ResumeAfter
-	}
-}
-
 func (x *inflightCall) handleSendError(attempt *fleet.Attempt, err error) (repeat.Outcome, error) {
 	var notSent *upstream.NotSentError
 	wasNotSent := errors.As(err, &notSent)
@@ -378,7 +364,7 @@
 		return repeat.Unknown, err
 	}
 	x.framing = exchange.Framing()
-	if x.route.Kind == traffic.Streaming && exchange.Response.StatusCode == http.StatusOK && !x.call.NeedsLength {
+	if x.relaysAsStream(exchange.Response) {
 		return x.relayStream(attempt, exchange)
 	}
 	return x.relayBuffered(attempt, exchange)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -126,7 +126,10 @@
 // relayStream relays events as they arrive. For a resumable stream it relays only
 // complete events, so that another endpoint can resume it.
 func (x *inflightCall) relayStream(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.Outcome, error) {
-	events := &eventSplitter{wholeEvents: x.route.Resumable, bound: upstream.TooLargeError{Part: upstream.PartEvent, Limit: maxEventBytes}}
+	events := &eventSplitter{
+		wholeEvents: x.route.Resumable, continues: x.responseStarted,
+		bound: upstream.TooLargeError{Part: upstream.PartEvent, Limit: maxEventBytes},
+	}
 	if !mayBeEventStream(exchange.Response.Header) {
 		events.bound = upstream.TooLargeError{Part: upstream.PartBody, Limit: maxBufferedResponse}
 	}
@@ -157,7 +160,7 @@
 				attempt.Finish(endpoint.OutcomeCancelled)
 				return repeat.CallerGone, errCallerGone
 			}
-			x.lastEventID = events.lastID
+			x.recordRelayed(exchange.Response, ready)
 			timer.blocked += x.forwarder.config.Clock().Sub(readAt)
 		}
 		if errors.Is(err, io.EOF) {
@@ -173,6 +176,17 @@
 	}
 }
 
+// recordRelayed records what the caller has received of a resumable stream.
+func (x *inflightCall) recordRelayed(response *http.Response, ready []byte) {
+	switch {
+	case !x.route.Resumable:
+	case mayBeEventStream(response.Header):
+		x.received.read(ready)
+	default:
+		x.received.readOpaque()
+	}
+}
+
 var errCallerGone = errors.New("the caller closed its connection")
 
 func (x *inflightCall) writeAndFlush(control *http.ResponseController, data []byte) bool {
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -83,18 +83,22 @@
 // newStreamForwarder returns a forwarder with two streaming routes, /plain/ and the
 // resumable /resumable/, and the idempotent route /lookup/, whose service has two
 // endpoints at the same address.
-func newStreamForwarder(address string) *Forwarder {
+func newStreamForwarder(address string) *Forwarder { return newStreamForwarderWith(address, 2) }
+
+// newStreamForwarderWith returns such a forwarder whose routes allow that many attempts
+// and whose service has as many endpoints.
+func newStreamForwarderWith(address string, attempts int) *Forwarder {
 	route := func(name string, resumable bool) traffic.Route {
 		return traffic.Route{
 			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: traffic.Streaming, Resumable: resumable,
-			Timeout: 2 * time.Second, MaxAttempts: 2, Targets: []traffic.Target{{Service: "s", Weight: 1}},
+			Timeout: 2 * time.Second, MaxAttempts: attempts, Targets: []traffic.Target{{Service: "s", Weight: 1}},
 		}
 	}
 	lookup := route("lookup", false)
 	lookup.Kind = traffic.Idempotent
 	endpoints := fleet.NewRegistry(fleet.Config{Zone: "z"})
-	for _, id := range []string{"e1", "e2"} {
-		endpoints.Put(fleet.Endpoint{ID: id, Service: "s", Address: address, Zone: "z", Slots: 64})
+	for i := range attempts {
+		endpoints.Put(fleet.Endpoint{ID: fmt.Sprint("e", i+1), Service: "s", Address: address, Zone: "z", Slots: 64})
 	}
 	return New(Config{
 		Source: fixedSource{traffic.NewConfig(traffic.Spec{
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/traffic"
 )
 
 // takesUp reports whether the caller takes up a stream that it has received in part.
@@ -20,6 +21,17 @@
 	return x.call.ID
 }
 
+// mayGoOn reports whether a further attempt can yield the rest of the response, or all of
+// it if it has not begun.
+func (x *inflightCall) mayGoOn() bool { return !x.responseStarted || x.received.resumable() }
+
+// relaysAsStream reports whether a response is relayed as it arrives. After the response
+// to the caller has begun, only a stream of events can go on with it.
+func (x *inflightCall) relaysAsStream(response *http.Response) bool {
+	return x.route.Kind == traffic.Streaming && response.StatusCode == http.StatusOK && !x.call.NeedsLength &&
+		(!x.responseStarted || mayBeEventStream(response.Header))
+}
+
 // bindTakenUp binds a stream that the caller takes up to the software version that began
 // it. It returns a refusal if no host knows that version.
 func (x *inflightCall) bindTakenUp() error {
--- a/internal/forward/splitter.go
+++ b/internal/forward/splitter.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"mime"
 	"net/http"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -43,13 +42,16 @@
 type eventSplitter struct {
 	// wholeEvents makes feed hold back bytes until their event is complete.
 	wholeEvents bool
+	// continues is set if the caller has received earlier parts of the response, within
+	// which a byte order mark would be taken for a part of a line.
+	continues bool
 	// bound bounds the bytes that follow the last complete event, open counts them.
 	bound      upstream.TooLargeError
 	open       int
 	boundaries boundaryTracker
 	pending    []byte
-	// lastID is the identifier of the last complete event.
-	lastID string
+	// returned is set once bytes were returned.
+	returned bool
 }
 
 // feed adds bytes of the stream and returns those that may be relayed. The result
@@ -65,17 +67,23 @@
 	}
 	end := len(s.pending) + boundary
 	s.pending = append(s.pending, data...)
-	if boundary == 0 {
+	if boundary == noBoundary {
 		return nil
 	}
-	ready := bytes.Clone(s.pending[:end])
-	s.pending = s.pending[end:]
-	if id := lastID(ready); id != "" {
-		s.lastID = id
-	}
+	ready := s.withoutMark(bytes.Clone(s.pending[:end]))
+	s.pending, s.returned = s.pending[end:], true
 	return ready
 }
 
+// withoutMark removes the byte order mark from the first bytes of a stream that
+// continues a response.
+func (s *eventSplitter) withoutMark(data []byte) []byte {
+	if !s.continues || s.returned {
+		return data
+	}
+	return bytes.TrimPrefix(data, []byte(byteOrderMark))
+}
+
 // checkEvents returns an error if body, a whole response, can't be a complete stream.
 func checkEvents(body []byte, framing upstream.Framing) error {
 	var events eventSplitter
@@ -104,15 +112,4 @@
 }
 
 // remainder returns the bytes after the last complete event.
-func (s *eventSplitter) remainder() []byte { return s.pending }
-
-// lastID returns the identifier of the last event that has one.
-func lastID(events []byte) string {
-	id := ""
-	for _, line := range strings.FieldsFunc(string(events), func(r rune) bool { return r == '\n' || r == '\r' }) {
-		if value, ok := strings.CutPrefix(line, "id:"); ok {
-			id = strings.TrimSpace(value)
-		}
-	}
-	return id
-}
+func (s *eventSplitter) remainder() []byte { return s.withoutMark(s.pending) }
--- a/internal/forward/splitter_test.go
+++ b/internal/forward/splitter_test.go
@@ -17,10 +17,13 @@
 			}
 			cut := rapid.IntRange(0, len(stream)).Draw(t, "cut")
 			s := eventSplitter{wholeEvents: true}
+			var received receivedEvents
 			returned := ""
 			for rest := stream[:cut]; rest != ""; {
 				n := rapid.IntRange(1, len(rest)).Draw(t, "piece")
-				returned += string(s.feed([]byte(rest[:n])))
+				ready := s.feed([]byte(rest[:n]))
+				received.read(ready)
+				returned += string(ready)
 				rest = rest[n:]
 			}
 			if !strings.HasPrefix(stream, returned) || returned != "" && !strings.HasSuffix(returned, "\n\n") {
@@ -30,8 +33,8 @@
 				t.Fatalf("lost bytes: %q and %q of %q", returned, s.remainder(), stream[:cut])
 			}
 			events := strings.Count(returned, "\n\n")
-			if events > 0 && s.lastID != string(rune('a'+events-1)) {
-				t.Fatalf("last event %q after %d", s.lastID, events)
+			if events > 0 && received.lastID != string(rune('a'+events-1)) {
+				t.Fatalf("last event %q after %d", received.lastID, events)
 			}
 		})
 	})
@@ -43,7 +46,10 @@
 
 	It("recognises events with either line ending", func() {
 		s := eventSplitter{wholeEvents: true}
-		Expect(string(s.feed([]byte("id: 7\r\ndata: x\r\n\r\nid: 8")))).To(Equal("id: 7\r\ndata: x\r\n\r\n"))
-		Expect(s.lastID).To(Equal("7"))
+		ready := s.feed([]byte("id: 7\r\ndata: x\r\n\r\nid: 8"))
+		Expect(string(ready)).To(Equal("id: 7\r\ndata: x\r\n\r\n"))
+		var received receivedEvents
+		received.read(ready)
+		Expect(received.lastID).To(Equal("7"))
 	})
 })
