Pass on method, target and host byte for byte, and reject doubtful targets

Cause: the request line was written by net/http from a url.URL, which puts the scheme before an opaque target that begins with two slashes. The Host field was sent in lower case and without its port.

What two readers may take differently gets 400, closes the connection and is not passed on; before, these were passed on: CONNECT with a path, a fragment, a URL of another scheme, with user information or without a host, and a second Request-Id or Model. 'OPTIONS *' was answered 200 by net/http, a success that no endpoint gave; now 404.

Not changed: a request with both a length and chunks is read by its chunks, and its connection stays open, since net/http does not show the length.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -27,8 +27,11 @@
 type Call struct {
 	traffic.Request
 	Method string
-	// Target is the path and query as the caller sent them.
+	// Target is the request target as the caller sent it. Path, by which the route is
+	// chosen, is a part of it.
 	Target string
+	// Authority is the host that the caller named, as sent; empty if that is Host.
+	Authority string
 	// Header holds the fields to pass on, without those that this system sets.
 	Header http.Header
 	Body   []byte
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -268,7 +268,7 @@
 	x.progress.endpoint.Store(&attempt.Endpoint.ID)
 	codec := x.forwarder.config.Codec
 	message := upstream.Message{
-		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
+		Method: x.call.Method, Target: x.call.Target, Host: cmp.Or(x.call.Authority, x.call.Host),
 		EncodeHeader: func() http.Header { return codec.Encode(x.call, x.attemptParams(attempt)) },
 		Body:         x.call.Body, Dedicated: !x.route.MayRepeat(),
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -103,6 +103,8 @@
 		},
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// The handler answers "OPTIONS *", too; net/http would do so with 200.
+		DisableGeneralOptionsHandler: true,
 	}
 	if s.config.Idle == nil {
 		server.IdleTimeout = idleTimeout
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,13 +5,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,8 +36,9 @@
 // Message is a request to an endpoint.
 type Message struct {
 	Method string
-	// Target is the path and query as the caller sent them.
+	// Target is the request target as the caller sent it.
 	Target string
+	// Host is the value of the Host field.
 	Host   string
 	Header http.Header
 	Body   []byte
@@ -165,6 +164,9 @@
 // error is a *NotSentError if nothing was sent, and else a *NoResponseError. The
 // end of ctx closes the connection, also while the response body is read.
 func (p *Pool) Send(ctx context.Context, address string, m Message, belongs func(http.Header) bool) (*Exchange, error) {
+	if err := m.check(); err != nil {
+		return nil, &NotSentError{Address: address, Cause: err}
+	}
 	c, reused, err := p.connect(ctx, address, m)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
@@ -180,9 +182,8 @@
 	}
 	x := &Exchange{pool: p, address: address, conn: c, dedicated: m.dedicated(), Reused: reused, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	request := newRequest(address, m)
-	x.write(request)
-	if err := x.readHeader(request, belongs); err != nil {
+	x.write(m)
+	if err := x.readHeader(&http.Request{Method: m.Method}, belongs); err != nil {
 		x.Abort()
 		return nil, &NoResponseError{Address: address, Cause: errors.CombineErrors(context.Cause(ctx), err)}
 	}
@@ -207,21 +208,6 @@
 	return &conn{boundedConn: bounded, reader: bufio.NewReaderSize(bounded, readBuffer)}, false, nil
 }
 
-func newRequest(address string, m Message) *http.Request {
-	path, query, _ := strings.Cut(m.Target, "?")
-	request := &http.Request{
-		Method: m.Method,
-		URL:    &url.URL{Scheme: "http", Host: address, Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(m.Target, "?")},
-		Host:   m.Host,
-		Header: m.Header,
-	}
-	if len(m.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(m.Body))
-		request.ContentLength = int64(len(m.Body))
-	}
-	return request
-}
-
 // maxInlineBody is the largest body, in bytes, that is written before the response
 // is read. A larger one may fill the connection's send window while the endpoint
 // already responds.
@@ -229,9 +215,9 @@
 
 // write sends the request. It does so concurrently with reading the response if
 // the body is large, since an endpoint may respond before it has read all of it.
-func (x *Exchange) write(request *http.Request) {
-	send := func() { x.written <- request.Write(x.conn) }
-	if request.ContentLength > maxInlineBody {
+func (x *Exchange) write(m Message) {
+	send := func() { x.written <- m.write(x.conn) }
+	if len(m.Body) > maxInlineBody {
 		go send()
 		return
 	}
