Answer 502 where an endpoint that may have run a request answers 503 or 429

Cause: the statuses of endpoints were relayed as they are, though 408, 421, 429 and 503 are promises of this system to its callers.

The codec now says whether a status is such a promise without the statement (Reply.ClaimsNotRun). The attempt then counts as failed and as one that may have run: it is repeated where the route allows it, also after 408 and 429, and else the caller gets 502 without stamp, Retry-After and body of the endpoint. This holds for requests that may be repeated, too, for which the promise would be as untrue; 502 lets their callers repeat them.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -66,6 +66,9 @@
 	Signed bool
 	// NotRun is set if the endpoint reports that it did not run the request.
 	NotRun bool
+	// ClaimsNotRun is set if callers take the status for a promise that the request has not
+	// run and never will, though the endpoint did not report that.
+	ClaimsNotRun bool
 	// WrongEndpoint is set if the address belongs to another endpoint, or if the
 	// endpoint doesn't hold the model or adapter that the request needs.
 	WrongEndpoint bool
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -357,6 +357,9 @@
 	}
 	x.mayHaveRun = true
 	attempt.ResponseStarted()
+	if reply.ClaimsNotRun {
+		return x.handleFalseClaim(attempt, exchange)
+	}
 	if reply.Encoded || exchange.Response.StatusCode < http.StatusMultipleChoices && !reply.Signed {
 		attempt.Finish(endpoint.OutcomeFailed)
 		err := errors.Newf("response with status %d was not produced by the endpoint", exchange.Response.StatusCode)
@@ -384,3 +387,13 @@
 	x.logAttempt(attempt, "endpoint refused", err)
 	return repeat.NotRun, err
 }
+
+// handleFalseClaim records the outcome of an attempt whose status must not reach the
+// caller, since the request may have run. Its response is not relayed in any case: without
+// the status, it is not the endpoint's.
+func (x *inflightCall) handleFalseClaim(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.Outcome, error) {
+	attempt.Finish(endpoint.OutcomeFailed)
+	err := errors.Newf("endpoint %s answered with status %d, but did not say that the request has not run", attempt.Endpoint.ID, exchange.Response.StatusCode)
+	x.logAttempt(attempt, "endpoint answered with an error", err)
+	return repeat.Unknown, err
+}
