Count a load until a report shows that it has ended

An engine that held two models was ordered a third one that it has no room for, and crashed. The lease holder had ordered a load, the engine carried it out, and no report reached the holder within four times the load time (the engine had asked for a backoff, or its zone was cut off). The holder gave up waiting, and with that forgot the load: its view was not stale, lacked the model and had the right count of accepted orders, so that the condition of the next order held.

Cause: the model of an accepted load was in the view only through reports, and the end of the wait was taken for the end of the load. Now an accepted load takes up its memory until a report shows that the engine isn't busy any more, and a change that ends with an error leaves the view stale, so that the report is read before the next order.

--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -225,12 +225,12 @@
 	return model != nil && present && !v.busy && v.adapters() < engine.AdapterSlots && v.freeMB(engine) >= model.AdapterMB
 }
 
-// freeMB returns the engine's memory that models and adapters leave free. It is
-// zero if the engine holds a model that is no longer configured, because the
+// freeMB returns the engine's memory that models and adapters leave free, including a
+// model that is being loaded. It is zero if the engine holds a model that is no longer configured, because the
 // size of that model is not known.
 func (v *view) freeMB(engine *traffic.Engine) float64 {
 	free := engine.MemoryMB
-	for name, adapters := range v.models {
+	for name, adapters := range v.possible() {
 		m := engine.Model(name)
 		if m == nil {
 			return 0
--- a/internal/orders/engines.go
+++ b/internal/orders/engines.go
@@ -109,6 +109,9 @@
 	// orders counts the orders that the engine has accepted.
 	orders int64
 	models map[string]fleet.Adapters
+	// incoming is a model whose load the engine has accepted, until a report shows that
+	// the load has ended; empty for none.
+	incoming string
 	// busy is set while this host carries out a change of the models there.
 	busy bool
 	// stale is set while the view may differ from the engine, such as after an
@@ -135,7 +138,7 @@
 // reset replaces the view by the engine's entry in the store. The entry doesn't
 // hold the count of accepted orders, so the view is stale.
 func (v *view) reset(e fleet.Endpoint) {
-	v.endpoint, v.orders, v.models, v.stale, v.reportedBusy = e, 0, cloneModels(e.Models), true, false
+	v.endpoint, v.orders, v.models, v.incoming, v.stale, v.reportedBusy = e, 0, cloneModels(e.Models), "", true, false
 }
 
 // update sets the engine's entry. It keeps the models of the view, which come
@@ -153,6 +156,9 @@
 // Adapters being loaded are included, since they take up slots and memory.
 func (v *view) applyReport(s State) {
 	v.orders, v.models, v.stale = s.AcceptedOrders, cloneModels(s.Models), false
+	if !s.Busy {
+		v.incoming = ""
+	}
 	for model, adapters := range s.Pending {
 		if v.models[model] == nil {
 			v.models[model] = fleet.Adapters{}
@@ -161,6 +167,16 @@
 	}
 }
 
+// possible returns the models that the engine holds or may hold once a load ends, with
+// their adapters.
+func (v *view) possible() map[string]fleet.Adapters {
+	models := maps.Clone(v.models)
+	if _, held := models[v.incoming]; v.incoming != "" && !held {
+		models[v.incoming] = nil
+	}
+	return models
+}
+
 // adapters returns the number of adapters on the engine, over all models.
 func (v *view) adapters() int {
 	count := 0
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -141,13 +141,15 @@
 		"endpoint": c.engine, "model": c.model, "victims": c.victims, "cold": c.cold, "unreachable": c.unheld,
 	}).Info("model placed")
 	go func() {
-		if err := s.execute(ctx, service, v, c); err != nil {
+		err := s.execute(ctx, service, v, c)
+		if err != nil {
 			logrus.WithError(err).WithFields(logrus.Fields{"endpoint": c.engine, "model": c.model}).Warn("model placement failed; the next planning cycle decides again")
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.changing, c.engine)
 		v.busy = false
+		v.stale = v.stale || err != nil
 	}()
 	return true
 }
@@ -193,7 +195,7 @@
 }
 
 // await polls the engine's reports until they show the model as held, or as not
-// held, and returns an error after the time limit.
+// held. It returns an error after the time limit, which says nothing of the order.
 func (s *Service) await(ctx context.Context, v *view, model string, held bool, limit time.Duration) error {
 	for end := clock.Boot().Add(limit); clock.Boot().Before(end); {
 		if !retry.Sleep(ctx, reportPollInterval) {
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -122,7 +122,9 @@
 		v.orders++
 		v.apply(o)
 	case err == nil && result == AlreadyApplied:
-		v.apply(o)
+		if o.Adapter != "" {
+			v.apply(o)
+		}
 		v.stale = true // the report shows whether the engine counted the order
 	default:
 		v.stale = true
@@ -247,21 +249,26 @@
 }
 
 // satisfied reports whether the view already shows the state that an order
-// requests.
+// requests, or that the engine is loading the model.
 func (s *Service) satisfied(v *view, o Order) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	adapters, held := v.models[o.Model]
 	if o.Adapter != "" {
 		held = held && adapters[o.Adapter]
+	} else if o.Action == Load && v.incoming == o.Model {
+		return true
 	}
 	return held == (o.Action == Load)
 }
 
-// apply enters an accepted order for an adapter into the view. The outcome of
-// an order for a model is read from the engine's reports.
+// apply enters an accepted order into the view. The end of an order for a model is read
+// from the engine's reports; until then a load takes up its memory.
 func (v *view) apply(o Order) {
 	switch {
+	case o.Adapter == "" && o.Action == Load:
+		v.incoming = o.Model
+	case o.Adapter == "":
 	case o.Adapter != "" && o.Action == Load && v.models[o.Model] != nil:
 		v.models[o.Model][o.Adapter] = true
 	case o.Adapter != "":
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -34,6 +34,8 @@
 	// delayed, from where the test applies them later.
 	loseResponses, drop, delay int
 	delayed                    []Order
+	// silent engines get no orders and send no reports.
+	silent bool
 }
 
 // fakeEngines implements Engines and records the orders received.
@@ -57,6 +59,8 @@
 	f.received = append(f.received, o)
 	engine := f.engines[e.ID]
 	switch {
+	case engine.silent:
+		return Refused, errors.New("no response")
 	case engine.drop > 0:
 		engine.drop--
 		return Refused, errors.New("no response")
@@ -107,6 +111,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	engine := f.engines[e.ID]
+	if engine.silent {
+		return State{}, errors.New("no response")
+	}
 	return State{AcceptedOrders: engine.orders, Models: cloneModels(engine.models), Busy: engine.busy}, nil
 }
 
