Count orders without a response also after their engine has started again

An engine that had started again under its identifier was ordered more than it has room for, and crashed: an order to load of before the start got no response, was carried out 10 s later, and found that the engine had accepted just as many orders as it requires. The count was taken for a fence, but it begins anew with each start, and the view of the new start knew nothing of the order.

Now each order to load is kept across the starts of its engine until it is settled: by a response, by a connection on which nothing was sent, by a report of the start that accepted it, or by 20 s. An order is sent only if the engine has room for it beside all kept ones that require a higher count, and beside all kept ones on an empty start of which this host doesn't know yet. The planner leaves out what doesn't fit, so that other engines get the model. Reports name the start that they belong to ('born'). The order's condition is set and checked under one lock with the room.

The next holder doesn't know these orders. It sends no load to engines that have started again under their identifier within 25 s, until 20 s after the earlier holder's last order; all hosts follow the starts for that. Reports between hosts are unchanged: the last orders before a crash would be missing there.

A load from the weight store that may begin late counts towards the ceiling from the fourth on. Ruled out as affected: internal/placement, whose intents are kept in the store with the endpoint's incarnation until a report shows their end.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -274,6 +274,7 @@
 		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
 		Lease: h.lease, Peers: h.exchange, LeaseTime: duration,
 		LoadWindow: s.Bounds.LoadWindow.Std(), LoadOverage: s.Bounds.LoadOverage,
+		FirstStart: s.FirstStart,
 	})
 	h.exchange.AddParticipant(h.orders)
 	h.exchange.SetPlacementHandler(h.orders.Place)
--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/retry"
 	"bilberryslip.example/bilberryslip/internal/traffic"
@@ -129,8 +130,7 @@
 	if !s.makeRoom(ctx, v, item.itemKey, engine) {
 		return &fleetv1.PlaceResponse{}
 	}
-	fits := func() bool { return v.hasRoomFor(item.itemKey, engine) }
-	if err := s.order(ctx, v, Order{Action: Load, Model: item.model, Adapter: item.adapter}, fits); err != nil {
+	if err := s.order(ctx, v, Order{Action: Load, Model: item.model, Adapter: item.adapter}, engine); err != nil {
 		logrus.WithError(err).WithField("endpoint", id).Info("adapter not loaded")
 		return &fleetv1.PlaceResponse{}
 	}
@@ -141,7 +141,7 @@
 // engineFor returns the engine that holds the adapter, or else the one with the
 // fewest adapters that can load it, of the required software; nil if there is none.
 func (s *Service) engineFor(item placement, engine *traffic.Engine) (best *view, held bool) {
-	now := time.Now()
+	now, boot := time.Now(), clock.Boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	least := 0
@@ -157,7 +157,10 @@
 			v.lastUsed[adapterKey{item.model, item.adapter}] = now
 			return v, true
 		}
-		count := v.adapters()
+		if s.unusable(boot, v) || v.sent.exclude(item.model, item.adapter, engine) {
+			continue
+		}
+		count := v.possible().adapters()
 		if count >= engine.AdapterSlots {
 			if _, ok := v.leastRecentlyUsed(now); !ok {
 				continue
@@ -198,8 +201,9 @@
 		}
 		s.mu.Lock()
 		_, present := v.models[item.model]
-		room := v.hasRoomFor(item, engine)
+		room := !v.busy && v.hasRoomFor(clock.Boot(), item.model, item.adapter, engine)
 		key, found := v.leastRecentlyUsed(time.Now())
+		found = found && !v.sent.exclude(item.model, item.adapter, engine) // else no eviction helps
 		if room {
 			v.lastUsed[adapterKey{item.model, item.adapter}] = time.Now()
 		}
@@ -216,26 +220,3 @@
 		}
 	}
 }
-
-// hasRoomFor reports whether the engine holds the adapter's model and has a
-// slot and memory for the adapter.
-func (v *view) hasRoomFor(item itemKey, engine *traffic.Engine) bool {
-	model := engine.Model(item.model)
-	_, present := v.models[item.model]
-	return model != nil && present && !v.busy && v.adapters() < engine.AdapterSlots && v.freeMB(engine) >= model.AdapterMB
-}
-
-// freeMB returns the engine's memory that models and adapters leave free, including a
-// model that is being loaded. It is zero if the engine holds a model that is no longer configured, because the
-// size of that model is not known.
-func (v *view) freeMB(engine *traffic.Engine) float64 {
-	free := engine.MemoryMB
-	for name, adapters := range v.possible() {
-		m := engine.Model(name)
-		if m == nil {
-			return 0
-		}
-		free -= m.MemoryMB + float64(len(adapters))*m.AdapterMB
-	}
-	return free
-}
--- a/internal/orders/engines.go
+++ b/internal/orders/engines.go
@@ -9,6 +9,8 @@
 	"maps"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bilberryslip.example/bilberryslip/internal/fleet"
 )
 
@@ -65,6 +67,8 @@
 // State is an engine's report of its models and adapters. It is a few hundred
 // milliseconds old.
 type State struct {
+	// Started is when the engine started; zero if the report doesn't say it.
+	Started time.Time
 	// AcceptedOrders counts the orders that the engine has accepted since it
 	// started.
 	AcceptedOrders int64
@@ -88,10 +92,14 @@
 	return fmt.Sprintf("engine %s asked this host to send no request for %v; the planning cycles skip it until then", e.Endpoint, e.Wait)
 }
 
+// ErrNotSent marks the error of an order of which no byte was sent.
+var ErrNotSent = errors.New("the order was not sent")
+
 // Engines sends orders to engines and reads their reports.
 type Engines interface {
 	// Order sends an order. It returns an error if the outcome is unknown; the
-	// engine may still carry out the order then.
+	// engine may still carry out the order then, unless the error is ErrNotSent or a
+	// BackoffError.
 	Order(ctx context.Context, e fleet.Endpoint, order Order) (Result, error)
 	// Report returns the current report of an engine.
 	Report(ctx context.Context, e fleet.Endpoint) (State, error)
@@ -106,12 +114,18 @@
 	id string
 	// endpoint is the engine's current entry.
 	endpoint fleet.Endpoint
-	// orders counts the orders that the engine has accepted.
+	// started is when the engine's present start began, by its entry or a newer report,
+	// and starts counts the starts that the view has seen.
+	started time.Time
+	starts  int
+	// orders counts the orders that the engine has accepted since it started.
 	orders int64
 	models map[string]fleet.Adapters
 	// incoming is a model whose load the engine has accepted, until a report shows that
 	// the load has ended; empty for none.
 	incoming string
+	// sent are the orders to load that the engine may still carry out.
+	sent *sentLoads
 	// busy is set while this host carries out a change of the models there.
 	busy bool
 	// stale is set while the view may differ from the engine, such as after an
@@ -129,8 +143,8 @@
 
 type adapterKey struct{ model, adapter string }
 
-func newView(e fleet.Endpoint) *view {
-	v := &view{id: e.ID, lastUsed: make(map[adapterKey]time.Time)}
+func newView(e fleet.Endpoint, sent *sentLoads) *view {
+	v := &view{id: e.ID, sent: sent, lastUsed: make(map[adapterKey]time.Time)}
 	v.reset(e)
 	return v
 }
@@ -138,52 +152,55 @@
 // reset replaces the view by the engine's entry in the store. The entry doesn't
 // hold the count of accepted orders, so the view is stale.
 func (v *view) reset(e fleet.Endpoint) {
-	v.endpoint, v.orders, v.models, v.incoming, v.stale, v.reportedBusy = e, 0, cloneModels(e.Models), "", true, false
+	v.endpoint = e
+	v.restart(e.Started, e.Models)
+}
+
+// restart replaces the view by that of a start of the engine of which no report was read.
+func (v *view) restart(started time.Time, models map[string]fleet.Adapters) {
+	v.started, v.orders, v.models, v.incoming = started, 0, cloneModels(models), ""
+	v.stale, v.reportedBusy = true, false
+	v.starts++
 }
 
 // update sets the engine's entry. It keeps the models of the view, which come
 // from a report and the orders since and so are newer than the entry, unless
 // the engine has restarted.
 func (v *view) update(e fleet.Endpoint) {
-	if !e.Started.Equal(v.endpoint.Started) || e.Address != v.endpoint.Address {
+	known := e.Started.Equal(v.endpoint.Started) || e.Started.Equal(v.started)
+	if !known || e.Address != v.endpoint.Address {
 		v.reset(e)
 		return
 	}
 	v.endpoint = e
 }
 
-// applyReport replaces the view's models and order count by those of a report.
-// Adapters being loaded are included, since they take up slots and memory.
+// applyReport replaces the view's models and order count by those of a report, unless
+// the report is older than the view. Adapters being loaded are included, since they take
+// up slots and memory.
 func (v *view) applyReport(s State) {
-	v.orders, v.models, v.stale = s.AcceptedOrders, cloneModels(s.Models), false
-	if !s.Busy {
-		v.incoming = ""
+	if !s.Started.IsZero() && !s.Started.Equal(v.started) {
+		v.restart(s.Started, nil)
+	}
+	if s.AcceptedOrders < v.orders {
+		return
 	}
+	v.orders, v.models = s.AcceptedOrders, cloneModels(s.Models)
 	for model, adapters := range s.Pending {
 		if v.models[model] == nil {
 			v.models[model] = fleet.Adapters{}
 		}
 		maps.Copy(v.models[model], adapters)
 	}
-}
-
-// possible returns the models that the engine holds or may hold once a load ends, with
-// their adapters.
-func (v *view) possible() map[string]fleet.Adapters {
-	models := maps.Clone(v.models)
-	if _, held := models[v.incoming]; v.incoming != "" && !held {
-		models[v.incoming] = nil
-	}
-	return models
-}
-
-// adapters returns the number of adapters on the engine, over all models.
-func (v *view) adapters() int {
-	count := 0
-	for _, adapters := range v.models {
-		count += len(adapters)
+	switch {
+	case !s.Busy:
+		v.incoming = ""
+	case v.incoming == "":
+		v.incoming = v.sent.inProgress(s.AcceptedOrders)
 	}
-	return count
+	v.sent.confirm(s.AcceptedOrders)
+	v.reportedBusy = s.Busy && !v.busy
+	v.stale = v.reportedBusy
 }
 
 func cloneModels(models map[string]fleet.Adapters) map[string]fleet.Adapters {
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -23,6 +23,10 @@
 	// loadTimeoutFactor is the time limit of a load, as a multiple of its usual
 	// duration.
 	loadTimeoutFactor = 4
+	// toleratedLateLoads is the number of loads from the weight store that may begin
+	// late, beyond those that were counted when they were ordered. The platform's limit
+	// has as many on top, which loads that are counted don't use.
+	toleratedLateLoads = 3
 )
 
 // plan starts the model changes whose benefit justifies their loads.
@@ -83,19 +87,28 @@
 	return len(s.changing)
 }
 
+// unusable reports whether no load can be ordered from the engine now.
+func (s *Service) unusable(now time.Time, v *view) bool {
+	return v.reportedBusy || s.config.Registry.InBackoff(v.id) || s.mayMeetUnknown(now, v.id)
+}
+
 // mayLoadCold reports whether the weight store's rate limit allows another load
 // now. It must be called with the mutex held.
 func (s *Service) mayLoadCold(engine *traffic.Engine) bool {
 	now := clock.Boot()
 	s.loads = slices.DeleteFunc(s.loads, func(at time.Time) bool { return now.Sub(at) > s.config.LoadWindow })
+	late := 0
+	for _, v := range s.views {
+		late += v.lateCold(now, s.config.LoadWindow)
+	}
 	allowed := loadLimitFraction * engine.LoadsPerSecond * s.config.LoadWindow.Seconds() * s.config.LoadOverage
-	return float64(len(s.loads)+1) <= allowed
+	return float64(len(s.loads)+max(0, late-toleratedLateLoads)+1) <= allowed
 }
 
 // planInput returns the demand for a service's models and the state of its
 // engines. Draining engines are left out.
 func (s *Service) planInput(service *traffic.Service) planInput {
-	now := time.Now()
+	now, boot := time.Now(), clock.Boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	in := planInput{slots: service.Engine.Slots}
@@ -106,10 +119,13 @@
 	}
 	for _, v := range s.currentViews(service.Name) {
 		incoming, changing := s.changing[v.id]
-		e := planEngine{id: v.id, freeMB: v.freeMB(service.Engine), copies: v.endpoint.Copies, busy: changing || v.reportedBusy || s.config.Registry.InBackoff(v.id)}
 		if v.endpoint.Leaving {
 			continue
 		}
+		e := planEngine{
+			id: v.id, freeMB: v.freeMB(boot, service.Engine), copies: v.endpoint.Copies,
+			busy: changing || s.unusable(boot, v), refused: v.refused(service.Engine),
+		}
 		for name := range v.models {
 			e.models = append(e.models, name)
 		}
@@ -177,8 +193,7 @@
 	if model == nil {
 		return errors.Newf("model %s is no longer configured", c.model)
 	}
-	fits := func() bool { return v.freeMB(service.Engine) >= model.MemoryMB }
-	if err := s.order(ctx, v, Order{Action: Load, Model: c.model}, fits); err != nil {
+	if err := s.order(ctx, v, Order{Action: Load, Model: c.model}, service.Engine); err != nil {
 		return err
 	}
 	if err := s.await(ctx, v, c.model, true, loadTimeoutFactor*model.LoadTime); err != nil {
@@ -195,8 +210,11 @@
 }
 
 // await polls the engine's reports until they show the model as held, or as not
-// held. It returns an error after the time limit, which says nothing of the order.
+// held. It returns an error after the time limit, which says nothing of the order, and
+// if a load is lost since the engine started again.
 func (s *Service) await(ctx context.Context, v *view, model string, held bool, limit time.Duration) error {
+	starts := 0
+	s.underLock(func() bool { starts = v.starts; return true })
 	for end := clock.Boot().Add(limit); clock.Boot().Before(end); {
 		if !retry.Sleep(ctx, reportPollInterval) {
 			return ctx.Err()
@@ -212,8 +230,12 @@
 		}
 		s.mu.Lock()
 		_, present := v.models[model]
+		restarted := v.starts != starts
 		s.mu.Unlock()
-		if present == held {
+		switch {
+		case restarted && held:
+			return errRestarted
+		case present == held:
 			return nil
 		}
 	}
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -11,6 +11,7 @@
 	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/retry"
+	"bilberryslip.example/bilberryslip/internal/traffic"
 )
 
 const (
@@ -32,16 +33,20 @@
 // errNoRoom reports that the engine lacks memory or an adapter slot for a load.
 var errNoRoom = errors.New("the engine has no memory or slot left for the load; the next planning cycle decides again")
 
+// errStale reports that the last report read is older than the last order.
+var errStale = errors.New("the engine's report is older than the last order to it; it is read again")
+
+// errRestarted reports that an engine has started again while an order was carried out.
+var errRestarted = errors.New("the engine has started again; the next planning cycle decides again")
+
 // errEvacuated reports that an engine is in an evacuated zone.
 var errEvacuated = errors.New("the engine's availability zone is evacuated; planning leaves it out until the evacuation ends")
 
 // order sends an order to an engine and updates the view with the outcome. The
-// caller holds the engine's lock. The function fits, which is set for loads
-// only, reports whether the load fits; it is called under the mutex before each
-// attempt, because the view may have changed. An order without a response is
-// sent again on the condition that the engine accepted no other meanwhile, so
-// that it takes effect at most once.
-func (s *Service) order(ctx context.Context, v *view, o Order, fits func() bool) error {
+// caller holds the engine's lock. The engine's configuration is set for loads only. An
+// order without a response is sent again on the condition that the engine accepted no
+// other meanwhile, so that it takes effect at most once.
+func (s *Service) order(ctx context.Context, v *view, o Order, engine *traffic.Engine) error {
 	o.Holder = s.config.Host
 	for range maxAttempts {
 		if err := s.refreshIfStale(ctx, v); err != nil {
@@ -50,9 +55,6 @@
 		if s.satisfied(v, o) {
 			return nil
 		}
-		if fits != nil && !s.underLock(fits) {
-			return errNoRoom
-		}
 		if !s.mayOrder() {
 			return errNotHolder
 		}
@@ -67,14 +69,19 @@
 			return errNotHolder
 		}
 		o.FencingToken = int64(status.Version)
-		result, err := s.sendOrder(ctx, v, &o)
-		s.logOrder(v, o, result, err)
-		s.recordResult(v, o, result, err)
+		result, err := s.sendOrder(ctx, v, &o, engine)
 		switch {
+		case errors.Is(err, errNoRoom):
+			return errNoRoom
+		case errors.Is(err, errStale):
+			result = Conflict // the report was older than the last order
 		case err != nil:
-		case result == Accepted || result == AlreadyApplied:
+			continue
+		}
+		switch result {
+		case Accepted, AlreadyApplied:
 			return nil
-		case result == Conflict:
+		case Conflict:
 			if !retry.Sleep(ctx, maxReportAge) {
 				return ctx.Err()
 			}
@@ -91,19 +98,42 @@
 }
 
 // sendOrder sends an order on the condition that the engine has accepted as many
-// orders as the view shows, which it sets in o.
-func (s *Service) sendOrder(ctx context.Context, v *view, o *Order) (Result, error) {
+// orders as the view shows, which it sets in o, and records the result.
+func (s *Service) sendOrder(ctx context.Context, v *view, o *Order, engine *traffic.Engine) (Result, error) {
 	s.mu.Lock()
-	endpoint := v.endpoint
-	o.ExpectedOrders = v.orders
+	endpoint, starts := v.endpoint, v.starts
+	sent, err := s.prepare(v, o, engine)
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	if err != nil {
+		return Refused, err
+	}
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	result, err := s.config.Engines.Order(ctx, endpoint, *o)
+	result, err := s.config.Engines.Order(limited, endpoint, *o)
 	s.recordBackoff(endpoint, err)
+	s.logOrder(v, *o, result, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.recordResult(clock.Boot(), *o, starts, sent, result, err)
 	return result, err
 }
 
+// prepare checks whether an order may be sent now. It records a load as sent, for which
+// engine is set. It must be called with the mutex held.
+func (s *Service) prepare(v *view, o *Order, engine *traffic.Engine) (*sentLoad, error) {
+	now := clock.Boot()
+	if o.Action == Load && s.mayMeetUnknown(now, v.id) {
+		return nil, errNoRoom
+	}
+	return v.prepare(now, o, engine)
+}
+
+// mayMeetUnknown reports whether an engine may carry out orders of which this host
+// doesn't know. It must be called with the mutex held.
+func (s *Service) mayMeetUnknown(now time.Time, id string) bool {
+	return mayMeetUnknown(now, s.unknownUntil, s.starts, id)
+}
+
 // recordBackoff records the backoff that an engine asked for, if it did.
 func (s *Service) recordBackoff(endpoint fleet.Endpoint, err error) {
 	var backoff *BackoffError
@@ -112,25 +142,6 @@
 	}
 }
 
-// recordResult updates the view with the engine's response to an order. The view
-// is stale unless the response shows how many orders the engine has accepted.
-func (s *Service) recordResult(v *view, o Order, result Result, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case err == nil && result == Accepted:
-		v.orders++
-		v.apply(o)
-	case err == nil && result == AlreadyApplied:
-		if o.Adapter != "" {
-			v.apply(o)
-		}
-		v.stale = true // the report shows whether the engine counted the order
-	default:
-		v.stale = true
-	}
-}
-
 func (s *Service) logOrder(v *view, o Order, result Result, err error) {
 	outcome := map[Result]string{Accepted: "accepted", AlreadyApplied: "holds", Conflict: "conflict", Refused: "refused"}[result]
 	if err != nil {
@@ -240,10 +251,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state.AcceptedOrders >= v.orders {
-		v.applyReport(state)
-		v.reportedBusy = state.Busy && !v.busy
-		v.stale = v.reportedBusy
+	v.applyReport(state)
+	if !state.Started.IsZero() {
+		s.starts.observeOne(clock.Boot(), time.Now(), v.id, state.Started)
 	}
 	return state.Busy, nil
 }
@@ -261,17 +271,3 @@
 	}
 	return held == (o.Action == Load)
 }
-
-// apply enters an accepted order into the view. The end of an order for a model is read
-// from the engine's reports; until then a load takes up its memory.
-func (v *view) apply(o Order) {
-	switch {
-	case o.Adapter == "" && o.Action == Load:
-		v.incoming = o.Model
-	case o.Adapter == "":
-	case o.Adapter != "" && o.Action == Load && v.models[o.Model] != nil:
-		v.models[o.Model][o.Adapter] = true
-	case o.Adapter != "":
-		delete(v.models[o.Model], o.Adapter)
-	}
-}
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -52,6 +52,9 @@
 	copies map[string]bool
 	// busy is set while a change is in progress; the engine takes no other.
 	busy bool
+	// refused are models that it must not load, since earlier orders may be carried out
+	// late.
+	refused map[string]bool
 }
 
 // planInput is the complete input of the planner for one service.
@@ -194,7 +197,7 @@
 	best, found := change{}, false
 	lowest, lowestLoss := 0.0, 0.0
 	for _, e := range p.engines {
-		if e.busy || slices.Contains(e.models, m.name) {
+		if e.busy || e.refused[m.name] || slices.Contains(e.models, m.name) {
 			continue
 		}
 		victims, loss, ok := p.victims(e, m.memoryMB)
--- /dev/null
+++ b/internal/orders/schedule_test.go
@@ -0,0 +1,378 @@
+package orders
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/traffic"
+)
+
+// scheduleEngine has room for two models of 10 MB, or one and two of 5 MB.
+var scheduleEngine = &traffic.Engine{MemoryMB: 25, AdapterSlots: 2, Models: []traffic.Model{
+	{Name: "m", MemoryMB: 10, AdapterMB: 1},
+	{Name: "n", MemoryMB: 10, AdapterMB: 1},
+	{Name: "o", MemoryMB: 10, AdapterMB: 1},
+	{Name: "p", MemoryMB: 5, AdapterMB: 1},
+}}
+
+// simEngine carries out orders by the conditions that the platform's description names.
+type simEngine struct {
+	up       bool
+	started  time.Time
+	sequence int64
+	held     contents
+	// loading is the model that is loaded until loadEnds.
+	loading  string
+	loadEnds time.Time
+	// past are the states that a report may show.
+	past []simState
+	// overloaded is set once an order needs more than the engine has.
+	overloaded bool
+}
+
+type simState struct {
+	at    time.Time
+	state State
+}
+
+func (e *simEngine) start(now time.Time, held contents) {
+	*e = simEngine{up: true, started: now, held: held, overloaded: e.overloaded}
+	e.remember(now)
+}
+
+func (e *simEngine) remember(now time.Time) {
+	state := State{Started: e.started, AcceptedOrders: e.sequence, Busy: e.loading != "", Models: cloneModels(e.held)}
+	e.past = append(e.past, simState{now, state})
+}
+
+// finish ends a load whose time is over.
+func (e *simEngine) finish(now time.Time) {
+	if e.up && e.loading != "" && !now.Before(e.loadEnds) {
+		e.held.add(e.loading, "")
+		e.loading = ""
+		e.remember(now)
+	}
+}
+
+func (e *simEngine) report(now time.Time, lag time.Duration) State {
+	for _, p := range slices.Backward(e.past) {
+		if !p.at.After(now.Add(-lag)) {
+			return p.state
+		}
+	}
+	return e.past[0].state
+}
+
+func (e *simEngine) apply(now time.Time, o Order, loadTime time.Duration) Result {
+	adapters, held := e.held[o.Model]
+	switch {
+	case o.Adapter != "" && !held:
+		return Refused
+	case o.Adapter != "":
+		held = adapters[o.Adapter]
+	}
+	switch {
+	case held == (o.Action == Load):
+		return AlreadyApplied
+	case o.ExpectedOrders != e.sequence || o.Adapter == "" && e.loading != "":
+		return Conflict
+	}
+	e.sequence++
+	switch {
+	case o.Action == Load && o.Adapter == "":
+		e.loading, e.loadEnds = o.Model, now.Add(loadTime)
+	case o.Action == Load:
+		e.held.add(o.Model, o.Adapter)
+	case o.Adapter == "":
+		delete(e.held, o.Model)
+	default:
+		delete(adapters, o.Adapter)
+	}
+	after := contents(cloneModels(e.held))
+	if e.loading != "" {
+		after.add(e.loading, "")
+	}
+	e.overloaded = e.overloaded || !after.fit(scheduleEngine)
+	e.remember(now)
+	return Accepted
+}
+
+// simHost is a host that may hold the lease, with what its Service would keep.
+type simHost struct {
+	starts       *starts
+	unknownUntil time.Time
+	view         *view
+	sent         *sentLoads
+	// freeAt is when the order or report in progress ends.
+	freeAt, changeEnds time.Time
+	finish             func(now time.Time)
+}
+
+// schedule is one drawn sequence of orders, faults and changes of the lease holder, for
+// one engine, whose identifier stays the same.
+type schedule struct {
+	rng    *rand.Rand
+	now    time.Time
+	engine simEngine
+	// entry is the engine's entry in the store, which lags behind the engine.
+	entry     fleet.Endpoint
+	entryAt   time.Time
+	hosts     []*simHost
+	holder    *simHost
+	actsFrom  time.Time
+	silentTo  time.Time
+	late      []lateOrder
+	bornKnown bool
+	// crashes, silences and changes are the probabilities in a step that the engine
+	// crashes, that it sends nothing for a while, and that another host becomes the
+	// holder; lates is the share of the orders that are carried out late.
+	crashes, silences, changes, lates float64
+	// forget drops what the former code did not keep: orders without response and loads
+	// whose end was not seen.
+	forget bool
+
+	accepted, lateAfterStart int
+}
+
+type lateOrder struct {
+	at      time.Time
+	order   Order
+	started time.Time
+}
+
+func newSchedule(seed uint64, forget bool) *schedule {
+	s := &schedule{rng: rand.New(rand.NewPCG(seed, 47)), now: time.Unix(1_700_000_000, 0), forget: forget}
+	s.bornKnown = s.rng.IntN(4) > 0
+	s.crashes = []float64{0.002, 0.005, 0.01}[s.rng.IntN(3)]
+	s.silences = []float64{0, 0.001, 0.003}[s.rng.IntN(3)]
+	s.changes = []float64{0, 0.001, 0.003}[s.rng.IntN(3)]
+	s.lates = []float64{0.1, 0.3, 0.6}[s.rng.IntN(3)]
+	s.engine.start(s.now, contents{"m": {}, "n": {}})
+	s.publish()
+	for range 2 {
+		s.hosts = append(s.hosts, &simHost{starts: newStarts(s.now, true), sent: &sentLoads{}})
+	}
+	s.take(s.hosts[0], 0)
+	return s
+}
+
+func (s *schedule) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.rng.Int64N(int64(high-low)+1))
+}
+
+func (s *schedule) chance(share float64) bool { return s.rng.Float64() < share }
+
+func (s *schedule) publish() {
+	s.entry = fleet.Endpoint{ID: "e", Address: "a", Started: s.engine.started, Models: cloneModels(s.engine.held)}
+	s.entryAt = s.now.Add(s.between(400*time.Millisecond, 1500*time.Millisecond))
+}
+
+// take makes a host the holder. It acts once the orders of the one before have arrived
+// or are late.
+func (s *schedule) take(h *simHost, wait time.Duration) {
+	s.holder, s.actsFrom = h, s.now.Add(wait)
+	if wait > 0 {
+		h.unknownUntil = s.actsFrom.Add(lateLimit)
+	}
+	h.view, h.finish, h.freeAt, h.changeEnds = nil, nil, time.Time{}, time.Time{}
+}
+
+// run plays the schedule and reports whether the engine was never ordered too much.
+func (s *schedule) run(length time.Duration) bool {
+	const step = 50 * time.Millisecond
+	for end := s.now.Add(length); s.now.Before(end) && !s.engine.overloaded; s.now = s.now.Add(step) {
+		s.disturb()
+		s.engine.finish(s.now)
+		s.deliver()
+		if s.engine.up && !s.now.Before(s.entryAt) {
+			s.publish()
+		}
+		for _, h := range s.hosts {
+			h.starts.observe(s.now, s.now, []fleet.Endpoint{s.entry})
+		}
+		if !s.now.Before(s.actsFrom) {
+			s.act(s.holder)
+		}
+	}
+	return !s.engine.overloaded
+}
+
+func (s *schedule) disturb() {
+	switch {
+	case !s.engine.up && s.chance(0.1):
+		s.engine.start(s.now, contents{})
+		s.entryAt = s.now.Add(s.between(0, 1500*time.Millisecond))
+	case s.chance(s.crashes):
+		s.engine.up = false
+	case s.chance(s.silences):
+		s.silentTo = s.now.Add(s.between(500*time.Millisecond, 12*time.Second))
+	case s.chance(s.changes):
+		next := s.hosts[s.rng.IntN(2)]
+		if s.chance(0.3) { // a process that knows nothing
+			*next = simHost{starts: newStarts(s.now, false), sent: &sentLoads{}}
+		}
+		s.take(next, s.between(2*time.Second, 5*time.Second))
+	}
+}
+
+// deliver delivers the late orders that are due. Those for an engine that is down are lost.
+func (s *schedule) deliver() {
+	s.late = slices.DeleteFunc(s.late, func(l lateOrder) bool {
+		if s.now.Before(l.at) {
+			return false
+		}
+		if s.engine.up && s.engine.apply(s.now, l.order, s.loadTime()) == Accepted && !l.started.Equal(s.engine.started) {
+			s.lateAfterStart++
+		}
+		return true
+	})
+}
+
+func (s *schedule) loadTime() time.Duration {
+	return s.between(200*time.Millisecond, 1500*time.Millisecond)
+}
+
+// act does what a holder's Service does: it ends what is due, reads the report if the
+// view is stale, and sends a drawn order otherwise.
+func (s *schedule) act(h *simHost) {
+	if h.finish != nil && !s.now.Before(h.freeAt) {
+		finish := h.finish
+		h.finish = nil
+		finish(s.now)
+	}
+	if h.finish != nil || s.now.Before(h.freeAt) {
+		return
+	}
+	if h.view == nil {
+		h.view = newView(s.entry, h.sent)
+	}
+	v := h.view
+	v.update(s.entry)
+	s.endChange(h)
+	if v.stale || v.busy || s.chance(0.1) {
+		s.read(h)
+		if v.stale || v.busy {
+			return
+		}
+	}
+	if s.chance(0.5) {
+		s.order(h)
+	}
+}
+
+// endChange ends the wait for a load, by a report or by its time limit.
+func (s *schedule) endChange(h *simHost) {
+	v := h.view
+	switch {
+	case !v.busy:
+	case v.incoming == "" && !s.forget:
+		v.busy = false
+	case !s.now.Before(h.changeEnds):
+		v.busy = false
+		v.stale = !s.forget
+		if s.forget {
+			v.incoming = ""
+		}
+	}
+}
+
+func (s *schedule) read(h *simHost) {
+	if !s.engine.up || s.now.Before(s.silentTo) {
+		h.freeAt = s.now.Add(orderTimeout)
+		return
+	}
+	state := s.engine.report(s.now, s.between(0, maxReportAge))
+	if !s.bornKnown {
+		state.Started = time.Time{}
+	}
+	h.view.applyReport(state)
+	if !state.Started.IsZero() {
+		h.starts.observeOne(s.now, s.now, "e", state.Started)
+	}
+	if s.forget {
+		if _, held := h.view.models[h.view.incoming]; held {
+			h.view.busy, h.view.incoming = false, ""
+		}
+	}
+	h.freeAt = s.now.Add(s.between(0, 100*time.Millisecond))
+}
+
+func (s *schedule) drawOrder(v *view) Order {
+	o := Order{Model: scheduleEngine.Models[s.rng.IntN(4)].Name}
+	if held := slices.Sorted(maps.Keys(v.models)); len(held) > 0 && s.chance(0.4) {
+		o.Model = held[s.rng.IntN(len(held))]
+		if s.chance(0.4) {
+			o.Adapter = []string{"a1", "a2", "a3"}[s.rng.IntN(3)]
+		}
+	}
+	if len(v.possible()) < 2 {
+		for o.Adapter == "" && v.models[o.Model] != nil {
+			o.Model = scheduleEngine.Models[s.rng.IntN(4)].Name
+		}
+	}
+	if (v.models[o.Model] != nil && o.Adapter == "") || v.models[o.Model][o.Adapter] {
+		o.Action = Unload
+	}
+	return o
+}
+
+func (s *schedule) order(h *simHost) {
+	v, o := h.view, s.drawOrder(h.view)
+	if o.Action == Load && mayMeetUnknown(s.now, h.unknownUntil, h.starts, "e") && !s.forget {
+		return
+	}
+	if s.forget {
+		v.sent.list = nil
+	}
+	sent, err := v.prepare(s.now, &o, scheduleEngine)
+	if err != nil {
+		return
+	}
+	starts := v.starts
+	result, err := s.send(o)
+	took := s.between(0, 20*time.Millisecond)
+	if err != nil && !errors.Is(err, ErrNotSent) {
+		took = s.between(0, orderTimeout)
+	}
+	h.freeAt = s.now.Add(took)
+	h.finish = func(now time.Time) {
+		v.recordResult(now, o, starts, sent, result, err)
+		if err == nil && result == Accepted {
+			s.accepted++
+			if o.Action == Load && o.Adapter == "" {
+				v.busy, h.changeEnds = true, now.Add(s.between(time.Second, 6*time.Second))
+			}
+		}
+	}
+}
+
+// send draws what becomes of an order.
+func (s *schedule) send(o Order) (Result, error) {
+	noResponse := errors.New("no response")
+	late := func() {
+		s.late = append(s.late, lateOrder{s.now.Add(s.between(2*time.Second, 12*time.Second)), o, s.engine.started})
+	}
+	switch {
+	case !s.engine.up && s.chance(0.5):
+		return Refused, errors.Mark(noResponse, ErrNotSent)
+	case !s.engine.up:
+		return Refused, noResponse
+	case s.now.Before(s.silentTo):
+		if s.chance(0.5) {
+			late()
+		}
+		return Refused, noResponse
+	case s.chance(s.lates):
+		late()
+		return Refused, noResponse
+	case s.chance(0.1):
+		s.engine.apply(s.now, o, s.loadTime())
+		return Refused, noResponse
+	}
+	return s.engine.apply(s.now, o, s.loadTime()), nil
+}
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -71,6 +71,9 @@
 	// LoadWindow, at most LoadOverage times as many as its rate limit allows.
 	LoadWindow  time.Duration
 	LoadOverage float64
+	// FirstStart reports that the whole system starts for the first time, so that no
+	// engine got an order before.
+	FirstStart bool
 }
 
 // Service plans the placement of models and adapters and sends orders to engines
@@ -85,12 +88,20 @@
 	demand *demand
 	// views holds the lease holder's view of each engine, by endpoint ID.
 	views map[string]*view
+	// sent holds the orders that engines may still carry out, by endpoint ID, and
+	// starts which engines have started again.
+	sent   map[string]*sentLoads
+	starts *starts
 	// locks holds one lock per engine, which serializes the orders to it.
 	locks map[string]*sync.Mutex
 	// held is whether this host held the lease at the last check, and actsFrom
-	// when it may send its first order as the holder.
+	// when it may send its first order as the holder. heldTerm is the last term in
+	// which it held the lease.
 	held     bool
 	actsFrom time.Time
+	heldTerm int64
+	// unknownUntil is until when orders of earlier holders may be carried out.
+	unknownUntil time.Time
 	// loads are the start times of recent loads from the weight store.
 	loads []time.Time
 	// changing maps each engine with a change in progress to the model being
@@ -121,6 +132,7 @@
 			Help: "Orders to engines, by action and answer.",
 		}, []string{"action", "answer"}),
 		demand: newDemand(), views: make(map[string]*view),
+		sent: make(map[string]*sentLoads), starts: newStarts(clock.Boot(), cfg.FirstStart),
 		locks: make(map[string]*sync.Mutex), changing: make(map[string]string), placing: make(map[placement]chan struct{}),
 	}
 }
@@ -132,9 +144,10 @@
 func (s *Service) Collectors() []prometheus.Collector { return []prometheus.Collector{s.metrics} }
 
 // Serve runs a planning cycle once per interval while this host holds the lease,
-// until ctx is done.
+// until ctx is done. On all hosts it follows the starts of the engines.
 func (s *Service) Serve(ctx context.Context) error {
 	for {
+		s.observeStarts()
 		if s.mayOrder() {
 			s.plan(ctx)
 		}
@@ -144,6 +157,22 @@
 	}
 }
 
+// observeStarts records the present starts of all endpoints and drops what is too old to
+// matter.
+func (s *Service) observeStarts() {
+	endpoints := s.config.Registry.Endpoints()
+	now := clock.Boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts.observe(now, time.Now(), endpoints)
+	for id, sent := range s.sent {
+		sent.expire(now)
+		if len(sent.list) == 0 && s.views[id] == nil {
+			delete(s.sent, id)
+		}
+	}
+}
+
 // mayOrder reports whether this host may send orders now: it holds the placement
 // lease, and the wait after another host's lease is over. If the lease was
 // acquired since the last call, mayOrder discards all views.
@@ -166,12 +195,25 @@
 			s.actsFrom = status.PreviousUntil.Add(s.config.LeaseTime + takeoverMargin)
 		}
 		s.views = make(map[string]*view)
+		if known := status.Term == s.heldTerm || status.Term <= 1 && s.config.FirstStart; !known {
+			s.unknownUntil = lastOrderBefore(now, status).Add(lateLimit)
+		}
+		s.heldTerm = status.Term
 		logrus.WithFields(logrus.Fields{"term": status.Term, "version": status.Version, "acts_in_ms": s.actsFrom.Sub(now).Milliseconds()}).
 			Info("placement lease held")
 	}
 	return !now.Before(s.actsFrom)
 }
 
+// lastOrderBefore returns until when another lease holder, or an earlier process of this
+// one, may have sent orders.
+func lastOrderBefore(now time.Time, status lease.Status) time.Time {
+	if status.PreviousUntil.IsZero() {
+		return now
+	}
+	return status.PreviousUntil.Add(orderTimeout)
+}
+
 // RecordDemand implements forward.Placer.
 func (s *Service) RecordDemand(service, model, adapter string, tokens int) {
 	now := time.Now()
@@ -274,10 +316,11 @@
 		}
 		v, ok := s.views[e.ID]
 		if !ok {
-			v = newView(e)
+			v = newView(e, s.sentTo(e.ID))
 			s.views[e.ID] = v
 		}
 		v.update(e)
+		s.starts.observeOne(clock.Boot(), time.Now(), e.ID, e.Started)
 		if s.config.Registry.Evacuated(e.Zone) {
 			v.stale = true
 			continue
@@ -287,6 +330,17 @@
 	return views
 }
 
+// sentTo returns the orders that an engine may still carry out. It must be called with
+// the mutex held.
+func (s *Service) sentTo(endpoint string) *sentLoads {
+	sent, ok := s.sent[endpoint]
+	if !ok {
+		sent = &sentLoads{}
+		s.sent[endpoint] = sent
+	}
+	return sent
+}
+
 // engineLock returns the lock that must be held while orders are sent to an
 // engine.
 func (s *Service) engineLock(endpoint string) *sync.Mutex {
@@ -306,6 +360,10 @@
 	Orders   int64
 	Models   map[string]fleet.Adapters
 	Busy     bool
+	// Loading is a model that the engine is loading, Unsettled the number of orders to
+	// load that it may still carry out.
+	Loading   string
+	Unsettled int
 }
 
 // DumpState returns the state of the placement lease and this host's views of
@@ -316,7 +374,7 @@
 	defer s.mu.Unlock()
 	engines := []engineState{}
 	for id, v := range s.views {
-		engines = append(engines, engineState{id, v.orders, cloneModels(v.models), v.busy})
+		engines = append(engines, engineState{id, v.orders, cloneModels(v.models), v.busy, v.incoming, len(v.sent.list)})
 	}
 	return map[string]any{"held": status.Held, "holder": status.Holder, "term": status.Term, "engines": engines}
 }
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -308,7 +308,7 @@
 		Eventually(service.changesInProgress, "3s").Should(BeZero())
 		engines.inspect("e2", func(e *fakeEngine) { Expect(e.models).To(HaveKey("m")) })
 		engines.inspect("e1", func(e *fakeEngine) { Expect(e.orders).To(BeEquivalentTo(3)) })
-		v := newView(registry.Endpoints()[0])
+		v := newView(registry.Endpoints()[0], &sentLoads{})
 		Expect(service.order(context.Background(), v, Order{Action: Load, Model: "n"}, nil)).To(MatchError(errEvacuated))
 		zone = ""
 		Expect(service.planInput(service.config.Source.Current().Service("llm")).engines).To(HaveLen(2))
--- /dev/null
+++ b/internal/orders/starts.go
@@ -0,0 +1,83 @@
+package orders
+
+import (
+	"time"
+
+	"bilberryslip.example/bilberryslip/internal/fleet"
+)
+
+// startLag is how long after an engine has started again a lease holder may still send it
+// an order that is meant for the earlier start: engines write their entries about once a
+// second, and the order has orderTimeout.
+const startLag = 5 * time.Second
+
+// engineStart is what a host knows of the present start of an engine.
+type engineStart struct {
+	started time.Time
+	// since is when the start was first seen.
+	since time.Time
+	// again is set unless there was certainly no earlier start under the identifier that
+	// got orders lately.
+	again    bool
+	lastSeen time.Time
+}
+
+// starts tracks which engines have started again under their identifiers. An order that
+// an earlier lease holder sent to an earlier start may still reach the present one, where
+// nothing is known of it. It is not safe for concurrent use.
+type starts struct {
+	engines map[string]*engineStart
+	// began is when tracking began. At the system's first start, no order was sent
+	// before; else this process doesn't know which engines have just started again.
+	began      time.Time
+	firstStart bool
+}
+
+func newStarts(now time.Time, firstStart bool) *starts {
+	return &starts{engines: make(map[string]*engineStart), began: now, firstStart: firstStart}
+}
+
+// observe records the present entries of engines, wall being the time of day.
+func (t *starts) observe(now, wall time.Time, endpoints []fleet.Endpoint) {
+	for i := range endpoints {
+		t.observeOne(now, wall, endpoints[i].ID, endpoints[i].Started)
+	}
+	for id, s := range t.engines {
+		if now.Sub(s.lastSeen) > lateLimit+startLag {
+			delete(t.engines, id)
+		}
+	}
+}
+
+// observeOne records the present start of an engine.
+func (t *starts) observeOne(now, wall time.Time, id string, started time.Time) {
+	s, known := t.engines[id]
+	switch {
+	case known && s.started.Equal(started):
+		s.lastSeen = now
+	case known:
+		t.engines[id] = &engineStart{started: started, since: now, again: true, lastSeen: now}
+	case t.firstStart || now.Sub(t.began) > lateLimit+startLag:
+		t.engines[id] = &engineStart{started: started, since: now, lastSeen: now}
+	default:
+		// The engine may have started just before this process did. Its start time tells
+		// that, unless the clocks differ so much that it lies in the future.
+		age := max(0, wall.Sub(started))
+		t.engines[id] = &engineStart{started: started, since: now.Add(-age), again: true, lastSeen: now}
+	}
+}
+
+// restarted reports whether orders that were sent to an earlier start of the engine may
+// still reach the present one.
+func (t *starts) restarted(now time.Time, id string) bool {
+	s, known := t.engines[id]
+	return !known || s.again && now.Sub(s.since) <= lateLimit+startLag
+}
+
+// mayMeetUnknown reports whether an engine may carry out orders of which a lease holder
+// doesn't know: those of an earlier holder, which may be carried out until unknownUntil,
+// to an earlier start of the engine. Orders to its present start don't matter, since
+// their conditions and those of the holder name counts that belong to the same contents.
+func mayMeetUnknown(now, unknownUntil time.Time, starts *starts, id string) bool {
+	return now.Before(unknownUntil) && starts.restarted(now, id)
+}
--- a/internal/orders/unknown_test.go
+++ b/internal/orders/unknown_test.go
@@ -22,17 +22,18 @@
 		service  *Service
 		llm      *traffic.Service
 	)
-	newService := func() *Service {
+	newService := func(term int64, previous time.Time) *Service {
 		spec := traffic.Spec{Services: []traffic.Service{{Name: "llm", Engine: &traffic.Engine{
 			MemoryMB: 25, AdapterSlots: 2, LoadsPerSecond: 20, Models: []traffic.Model{
-				{Name: "m", MemoryMB: 10, AdapterMB: 1, LoadTime: 100 * time.Millisecond}, {Name: "n", MemoryMB: 10, AdapterMB: 1, LoadTime: 100 * time.Millisecond},
+				{Name: "m", MemoryMB: 10, AdapterMB: 1, LoadTime: 100 * time.Millisecond},
+				{Name: "n", MemoryMB: 10, AdapterMB: 1, LoadTime: 100 * time.Millisecond},
 				{Name: "o", MemoryMB: 10, AdapterMB: 1, LoadTime: 100 * time.Millisecond},
 			},
 		}}}}
-		status := lease.Status{Held: true, Term: 1, Version: 9, Until: clock.Boot().Add(time.Hour)}
+		status := lease.Status{Held: true, Term: term, Version: 9, Until: clock.Boot().Add(time.Hour), PreviousUntil: previous}
 		return New(Config{
 			Host: "h1", Registry: registry, Engines: engines, Lease: &fakeLease{status: status},
-			LoadWindow: 5 * time.Second, LoadOverage: 1, Source: &fakeSource{traffic.NewConfig(spec)},
+			LoadWindow: 5 * time.Second, LoadOverage: 1, FirstStart: term == 1, Source: &fakeSource{traffic.NewConfig(spec)},
 		})
 	}
 	// list makes engines known that hold m and were started at the given time.
@@ -53,7 +54,7 @@
 		}
 		registry = fleet.NewRegistry(fleet.Config{})
 		list(1, time.Unix(1000, 0))
-		service = newService()
+		service = newService(1, time.Time{})
 		llm = service.config.Source.Current().Service("llm")
 	})
 	// load orders a model from e1 and waits for the end of the change.
@@ -79,10 +80,10 @@
 	It("count a load until a report shows its end, though the wait for it is over", func() {
 		service.planInput(llm)
 		v := service.views["e1"]
-		Expect(service.order(context.Background(), v, Order{Action: Load, Model: "n"}, nil)).To(Succeed())
+		Expect(service.order(context.Background(), v, Order{Action: Load, Model: "n"}, llm.Engine)).To(Succeed())
 		silence(true, "e1")
 		Expect(service.await(context.Background(), v, "n", true, 300*time.Millisecond)).NotTo(Succeed())
-		Expect(v.freeMB(llm.Engine)).To(BeNumerically("==", 5))
+		Expect(v.freeMB(clock.Boot(), llm.Engine)).To(BeNumerically("==", 5))
 		silence(false, "e1")
 		load("o")
 		Expect(crashed()).To(BeFalse(), "o doesn't fit beside m and n")
@@ -100,4 +101,98 @@
 		load("o")
 		Expect(crashed()).To(BeFalse(), "o doesn't fit beside m and n")
 	})
+
+	// Guards against a late order that overloads an engine which has started again under
+	// its identifier, since the count of accepted orders that it names is reached anew.
+	DescribeTable("stay counted when the engine starts again, until they can't be carried out any more", func(inTime bool) {
+		engines.engines["e1"].delay = maxAttempts
+		load("n")
+		var late []Order
+		engines.inspect("e1", func(e *fakeEngine) {
+			late = e.delayed
+			*e = fakeEngine{models: map[string]fleet.Adapters{}, adapterSlots: 2, modelSlots: room}
+		})
+		Expect(late).To(HaveLen(maxAttempts))
+		list(1, time.Unix(2000, 0))
+		load("m")
+		engines.inspect("e1", func(e *fakeEngine) { Expect(e.models).To(HaveKey("m")) })
+		load("o")
+		if inTime {
+			engines.inspect("e1", func(e *fakeEngine) {
+				for _, o := range late {
+					e.apply(o)
+				}
+			})
+			Expect(crashed()).To(BeFalse(), "n doesn't fit beside m and o")
+			return
+		}
+		for _, s := range service.sent["e1"].list {
+			s.sentAt = s.sentAt.Add(-lateLimit - time.Second)
+		}
+		load("o")
+		engines.inspect("e1", func(e *fakeEngine) { Expect(e.models).To(HaveKey("o")) })
+	},
+		Entry("a late order arrives", true),
+		Entry("none arrives", false),
+	)
+
+	// Guards against late orders of an earlier holder to an earlier start of the engine,
+	// of which the next holder knows nothing.
+	It("of an earlier holder keep an engine that has started again without loads for a limited time", func() {
+		service = newService(2, clock.Boot().Add(-time.Hour))
+		Expect(service.mayOrder()).To(BeTrue())
+		service.planInput(llm)
+		list(1, time.Unix(2000, 0))
+		engines.inspect("e1", func(e *fakeEngine) {
+			*e = fakeEngine{models: map[string]fleet.Adapters{}, adapterSlots: 2, modelSlots: room}
+		})
+		service.unknownUntil = clock.Boot().Add(time.Hour)
+		load("m")
+		engines.inspect("e1", func(e *fakeEngine) { Expect(e.models).To(BeEmpty()) })
+		service.starts.engines["e1"].since = clock.Boot().Add(-lateLimit - startLag - time.Second)
+		load("m")
+		engines.inspect("e1", func(e *fakeEngine) { Expect(e.models).To(HaveKey("m")) })
+	})
+})
+
+var _ = Describe("The starts of engines", func() {
+	now := time.Unix(1_700_000_000, 0)
+	observe := func(t *starts, after, age time.Duration) {
+		at := now.Add(after)
+		t.observe(at, at, []fleet.Endpoint{{ID: "e1", Started: at.Add(-age).Truncate(time.Second)}})
+	}
+
+	It("are no new ones if the system starts for the first time, or the identifier is new", func() {
+		t := newStarts(now, true)
+		observe(t, 0, time.Second)
+		Expect(t.restarted(now, "e1")).To(BeFalse())
+		t = newStarts(now.Add(-time.Hour), false)
+		observe(t, 0, time.Second)
+		Expect(t.restarted(now, "e1")).To(BeFalse())
+	})
+
+	// Guards against a process that takes an engine for an old one which started just
+	// before it.
+	It("may be new ones to a process that has just started itself, by their time", func() {
+		t := newStarts(now, false)
+		observe(t, 0, time.Second)
+		Expect(t.restarted(now, "e1")).To(BeTrue())
+		t = newStarts(now, false)
+		observe(t, 0, time.Minute)
+		Expect(t.restarted(now, "e1")).To(BeFalse())
+		t = newStarts(now, false)
+		observe(t, 0, -time.Hour) // clocks differ
+		Expect(t.restarted(now, "e1")).To(BeTrue())
+	})
+
+	It("are new ones under a known identifier for a limited time, also after a gap in the entry", func() {
+		t := newStarts(now, true)
+		observe(t, 0, time.Minute)
+		t.observe(now.Add(10*time.Second), now, nil)
+		observe(t, 20*time.Second, 0)
+		Expect(t.restarted(now.Add(20*time.Second), "e1")).To(BeTrue())
+		Expect(t.restarted(now.Add(20*time.Second+lateLimit+startLag+time.Second), "e1")).To(BeFalse())
+		t.observe(now.Add(2*time.Minute), now, nil)
+		Expect(t.engines).To(BeEmpty())
+	})
 })
