Keep the slot of an adapter until a report no longer lists it

An engine whose adapter slots were all taken could be ordered one more than it has: an accepted order to unload an adapter freed its slot in the holder's view at once, though the engine answers so (202, not 200) just when requests still use the adapter.

Now the view of the holder is stale after an accepted order to unload, and the slot is free when a report that is newer than the order doesn't list the adapter. The report is read each 80 ms within the wait for the adapter; a second order to unload isn't sent.

Spec 'keep the slot of an adapter that is being unloaded until a report no longer lists it': before 'Expected <string>: e1 to be empty', now green.

--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -29,6 +29,10 @@
 	// adapterMinIdle is how long an adapter must not have been requested before
 	// it may be evicted for another.
 	adapterMinIdle = 1500 * time.Millisecond
+	// reportRetryInterval is the time between two reads of a report that has to show the
+	// end of an eviction; maxEvictionSteps bounds the reads and evictions for one adapter.
+	reportRetryInterval = 80 * time.Millisecond
+	maxEvictionSteps    = 20
 )
 
 // AwaitHeld implements forward.Placer. Concurrent requests for the same model
@@ -192,31 +196,54 @@
 
 // makeRoom evicts idle adapters until the engine has a slot and memory for one
 // more. It returns false if the engine no longer holds the model or no adapter
-// may be evicted. The caller holds the engine's lock.
+// may be evicted. An adapter takes its slot until a report no longer lists it. The
+// caller holds the engine's lock.
 func (s *Service) makeRoom(ctx context.Context, v *view, item itemKey, engine *traffic.Engine) bool {
-	for {
+	evicted := make(map[adapterKey]bool)
+	for range maxEvictionSteps {
 		if err := s.refreshIfStale(ctx, v); err != nil {
 			logrus.WithError(err).WithField("endpoint", v.id).Info("adapter not loaded")
 			return false
 		}
 		s.mu.Lock()
+		stale := v.stale
 		_, present := v.models[item.model]
 		room := !v.busy && v.hasRoomFor(clock.Boot(), item.model, item.adapter, engine)
 		key, found := v.leastRecentlyUsed(time.Now())
-		found = found && !v.sent.exclude(item.model, item.adapter, engine) // else no eviction helps
-		if room {
+		if room && !stale {
 			v.lastUsed[adapterKey{item.model, item.adapter}] = time.Now()
 		}
+		excluded := v.sent.exclude(item.model, item.adapter, engine)
 		s.mu.Unlock()
-		if !present || room {
+		switch {
+		case stale:
+			if !retry.Sleep(ctx, reportRetryInterval) {
+				return false
+			}
+			continue
+		case !present || room:
 			return present
-		}
-		if !found {
+		case !found || excluded:
 			return false
+		case evicted[key]:
+			s.setStale(v)
+			if !retry.Sleep(ctx, reportRetryInterval) {
+				return false
+			}
+			continue
 		}
+		evicted[key] = true
 		s.announce(v.id, key.model, key.adapter, false)
 		if err := s.order(ctx, v, Order{Action: Unload, Model: key.model, Adapter: key.adapter}, nil); err != nil {
 			return false
 		}
 	}
+	return false
+}
+
+// setStale makes the engine's report be read before the next order.
+func (s *Service) setStale(v *view) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.stale = true
 }
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -34,8 +34,9 @@
 	// delayed, from where the test applies them later.
 	loseResponses, drop, delay int
 	delayed                    []Order
-	// silent engines get no orders and send no reports.
-	silent bool
+	// silent engines get no orders and send no reports. slowUnloads keeps adapters after
+	// an accepted order to unload them, as if requests used them.
+	silent, slowUnloads bool
 }
 
 // fakeEngines implements Engines and records the orders received.
@@ -93,7 +94,9 @@
 	case o.Adapter != "" && o.Action == Load:
 		e.models[o.Model][o.Adapter] = true
 	case o.Adapter != "":
-		delete(e.models[o.Model], o.Adapter)
+		if !e.slowUnloads {
+			delete(e.models[o.Model], o.Adapter)
+		}
 	case o.Action == Load:
 		e.models[o.Model] = fleet.Adapters{}
 	default:
--- a/internal/orders/unknown_test.go
+++ b/internal/orders/unknown_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
 	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/lease"
@@ -153,6 +154,25 @@
 		load("m")
 		engines.inspect("e1", func(e *fakeEngine) { Expect(e.models).To(HaveKey("m")) })
 	})
+
+	// Guards against an engine that is ordered more adapters than it has slots for while
+	// requests still use the one that it was ordered to unload.
+	It("keep the slot of an adapter that is being unloaded until a report no longer lists it", func() {
+		place := func(adapter string) string {
+			return service.Place(context.Background(), &fleetv1.PlaceRequest{Service: "llm", Model: "m", Adapter: adapter}).GetEndpoint()
+		}
+		Expect(place("a1")).To(Equal("e1"))
+		Expect(place("a2")).To(Equal("e1"))
+		service.mu.Lock()
+		service.views["e1"].lastUsed[adapterKey{"m", "a1"}] = time.Now().Add(-time.Minute)
+		service.mu.Unlock()
+		engines.inspect("e1", func(e *fakeEngine) { e.slowUnloads = true })
+		Expect(place("a3")).To(BeEmpty())
+		Expect(crashed()).To(BeFalse())
+		engines.inspect("e1", func(e *fakeEngine) { delete(e.models["m"], "a1") })
+		Expect(place("a3")).To(Equal("e1"))
+		Expect(crashed()).To(BeFalse())
+	})
 })
 
 var _ = Describe("The starts of engines", func() {
--- a/internal/orders/unsettled.go
+++ b/internal/orders/unsettled.go
@@ -262,14 +262,17 @@
 	}
 }
 
-// accept enters an accepted order into the view. The end of an order for a model is read
-// from the engine's reports; until then a load takes up its memory.
+// accept enters an accepted order into the view. An engine that accepts an order to
+// unload an adapter frees its slot only when the requests for it have ended, and a model
+// is unloaded later: the engine's reports show that.
 func (v *view) accept(o Order) {
 	switch {
-	case o.Adapter != "":
-		v.setAdapter(o)
-	case o.Action == Load:
+	case o.Action == Unload:
+		v.stale = true
+	case o.Adapter == "":
 		v.incoming = o.Model
+	default:
+		v.setAdapter(o)
 	}
 }
 
