Keep silent engines from holding up the changes on others

An engine that sent no reports was chosen for a model in each planning cycle, in vain, so that the model was placed nowhere; its change counted towards those at the same time for up to 27 s (three such engines stopped all placement in small deployments); planning waited 100 ms for its report once a second; and placing an adapter could wait for the end of its change, beyond the caller's patience.

Now nothing is planned on an engine whose view is stale since it sends no reports, nor for 2 s after an order without a response; its change doesn't count towards those at the same time, nor its incoming model as a replica, once it has been silent for a second; planning waits for reports of other engines only; and the wait for an engine's lock ends with the caller's.

Specs: 'to a silent engine don't keep models from other engines' (before: 'Timed out after 2.001s. once the engine is known to be silent'; a model that is meant for another engine is placed in the first cycle, before and after) and 'to silent engines don't count towards the changes at the same time' (before: 'Expected <int>: 3 to be zero-valued').

--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -128,9 +128,11 @@
 	if held {
 		return &fleetv1.PlaceResponse{Endpoint: id, ReadyMillis: adapterLoadTime.Milliseconds()}
 	}
-	l := s.engineLock(id)
-	l.Lock()
-	defer l.Unlock()
+	release, ok := s.lockEngine(ctx, id)
+	if !ok {
+		return &fleetv1.PlaceResponse{}
+	}
+	defer release()
 	if !s.makeRoom(ctx, v, item.itemKey, engine) {
 		return &fleetv1.PlaceResponse{}
 	}
@@ -157,11 +159,12 @@
 		if !ok || v.endpoint.Leaving || v.busy || v.reportedBusy || s.config.Registry.InBackoff(v.id) {
 			continue
 		}
+		_, changing := s.changing[v.id]
 		if adapters[item.adapter] && !v.stale {
 			v.lastUsed[adapterKey{item.model, item.adapter}] = now
 			return v, true
 		}
-		if s.unusable(boot, v) || v.sent.exclude(item.model, item.adapter, engine) {
+		if changing || s.unusable(boot, v) || v.sent.exclude(item.model, item.adapter, engine) {
 			continue
 		}
 		count := v.possible().adapters()
@@ -170,6 +173,9 @@
 				continue
 			}
 		}
+		if boot.Before(v.avoidUntil) {
+			count += engine.AdapterSlots // only if there is no other
+		}
 		if best == nil || count < least {
 			best, least = v, count
 		}
--- a/internal/orders/engines.go
+++ b/internal/orders/engines.go
@@ -135,6 +135,10 @@
 	// reportedBusy is set if the engine last reported that it carries out an order
 	// of another holder, or of this host before it restarted.
 	reportedBusy bool
+	// silentSince is when the first of the last requests for a report was sent that
+	// all had no response; zero if the last one had. avoidUntil is until when no change
+	// of the models is planned, since an order had no response.
+	silentSince, avoidUntil time.Time
 	// refreshedAt is when the last refresh of a stale view was started.
 	refreshedAt time.Time
 	// lastUsed is when an adapter was last requested there.
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -81,15 +81,32 @@
 	}
 }
 
+// changesInProgress returns the number of engines that are changing their models. Those
+// that send no reports or left an order without response don't count, so that they don't
+// keep others from changing.
 func (s *Service) changesInProgress() int {
+	now := clock.Boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.changing)
+	count := 0
+	for id := range s.changing {
+		if v := s.views[id]; v == nil || !v.silent(now) && !now.Before(v.avoidUntil) {
+			count++
+		}
+	}
+	return count
 }
 
-// unusable reports whether no load can be ordered from the engine now.
+// silent reports whether the engine has sent no report for so long that a change of its
+// models may never end.
+func (v *view) silent(now time.Time) bool {
+	return !v.silentSince.IsZero() && now.Sub(v.silentSince) >= silentAfter
+}
+
+// unusable reports whether no load can be ordered from the engine now. A view that is
+// stale since the engine sends no reports doesn't tell what it holds.
 func (s *Service) unusable(now time.Time, v *view) bool {
-	return v.reportedBusy || s.config.Registry.InBackoff(v.id) || s.mayMeetUnknown(now, v.id)
+	return v.reportedBusy || v.stale && !v.silentSince.IsZero() || s.config.Registry.InBackoff(v.id) || s.mayMeetUnknown(now, v.id)
 }
 
 // mayLoadCold reports whether the weight store's rate limit allows another load
@@ -124,12 +141,12 @@
 		}
 		e := planEngine{
 			id: v.id, freeMB: v.freeMB(boot, service.Engine), copies: v.endpoint.Copies,
-			busy: changing || s.unusable(boot, v), refused: v.refused(service.Engine),
+			busy: changing || s.unusable(boot, v) || boot.Before(v.avoidUntil), refused: v.refused(service.Engine),
 		}
 		for name := range v.models {
 			e.models = append(e.models, name)
 		}
-		if changing && !slices.Contains(e.models, incoming) {
+		if changing && !v.silent(boot) && !slices.Contains(e.models, incoming) {
 			e.models = append(e.models, incoming)
 		}
 		slices.Sort(e.models)
@@ -173,9 +190,11 @@
 // execute unloads the victims and loads the model. It returns when the engine
 // reports the model as loaded.
 func (s *Service) execute(ctx context.Context, service *traffic.Service, v *view, c change) error {
-	l := s.engineLock(c.engine)
-	l.Lock()
-	defer l.Unlock()
+	release, ok := s.lockEngine(ctx, c.engine)
+	if !ok {
+		return ctx.Err()
+	}
+	defer release()
 	if err := s.refreshIfStale(ctx, v); err != nil {
 		return err
 	}
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -20,6 +20,12 @@
 	orderTimeout = 500 * time.Millisecond
 	// maxReportAge is how old the state in an engine's report may be.
 	maxReportAge = 300 * time.Millisecond
+	// avoidTime is how long planning leaves an engine out after an order to it had no
+	// response or none of its attempts was accepted, so that the model is placed elsewhere.
+	avoidTime = 2 * time.Second
+	// silentAfter is how long an engine has sent no report when its change no longer
+	// counts towards the changes at the same time.
+	silentAfter = time.Second
 	// maxAttempts bounds the attempts to send one order.
 	maxAttempts = 3
 )
@@ -89,9 +95,17 @@
 			return errNotAccepted
 		}
 	}
+	s.avoid(v)
 	return errNotAccepted
 }
 
+// avoid keeps planning from choosing an engine for avoidTime.
+func (s *Service) avoid(v *view) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.avoidUntil = clock.Boot().Add(avoidTime)
+}
+
 // evacuated reports whether an engine must get no orders and no calls for its report.
 func (s *Service) evacuated(v *view) bool {
 	return s.underLock(func() bool { return s.config.Registry.Evacuated(v.endpoint.Zone) })
@@ -114,7 +128,11 @@
 	s.logOrder(v, *o, result, err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v.recordResult(clock.Boot(), *o, starts, sent, result, err)
+	now := clock.Boot()
+	v.recordResult(now, *o, starts, sent, result, err)
+	if v.avoidUntil = (time.Time{}); err != nil {
+		v.avoidUntil = now.Add(avoidTime)
+	}
 	return result, err
 }
 
@@ -191,15 +209,21 @@
 
 // refreshStaleViews reads the reports of a service's engines whose views are stale,
 // so that the plan counts on no memory that is in use and on no engine that is busy.
-// It waits for the reports for up to maxRefreshWait.
+// It waits for the reports for up to maxRefreshWait, but not for those of engines that
+// did not respond the last time.
 func (s *Service) refreshStaleViews(ctx context.Context, service string) {
 	var group sync.WaitGroup
 	for _, v := range s.viewsToRefresh(service) {
-		group.Go(func() {
+		read := func() {
 			if _, err := s.readReport(ctx, v); err != nil {
 				logrus.WithError(err).WithField("endpoint", v.id).Info("engine report not received")
 			}
-		})
+		}
+		if s.underLock(func() bool { return v.silentSince.IsZero() }) {
+			group.Go(read)
+		} else {
+			go read()
+		}
 	}
 	done := make(chan struct{})
 	go func() {
@@ -229,11 +253,26 @@
 	return stale
 }
 
+// recordSilence records since when requests for an engine's report have had no response.
+func (s *Service) recordSilence(v *view, sentAt time.Time, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		v.silentSince = time.Time{}
+	case v.silentSince.IsZero():
+		v.silentSince = sentAt
+	}
+}
+
 // readReport updates the view from the engine's report, unless the report is
 // older than the view. It returns whether the engine is carrying out an order
 // for a model.
 func (s *Service) readReport(ctx context.Context, v *view) (busy bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	if err := ctx.Err(); err != nil {
+		return false, err
+	}
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	s.mu.Lock()
 	endpoint := v.endpoint
@@ -244,8 +283,12 @@
 	if s.config.Registry.Evacuated(endpoint.Zone) {
 		return false, errEvacuated
 	}
-	state, err := s.config.Engines.Report(ctx, endpoint)
+	sentAt := clock.Boot()
+	state, err := s.config.Engines.Report(limited, endpoint)
 	s.recordBackoff(endpoint, err)
+	if err == nil || ctx.Err() == nil { // a caller that gives up proves no silence
+		s.recordSilence(v, sentAt, err)
+	}
 	if err != nil {
 		return false, errors.Wrapf(err, "read the report of engine %s", v.id)
 	}
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -92,8 +92,9 @@
 	// starts which engines have started again.
 	sent   map[string]*sentLoads
 	starts *starts
-	// locks holds one lock per engine, which serializes the orders to it.
-	locks map[string]*sync.Mutex
+	// locks holds one lock per engine, which serializes the orders to it: a channel that
+	// has an element while the lock is held.
+	locks map[string]chan struct{}
 	// held is whether this host held the lease at the last check, and actsFrom
 	// when it may send its first order as the holder. heldTerm is the last term in
 	// which it held the lease.
@@ -133,7 +134,7 @@
 		}, []string{"action", "answer"}),
 		demand: newDemand(), views: make(map[string]*view),
 		sent: make(map[string]*sentLoads), starts: newStarts(clock.Boot(), cfg.FirstStart),
-		locks: make(map[string]*sync.Mutex), changing: make(map[string]string), placing: make(map[placement]chan struct{}),
+		locks: make(map[string]chan struct{}), changing: make(map[string]string), placing: make(map[placement]chan struct{}),
 	}
 }
 
@@ -341,17 +342,23 @@
 	return sent
 }
 
-// engineLock returns the lock that must be held while orders are sent to an
-// engine.
-func (s *Service) engineLock(endpoint string) *sync.Mutex {
+// lockEngine takes the lock that must be held while orders are sent to an engine, and
+// returns the function that releases it. It returns false if ctx is done before: a
+// change of the models holds the lock until its end.
+func (s *Service) lockEngine(ctx context.Context, endpoint string) (release func(), ok bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	l, ok := s.locks[endpoint]
 	if !ok {
-		l = &sync.Mutex{}
+		l = make(chan struct{}, 1)
 		s.locks[endpoint] = l
 	}
-	return l
+	s.mu.Unlock()
+	select {
+	case l <- struct{}{}:
+		return func() { <-l }, true
+	case <-ctx.Done():
+		return nil, false
+	}
 }
 
 // engineState is one engine in the state dump.
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -34,9 +34,10 @@
 	// delayed, from where the test applies them later.
 	loseResponses, drop, delay int
 	delayed                    []Order
-	// silent engines get no orders and send no reports. slowUnloads keeps adapters after
+	// silent engines get no orders and send no reports; hanging ones are silent until the
+	// call's time limit. slowUnloads keeps adapters after
 	// an accepted order to unload them, as if requests used them.
-	silent, slowUnloads bool
+	silent, hangs, slowUnloads bool
 }
 
 // fakeEngines implements Engines and records the orders received.
@@ -51,7 +52,7 @@
 }
 
 func (f *fakeEngines) Order(ctx context.Context, e fleet.Endpoint, o Order) (Result, error) {
-	if f.slow {
+	if f.slow || f.hanging(e.ID) {
 		<-ctx.Done()
 	}
 	f.mu.Lock()
@@ -60,7 +61,7 @@
 	f.received = append(f.received, o)
 	engine := f.engines[e.ID]
 	switch {
-	case engine.silent:
+	case engine.silent || engine.hangs:
 		return Refused, errors.New("no response")
 	case engine.drop > 0:
 		engine.drop--
@@ -110,11 +111,20 @@
 	return Accepted
 }
 
-func (f *fakeEngines) Report(_ context.Context, e fleet.Endpoint) (State, error) {
+func (f *fakeEngines) hanging(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[id].hangs
+}
+
+func (f *fakeEngines) Report(ctx context.Context, e fleet.Endpoint) (State, error) {
+	if f.hanging(e.ID) {
+		<-ctx.Done()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	engine := f.engines[e.ID]
-	if engine.silent {
+	if engine.silent || engine.hangs {
 		return State{}, errors.New("no response")
 	}
 	return State{AcceptedOrders: engine.orders, Models: cloneModels(engine.models), Busy: engine.busy}, nil
--- a/internal/orders/unknown_test.go
+++ b/internal/orders/unknown_test.go
@@ -173,6 +173,48 @@
 		Expect(place("a3")).To(Equal("e1"))
 		Expect(crashed()).To(BeFalse())
 	})
+
+	// Guards against a silent engine that is chosen for a model in each planning cycle, in
+	// vain, so that the model is placed nowhere, and that delays the changes on others.
+	It("to a silent engine don't keep models from other engines", func() {
+		list(3, time.Unix(1000, 0))
+		endpoints := registry.Endpoints()
+		endpoints[0].Copies = map[string]bool{"n": true} // preferred
+		endpoints[1].Copies = map[string]bool{"o": true}
+		registry.Replace(endpoints)
+		service.plan(context.Background()) // reads the reports
+		engines.inspect("e1", func(e *fakeEngine) { e.hangs = true })
+		service.RecordDemand("llm", "n", "", 1200)
+		service.RecordDemand("llm", "o", "", 1000)
+		holds := func(model string) func() bool {
+			return func() (held bool) {
+				service.plan(context.Background())
+				for _, id := range []string{"e2", "e3"} {
+					engines.inspect(id, func(e *fakeEngine) { held = held || e.models[model] != nil })
+				}
+				return held
+			}
+		}
+		Eventually(holds("o"), "300ms", "20ms").Should(BeTrue(), "without delay")
+		Eventually(holds("n"), 2*orderTimeout+silentAfter, "100ms").Should(BeTrue(), "once the engine is known to be silent")
+	})
+
+	// Guards against changes on silent engines that use up the changes at the same time.
+	It("to silent engines don't count towards the changes at the same time", func() {
+		list(5, time.Unix(1000, 0))
+		service.planInput(llm)
+		for i := range minConcurrentChanges {
+			id := fmt.Sprint("e", i+1)
+			v := service.views[id]
+			service.changing[id] = "n"
+			silence(true, id)
+			_, err := service.readReport(context.Background(), v)
+			Expect(err).To(HaveOccurred())
+		}
+		Expect(service.changesInProgress()).To(Equal(minConcurrentChanges), "they may be slow to answer")
+		time.Sleep(silentAfter + 100*time.Millisecond)
+		Expect(service.changesInProgress()).To(BeZero())
+	})
 })
 
 var _ = Describe("The starts of engines", func() {
