Unload no model that a late order may load again

While an engine may still carry out an order to load a model, the model's memory stays counted, also once the model is held and unloaded. The planner took such a model for one whose removal makes room: it would have been unloaded in vain, and the load for which that was done refused. A model that is counted already was also planned as if it needed its memory twice.

The planner now knows which models are counted in any case (reserved): they are no victims, and need no more room. Spec 'unloads nothing that an earlier order may still load, and needs no room for it': without the rule in the planner 'Expected <string>: a to equal <string>: b', now green.

--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -141,7 +141,7 @@
 		}
 		e := planEngine{
 			id: v.id, freeMB: v.freeMB(boot, service.Engine), copies: v.endpoint.Copies,
-			busy: changing || s.unusable(boot, v) || boot.Before(v.avoidUntil), refused: v.refused(service.Engine),
+			busy: changing || s.unusable(boot, v) || boot.Before(v.avoidUntil), refused: v.refused(service.Engine), reserved: v.reserved(),
 		}
 		for name := range v.models {
 			e.models = append(e.models, name)
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -55,6 +55,9 @@
 	// refused are models that it must not load, since earlier orders may be carried out
 	// late.
 	refused map[string]bool
+	// reserved are models that an order may still load. freeMB counts them whether they
+	// are held or not, so that to unload them frees nothing.
+	reserved map[string]bool
 }
 
 // planInput is the complete input of the planner for one service.
@@ -200,7 +203,11 @@
 		if e.busy || e.refused[m.name] || slices.Contains(e.models, m.name) {
 			continue
 		}
-		victims, loss, ok := p.victims(e, m.memoryMB)
+		needed := m.memoryMB
+		if e.reserved[m.name] {
+			needed = 0
+		}
+		victims, loss, ok := p.victims(e, needed)
 		if !ok {
 			continue
 		}
@@ -234,7 +241,7 @@
 			break
 		}
 		m, known := p.byName[name]
-		if known && !p.removable(m) {
+		if known && !p.removable(m) || e.reserved[name] {
 			continue
 		}
 		victims = append(victims, name)
--- a/internal/orders/plan_test.go
+++ b/internal/orders/plan_test.go
@@ -77,6 +77,22 @@
 		Expect(c).To(Equal(change{engine: "a", model: "m1", cold: true, unheld: true}))
 	})
 
+	// Guards against unloading a model in vain: an order without a response may load it
+	// again, so that its memory stays counted. A model that is counted needs no more.
+	It("unloads nothing that an earlier order may still load, and needs no room for it", func() {
+		in := planInput{models: models(map[string]float64{"m0": 100, "m1": 100, "m2": 100}), engines: engines([]string{"m0", "m1"}, []string{"m0", "m1"})}
+		in.engines[0].reserved = map[string]bool{"m0": true, "m1": true}
+		c, ok := nextChange(in)
+		Expect(ok).To(BeTrue())
+		Expect(c.engine).To(Equal("b"))
+		in.engines = engines([]string{"m0"}, []string{"m1"})
+		in.engines[0].freeMB, in.engines[1].freeMB = 0, 0
+		in.engines[0].reserved = map[string]bool{"m2": true}
+		c, ok = nextChange(in)
+		Expect(ok).To(BeTrue())
+		Expect(c).To(Equal(change{engine: "a", model: "m2", cold: true, unheld: true}))
+	})
+
 	It("prefers an engine that keeps a copy of the weights, even if another has free memory", func() {
 		list := withCopies(engines([]string{}, []string{"m0", "m2"}, []string{"m0", "m2"}), "m1", "b")
 		c, ok := nextChange(planInput{models: models(map[string]float64{"m0": 100, "m1": 100, "m2": 100}), engines: list})
--- a/internal/orders/unsettled.go
+++ b/internal/orders/unsettled.go
@@ -146,12 +146,32 @@
 			c.add(model, "")
 		}
 	}
-	after := v.orders + 1
+	v.sent.addTo(c, v.nextLate())
+	return c
+}
+
+// nextLate returns the least number of accepted orders that an order without a response
+// requires if it may still be carried out.
+func (v *view) nextLate() int64 {
 	if v.stale {
-		after = v.orders
+		return v.orders
 	}
-	v.sent.addTo(c, after)
-	return c
+	return v.orders + 1
+}
+
+// reserved returns the models whose memory is counted whether the engine holds them or
+// not, since an order may still load them.
+func (v *view) reserved() map[string]bool {
+	c := contents{}
+	if v.incoming != "" {
+		c.add(v.incoming, "")
+	}
+	v.sent.addTo(c, v.nextLate())
+	reserved := make(map[string]bool, len(c))
+	for name := range c {
+		reserved[name] = true
+	}
+	return reserved
 }
 
 // hasRoomFor reports whether an order to load can't exceed the engine's memory or slots,
