--- a/internal/orders/adapters.go
+++ b/internal/orders/adapters.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
+	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/retry"
 	"bilberryslip.example/bilberryslip/internal/traffic"
@@ -28,6 +29,10 @@
 	// adapterMinIdle is how long an adapter must not have been requested before
 	// it may be evicted for another.
 	adapterMinIdle = 1500 * time.Millisecond
+	// reportRetryInterval is the time between two reads of a report that has to show the
+	// end of an eviction; maxEvictionSteps bounds the reads and evictions for one adapter.
+	reportRetryInterval = 80 * time.Millisecond
+	maxEvictionSteps    = 20
 )
 
 // AwaitHeld implements forward.Placer. Concurrent requests for the same model
@@ -123,14 +128,15 @@
 	if held {
 		return &fleetv1.PlaceResponse{Endpoint: id, ReadyMillis: adapterLoadTime.Milliseconds()}
 	}
-	l := s.engineLock(id)
-	l.Lock()
-	defer l.Unlock()
+	release, ok := s.lockEngine(ctx, id)
+	if !ok {
+		return &fleetv1.PlaceResponse{}
+	}
+	defer release()
 	if !s.makeRoom(ctx, v, item.itemKey, engine) {
 		return &fleetv1.PlaceResponse{}
 	}
-	fits := func() bool { return v.hasRoomFor(item.itemKey, engine) }
-	if err := s.order(ctx, v, Order{Action: Load, Model: item.model, Adapter: item.adapter}, fits); err != nil {
+	if err := s.order(ctx, v, Order{Action: Load, Model: item.model, Adapter: item.adapter}, engine); err != nil {
 		logrus.WithError(err).WithField("endpoint", id).Info("adapter not loaded")
 		return &fleetv1.PlaceResponse{}
 	}
@@ -141,7 +147,7 @@
 // engineFor returns the engine that holds the adapter, or else the one with the
 // fewest adapters that can load it, of the required software; nil if there is none.
 func (s *Service) engineFor(item placement, engine *traffic.Engine) (best *view, held bool) {
-	now := time.Now()
+	now, boot := time.Now(), clock.Boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	least := 0
@@ -153,16 +159,23 @@
 		if !ok || v.endpoint.Leaving || v.busy || v.reportedBusy || s.config.Registry.InBackoff(v.id) {
 			continue
 		}
+		_, changing := s.changing[v.id]
 		if adapters[item.adapter] && !v.stale {
 			v.lastUsed[adapterKey{item.model, item.adapter}] = now
 			return v, true
 		}
-		count := v.adapters()
+		if changing || s.unusable(boot, v) || v.sent.exclude(item.model, item.adapter, engine) {
+			continue
+		}
+		count := v.possible().adapters()
 		if count >= engine.AdapterSlots {
 			if _, ok := v.leastRecentlyUsed(now); !ok {
 				continue
 			}
 		}
+		if boot.Before(v.avoidUntil) {
+			count += engine.AdapterSlots // only if there is no other
+		}
 		if best == nil || count < least {
 			best, least = v, count
 		}
@@ -189,53 +202,54 @@
 
 // makeRoom evicts idle adapters until the engine has a slot and memory for one
 // more. It returns false if the engine no longer holds the model or no adapter
-// may be evicted. The caller holds the engine's lock.
+// may be evicted. An adapter takes its slot until a report no longer lists it. The
+// caller holds the engine's lock.
 func (s *Service) makeRoom(ctx context.Context, v *view, item itemKey, engine *traffic.Engine) bool {
-	for {
+	evicted := make(map[adapterKey]bool)
+	for range maxEvictionSteps {
 		if err := s.refreshIfStale(ctx, v); err != nil {
 			logrus.WithError(err).WithField("endpoint", v.id).Info("adapter not loaded")
 			return false
 		}
 		s.mu.Lock()
+		stale := v.stale
 		_, present := v.models[item.model]
-		room := v.hasRoomFor(item, engine)
+		room := !v.busy && v.hasRoomFor(clock.Boot(), item.model, item.adapter, engine)
 		key, found := v.leastRecentlyUsed(time.Now())
-		if room {
+		if room && !stale {
 			v.lastUsed[adapterKey{item.model, item.adapter}] = time.Now()
 		}
+		excluded := v.sent.exclude(item.model, item.adapter, engine)
 		s.mu.Unlock()
-		if !present || room {
+		switch {
+		case stale:
+			if !retry.Sleep(ctx, reportRetryInterval) {
+				return false
+			}
+			continue
+		case !present || room:
 			return present
-		}
-		if !found {
+		case !found || excluded:
 			return false
+		case evicted[key]:
+			s.setStale(v)
+			if !retry.Sleep(ctx, reportRetryInterval) {
+				return false
+			}
+			continue
 		}
+		evicted[key] = true
 		s.announce(v.id, key.model, key.adapter, false)
 		if err := s.order(ctx, v, Order{Action: Unload, Model: key.model, Adapter: key.adapter}, nil); err != nil {
 			return false
 		}
 	}
+	return false
 }
 
-// hasRoomFor reports whether the engine holds the adapter's model and has a
-// slot and memory for the adapter.
-func (v *view) hasRoomFor(item itemKey, engine *traffic.Engine) bool {
-	model := engine.Model(item.model)
-	_, present := v.models[item.model]
-	return model != nil && present && !v.busy && v.adapters() < engine.AdapterSlots && v.freeMB(engine) >= model.AdapterMB
-}
-
-// freeMB returns the engine's memory that models and adapters leave free. It is
-// zero if the engine holds a model that is no longer configured, because the
-// size of that model is not known.
-func (v *view) freeMB(engine *traffic.Engine) float64 {
-	free := engine.MemoryMB
-	for name, adapters := range v.models {
-		m := engine.Model(name)
-		if m == nil {
-			return 0
-		}
-		free -= m.MemoryMB + float64(len(adapters))*m.AdapterMB
-	}
-	return free
+// setStale makes the engine's report be read before the next order.
+func (s *Service) setStale(v *view) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.stale = true
 }
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -11,6 +11,7 @@
 	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/retry"
+	"bilberryslip.example/bilberryslip/internal/traffic"
 )
 
 const (
@@ -19,6 +20,12 @@
 	orderTimeout = 500 * time.Millisecond
 	// maxReportAge is how old the state in an engine's report may be.
 	maxReportAge = 300 * time.Millisecond
+	// avoidTime is how long planning leaves an engine out after an order to it had no
+	// response or none of its attempts was accepted, so that the model is placed elsewhere.
+	avoidTime = 2 * time.Second
+	// silentAfter is how long an engine has sent no report when its change no longer
+	// counts towards the changes at the same time.
+	silentAfter = time.Second
 	// maxAttempts bounds the attempts to send one order.
 	maxAttempts = 3
 )
@@ -32,16 +39,20 @@
 // errNoRoom reports that the engine lacks memory or an adapter slot for a load.
 var errNoRoom = errors.New("the engine has no memory or slot left for the load; the next planning cycle decides again")
 
+// errStale reports that the last report read is older than the last order.
+var errStale = errors.New("the engine's report is older than the last order to it; it is read again")
+
+// errRestarted reports that an engine has started again while an order was carried out.
+var errRestarted = errors.New("the engine has started again; the next planning cycle decides again")
+
 // errEvacuated reports that an engine is in an evacuated zone.
 var errEvacuated = errors.New("the engine's availability zone is evacuated; planning leaves it out until the evacuation ends")
 
 // order sends an order to an engine and updates the view with the outcome. The
-// caller holds the engine's lock. The function fits, which is set for loads
-// only, reports whether the load fits; it is called under the mutex before each
-// attempt, because the view may have changed. An order without a response is
-// sent again on the condition that the engine accepted no other meanwhile, so
-// that it takes effect at most once.
-func (s *Service) order(ctx context.Context, v *view, o Order, fits func() bool) error {
+// caller holds the engine's lock. The engine's configuration is set for loads only. An
+// order without a response is sent again on the condition that the engine accepted no
+// other meanwhile, so that it takes effect at most once.
+func (s *Service) order(ctx context.Context, v *view, o Order, engine *traffic.Engine) error {
 	o.Holder = s.config.Host
 	for range maxAttempts {
 		if err := s.refreshIfStale(ctx, v); err != nil {
@@ -50,9 +61,6 @@
 		if s.satisfied(v, o) {
 			return nil
 		}
-		if fits != nil && !s.underLock(fits) {
-			return errNoRoom
-		}
 		if !s.mayOrder() {
 			return errNotHolder
 		}
@@ -67,14 +75,19 @@
 			return errNotHolder
 		}
 		o.FencingToken = int64(status.Version)
-		result, err := s.sendOrder(ctx, v, &o)
-		s.logOrder(v, o, result, err)
-		s.recordResult(v, o, result, err)
+		result, err := s.sendOrder(ctx, v, &o, engine)
 		switch {
+		case errors.Is(err, errNoRoom):
+			return errNoRoom
+		case errors.Is(err, errStale):
+			result = Conflict // the report was older than the last order
 		case err != nil:
-		case result == Accepted || result == AlreadyApplied:
+			continue
+		}
+		switch result {
+		case Accepted, AlreadyApplied:
 			return nil
-		case result == Conflict:
+		case Conflict:
 			if !retry.Sleep(ctx, maxReportAge) {
 				return ctx.Err()
 			}
@@ -82,28 +95,63 @@
 			return errNotAccepted
 		}
 	}
+	s.avoid(v)
 	return errNotAccepted
 }
 
+// avoid keeps planning from choosing an engine for avoidTime.
+func (s *Service) avoid(v *view) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.avoidUntil = clock.Boot().Add(avoidTime)
+}
+
 // evacuated reports whether an engine must get no orders and no calls for its report.
 func (s *Service) evacuated(v *view) bool {
 	return s.underLock(func() bool { return s.config.Registry.Evacuated(v.endpoint.Zone) })
 }
 
 // sendOrder sends an order on the condition that the engine has accepted as many
-// orders as the view shows, which it sets in o.
-func (s *Service) sendOrder(ctx context.Context, v *view, o *Order) (Result, error) {
+// orders as the view shows, which it sets in o, and records the result.
+func (s *Service) sendOrder(ctx context.Context, v *view, o *Order, engine *traffic.Engine) (Result, error) {
 	s.mu.Lock()
-	endpoint := v.endpoint
-	o.ExpectedOrders = v.orders
+	endpoint, starts := v.endpoint, v.starts
+	sent, err := s.prepare(v, o, engine)
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	if err != nil {
+		return Refused, err
+	}
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	result, err := s.config.Engines.Order(ctx, endpoint, *o)
+	result, err := s.config.Engines.Order(limited, endpoint, *o)
 	s.recordBackoff(endpoint, err)
+	s.logOrder(v, *o, result, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Boot()
+	v.recordResult(now, *o, starts, sent, result, err)
+	if v.avoidUntil = (time.Time{}); err != nil {
+		v.avoidUntil = now.Add(avoidTime)
+	}
 	return result, err
 }
 
+// prepare checks whether an order may be sent now. It records a load as sent, for which
+// engine is set. It must be called with the mutex held.
+func (s *Service) prepare(v *view, o *Order, engine *traffic.Engine) (*sentLoad, error) {
+	now := clock.Boot()
+	if o.Action == Load && s.mayMeetUnknown(now, v.id) {
+		return nil, errNoRoom
+	}
+	return v.prepare(now, o, engine)
+}
+
+// mayMeetUnknown reports whether an engine may carry out orders of which this host
+// doesn't know. It must be called with the mutex held.
+func (s *Service) mayMeetUnknown(now time.Time, id string) bool {
+	return mayMeetUnknown(now, s.unknownUntil, s.starts, id)
+}
+
 // recordBackoff records the backoff that an engine asked for, if it did.
 func (s *Service) recordBackoff(endpoint fleet.Endpoint, err error) {
 	var backoff *BackoffError
@@ -112,23 +160,6 @@
 	}
 }
 
-// recordResult updates the view with the engine's response to an order. The view
-// is stale unless the response shows how many orders the engine has accepted.
-func (s *Service) recordResult(v *view, o Order, result Result, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case err == nil && result == Accepted:
-		v.orders++
-		v.apply(o)
-	case err == nil && result == AlreadyApplied:
-		v.apply(o)
-		v.stale = true // the report shows whether the engine counted the order
-	default:
-		v.stale = true
-	}
-}
-
 func (s *Service) logOrder(v *view, o Order, result Result, err error) {
 	outcome := map[Result]string{Accepted: "accepted", AlreadyApplied: "holds", Conflict: "conflict", Refused: "refused"}[result]
 	if err != nil {
@@ -178,15 +209,21 @@
 
 // refreshStaleViews reads the reports of a service's engines whose views are stale,
 // so that the plan counts on no memory that is in use and on no engine that is busy.
-// It waits for the reports for up to maxRefreshWait.
+// It waits for the reports for up to maxRefreshWait, but not for those of engines that
+// did not respond the last time.
 func (s *Service) refreshStaleViews(ctx context.Context, service string) {
 	var group sync.WaitGroup
 	for _, v := range s.viewsToRefresh(service) {
-		group.Go(func() {
+		read := func() {
 			if _, err := s.readReport(ctx, v); err != nil {
 				logrus.WithError(err).WithField("endpoint", v.id).Info("engine report not received")
 			}
-		})
+		}
+		if s.underLock(func() bool { return v.silentSince.IsZero() }) {
+			group.Go(read)
+		} else {
+			go read()
+		}
 	}
 	done := make(chan struct{})
 	go func() {
@@ -216,11 +253,26 @@
 	return stale
 }
 
+// recordSilence records since when requests for an engine's report have had no response.
+func (s *Service) recordSilence(v *view, sentAt time.Time, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		v.silentSince = time.Time{}
+	case v.silentSince.IsZero():
+		v.silentSince = sentAt
+	}
+}
+
 // readReport updates the view from the engine's report, unless the report is
 // older than the view. It returns whether the engine is carrying out an order
 // for a model.
 func (s *Service) readReport(ctx context.Context, v *view) (busy bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	if err := ctx.Err(); err != nil {
+		return false, err
+	}
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	s.mu.Lock()
 	endpoint := v.endpoint
@@ -231,40 +283,34 @@
 	if s.config.Registry.Evacuated(endpoint.Zone) {
 		return false, errEvacuated
 	}
-	state, err := s.config.Engines.Report(ctx, endpoint)
+	sentAt := clock.Boot()
+	state, err := s.config.Engines.Report(limited, endpoint)
 	s.recordBackoff(endpoint, err)
+	if err == nil || ctx.Err() == nil { // a caller that gives up proves no silence
+		s.recordSilence(v, sentAt, err)
+	}
 	if err != nil {
 		return false, errors.Wrapf(err, "read the report of engine %s", v.id)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state.AcceptedOrders >= v.orders {
-		v.applyReport(state)
-		v.reportedBusy = state.Busy && !v.busy
-		v.stale = v.reportedBusy
+	v.applyReport(state)
+	if !state.Started.IsZero() {
+		s.starts.observeOne(clock.Boot(), time.Now(), v.id, state.Started)
 	}
 	return state.Busy, nil
 }
 
 // satisfied reports whether the view already shows the state that an order
-// requests.
+// requests, or that the engine is loading the model.
 func (s *Service) satisfied(v *view, o Order) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	adapters, held := v.models[o.Model]
 	if o.Adapter != "" {
 		held = held && adapters[o.Adapter]
+	} else if o.Action == Load && v.incoming == o.Model {
+		return true
 	}
 	return held == (o.Action == Load)
 }
-
-// apply enters an accepted order for an adapter into the view. The outcome of
-// an order for a model is read from the engine's reports.
-func (v *view) apply(o Order) {
-	switch {
-	case o.Adapter != "" && o.Action == Load && v.models[o.Model] != nil:
-		v.models[o.Model][o.Adapter] = true
-	case o.Adapter != "":
-		delete(v.models[o.Model], o.Adapter)
-	}
-}
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -52,6 +52,12 @@
 	copies map[string]bool
 	// busy is set while a change is in progress; the engine takes no other.
 	busy bool
+	// refused are models that it must not load, since earlier orders may be carried out
+	// late.
+	refused map[string]bool
+	// reserved are models that an order may still load. freeMB counts them whether they
+	// are held or not, so that to unload them frees nothing.
+	reserved map[string]bool
 }
 
 // planInput is the complete input of the planner for one service.
@@ -194,10 +200,14 @@
 	best, found := change{}, false
 	lowest, lowestLoss := 0.0, 0.0
 	for _, e := range p.engines {
-		if e.busy || slices.Contains(e.models, m.name) {
+		if e.busy || e.refused[m.name] || slices.Contains(e.models, m.name) {
 			continue
 		}
-		victims, loss, ok := p.victims(e, m.memoryMB)
+		needed := m.memoryMB
+		if e.reserved[m.name] {
+			needed = 0
+		}
+		victims, loss, ok := p.victims(e, needed)
 		if !ok {
 			continue
 		}
@@ -231,7 +241,7 @@
 			break
 		}
 		m, known := p.byName[name]
-		if known && !p.removable(m) {
+		if known && !p.removable(m) || e.reserved[name] {
 			continue
 		}
 		victims = append(victims, name)
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -34,6 +34,10 @@
 	// delayed, from where the test applies them later.
 	loseResponses, drop, delay int
 	delayed                    []Order
+	// silent engines get no orders and send no reports; hanging ones are silent until the
+	// call's time limit. slowUnloads keeps adapters after
+	// an accepted order to unload them, as if requests used them.
+	silent, hangs, slowUnloads bool
 }
 
 // fakeEngines implements Engines and records the orders received.
@@ -48,7 +52,7 @@
 }
 
 func (f *fakeEngines) Order(ctx context.Context, e fleet.Endpoint, o Order) (Result, error) {
-	if f.slow {
+	if f.slow || f.hanging(e.ID) {
 		<-ctx.Done()
 	}
 	f.mu.Lock()
@@ -57,6 +61,8 @@
 	f.received = append(f.received, o)
 	engine := f.engines[e.ID]
 	switch {
+	case engine.silent || engine.hangs:
+		return Refused, errors.New("no response")
 	case engine.drop > 0:
 		engine.drop--
 		return Refused, errors.New("no response")
@@ -89,7 +95,9 @@
 	case o.Adapter != "" && o.Action == Load:
 		e.models[o.Model][o.Adapter] = true
 	case o.Adapter != "":
-		delete(e.models[o.Model], o.Adapter)
+		if !e.slowUnloads {
+			delete(e.models[o.Model], o.Adapter)
+		}
 	case o.Action == Load:
 		e.models[o.Model] = fleet.Adapters{}
 	default:
@@ -103,10 +111,22 @@
 	return Accepted
 }
 
-func (f *fakeEngines) Report(_ context.Context, e fleet.Endpoint) (State, error) {
+func (f *fakeEngines) hanging(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[id].hangs
+}
+
+func (f *fakeEngines) Report(ctx context.Context, e fleet.Endpoint) (State, error) {
+	if f.hanging(e.ID) {
+		<-ctx.Done()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	engine := f.engines[e.ID]
+	if engine.silent || engine.hangs {
+		return State{}, errors.New("no response")
+	}
 	return State{AcceptedOrders: engine.orders, Models: cloneModels(engine.models), Busy: engine.busy}, nil
 }
 
@@ -301,7 +321,7 @@
 		Eventually(service.changesInProgress, "3s").Should(BeZero())
 		engines.inspect("e2", func(e *fakeEngine) { Expect(e.models).To(HaveKey("m")) })
 		engines.inspect("e1", func(e *fakeEngine) { Expect(e.orders).To(BeEquivalentTo(3)) })
-		v := newView(registry.Endpoints()[0])
+		v := newView(registry.Endpoints()[0], &sentLoads{})
 		Expect(service.order(context.Background(), v, Order{Action: Load, Model: "n"}, nil)).To(MatchError(errEvacuated))
 		zone = ""
 		Expect(service.planInput(service.config.Source.Current().Service("llm")).engines).To(HaveLen(2))
