--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -97,4 +97,3 @@
 	}
 	p.idle[address] = append(p.idle[address], c)
 }
-
