Start no change of models on a host that stops, and release the lease then

A holder of the placement lease that had its stop signal started changes of models until its process ended. One that ended between the unload and the load left the engine without either model until the next holder had waited for the lease. It now starts none, and releases the lease once those in progress have ended, so that the next holder can act while this host still serves.

Spec: 'Orders to engines start no change of models while the host shuts down', which fails without the check.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -271,14 +271,14 @@
 		// the same lease holder.
 		Store: h.adapter.Store(), Name: placementLease, Host: s.Host.Name, Incarnation: s.Host.Name,
 		Duration: duration, RenewalInterval: duration / renewalsPerLease, Now: clock.Boot,
-		Era: h.adapter.Store().Era, FirstStart: s.FirstStart, Eligible: h.reachesEngines,
+		Era: h.adapter.Store().Era, FirstStart: s.FirstStart, Eligible: h.mayPlace,
 		Yield:      func() time.Duration { return h.watches.leaseYield() },
 		AwaitPeers: func(ctx context.Context) { h.watches.awaitSize(ctx) },
 	})
 	h.orders = orders.New(orders.Config{
 		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
 		Lease: h.lease, Peers: h.exchange, LeaseTime: duration,
-		LoadWindow: s.Bounds.LoadWindow.Std(), LoadOverage: s.Bounds.LoadOverage,
+		LoadWindow: s.Bounds.LoadWindow.Std(), LoadOverage: s.Bounds.LoadOverage, Stopping: h.draining.Load,
 		FirstStart: s.FirstStart,
 	})
 	h.exchange.AddParticipant(h.orders)
@@ -288,6 +288,13 @@
 // leads reports whether this host holds the placement lease.
 func (h *host) leads() bool { return h.lease.Status().Held }
 
+// mayPlace reports whether this host may hold the placement lease. A host that stops
+// releases it once its changes of models have ended, for another host to go on with the
+// placement while this one still serves requests.
+func (h *host) mayPlace() bool {
+	return h.reachesEngines() && !(h.draining.Load() && h.orders.Idle())
+}
+
 // reachesEngines reports whether this host can order engines: no peer reaches engines of a
 // service that it does not reach itself.
 func (h *host) reachesEngines() bool {
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -159,6 +159,9 @@
 // may not start now, because the engine is already changing or the weight
 // store's rate limit is reached.
 func (s *Service) start(ctx context.Context, service *traffic.Service, c change) bool {
+	if s.stopping() {
+		return false
+	}
 	s.mu.Lock()
 	if _, busy := s.changing[c.engine]; busy || c.cold && !s.mayLoadCold(service.Engine) {
 		s.mu.Unlock()
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -74,8 +74,18 @@
 	// FirstStart reports that the whole system starts for the first time, so that no
 	// engine got an order before.
 	FirstStart bool
+	// Stopping reports whether this host shuts down. It then starts no change of models,
+	// which it may not finish: an engine would be left without the model that it had and
+	// the one that it was to have. Nil means that it never does.
+	Stopping func() bool
 }
 
+// stopping reports whether this host shuts down.
+func (s *Service) stopping() bool { return s.config.Stopping != nil && s.config.Stopping() }
+
+// Idle reports whether no change of models is in progress.
+func (s *Service) Idle() bool { return s.changesInProgress() == 0 }
+
 // Service plans the placement of models and adapters and sends orders to engines
 // while this host holds the placement lease. Otherwise it sends placement
 // requests to the lease holder. It implements suture.Service, forward.Placer
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -285,6 +285,16 @@
 		})
 	})
 
+	// Guards against an engine that is left with neither the model that it had nor the one
+	// that it was to have, since its holder ended between the unload and the load.
+	It("start no change of models while the host shuts down", func() {
+		service.config.Stopping = func() bool { return true }
+		service.RecordDemand("llm", "n", "", 12_500)
+		service.plan(context.Background())
+		Expect(service.Idle()).To(BeTrue())
+		Expect(place("a1")).To(Equal("e1"), "adapters are loaded until the lease is released")
+	})
+
 	// After a restart of the holder, an engine goes on with the order that it got
 	// before. The planner used to choose that engine in each cycle, in vain, and to
 	// place the model nowhere else.
