Date what the store and peers say by when they said it

A host dates what it knows by when it handled it. After the process stood still, what arrived meanwhile is handled at once and passes for new: polls that the store answered before, and the reports of peers in the buffers of sockets.

Listings and bookmarks of the store now have the time at which their call began (AsOf, by the boot clock), and a mirror tells as of when its handler is complete. The first reports of a process are not dated unless they respond to a call, since all of them may have waited. The age of a process is now by the boot clock, too, which includes suspensions.

No decision changes.

--- a/internal/exchange/calls.go
+++ b/internal/exchange/calls.go
@@ -13,7 +13,7 @@
 
 // Exchange implements fleetv1.Fleet.
 func (s *Service) Exchange(_ context.Context, report *fleetv1.Report) (*fleetv1.Report, error) {
-	s.handleReport(time.Now(), report)
+	s.handleReport(time.Now(), time.Time{}, report)
 	return s.currentResponse(time.Now()), nil
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,7 @@
 
 	fleetv1 "bilberryslip.example/bilberryslip/api/fleet/v1"
 	"bilberryslip.example/bilberryslip/internal/boundedhttp"
+	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
 	"bilberryslip.example/bilberryslip/internal/retry"
 	"bilberryslip.example/bilberryslip/internal/upstream"
@@ -115,8 +116,10 @@
 // suture.Service, mirror.Handler for KindHost, and the fleetv1.Fleet peer
 // service. It is safe for concurrent use.
 type Service struct {
-	config       Config
-	started      time.Time
+	config  Config
+	started time.Time
+	// bootedAt is started by clock.Boot.
+	bootedAt     time.Time
 	client       *http.Client
 	participants []Participant
 	// followHandler serves peers that follow this host; nil rejects them.
@@ -157,7 +160,7 @@
 		DialContext: upstream.Dial, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
 	}
 	return &Service{
-		config: cfg, started: time.Now(),
+		config: cfg, started: time.Now(), bootedAt: clock.Boot(),
 		client:    &http.Client{Transport: &boundedhttp.Transport{Base: transport, Limit: maxPeerResponse}},
 		entryLost: make(chan struct{}, 1), listed: make(chan struct{}),
 		roster: newRoster(cfg.Host), clients: make(map[string]fleetv1.Fleet), inFlight: make(map[string]bool),
@@ -412,7 +415,7 @@
 
 // report returns this host's report with the data of all participants.
 func (s *Service) report() *fleetv1.Report {
-	report := &fleetv1.Report{Host: s.config.Host, Incarnation: s.config.Incarnation, Address: s.config.Address, Zone: s.config.Zone, AgeMillis: time.Since(s.started).Milliseconds()}
+	report := &fleetv1.Report{Host: s.config.Host, Incarnation: s.config.Incarnation, Address: s.config.Address, Zone: s.config.Zone, AgeMillis: clock.Boot().Sub(s.bootedAt).Milliseconds()}
 	for _, participant := range s.participants {
 		participant.FillReport(report)
 	}
@@ -422,13 +425,13 @@
 func (s *Service) reportTo(ctx context.Context, p peer, report *fleetv1.Report) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt, calledAt := time.Now(), clock.Boot()
 	response, err := s.peerClient(p.address).Exchange(ctx, report)
 	if err != nil {
 		logrus.WithError(err).WithField("peer", p.name).Debug("report to peer failed")
 		return
 	}
-	s.handleReport(sentAt, response)
+	s.handleReport(sentAt, calledAt, response)
 }
 
 func (s *Service) peerClient(address string) fleetv1.Fleet {
@@ -442,32 +445,6 @@
 	return c
 }
 
-// joinPeriod is how long after its start a process is treated as recently
-// started.
-const joinPeriod = 2 * time.Second
-
-// handleReport records a peer's report and passes it to the participants. For asOf
-// see recordReport.
-func (s *Service) handleReport(asOf time.Time, report *fleetv1.Report) {
-	s.mu.Lock()
-	wasReachable := false
-	if previous, ok := s.roster.peers[report.GetHost()]; ok {
-		wasReachable = s.roster.reachable(asOf, previous)
-	}
-	p := s.roster.recordReport(asOf, report)
-	s.mu.Unlock()
-	if p == nil {
-		return
-	}
-	if !wasReachable {
-		logrus.WithFields(logrus.Fields{"peer": p.name, "address": p.address}).Info("peer in reach")
-	}
-	joining := s.joining()
-	for _, participant := range s.participants {
-		participant.HandleReport(report, joining)
-	}
-}
-
 // DumpState returns the peers, with the age of their last reports in
 // milliseconds, for the state dump.
 func (s *Service) DumpState() any {
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -46,6 +46,7 @@
 	// leaseUntil is when its hold on the placement lease expires.
 	leaseUntil time.Time
 	report     *fleetv1.Report
+	ages       reportAges
 }
 
 // roster tracks the other hosts and their last reports. It is not safe for
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -79,6 +79,9 @@
 	Covered objectstore.Version
 	// LastResponse is when the last response or event arrived. Zero means never.
 	LastResponse time.Time
+	// AsOf is the latest time, by clock.Boot, of which the handler has all that the store
+	// held then; zero if the source doesn't tell.
+	AsOf time.Time
 }
 
 // Reading returns how up to date the mirror is.
@@ -98,14 +101,17 @@
 	return len(m.cache.objects)
 }
 
-// recordReading raises the versions reached and sets the time of the last
-// response.
-func (m *Mirror) recordReading(covered, changed objectstore.Version) {
+// recordReading raises the versions and the time reached and sets the time of the
+// last response.
+func (m *Mirror) recordReading(covered, changed objectstore.Version, asOf time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reading.Covered = max(m.reading.Covered, covered, changed)
 	m.reading.Changed = max(m.reading.Changed, changed)
 	m.reading.LastResponse = time.Now()
+	if asOf.After(m.reading.AsOf) {
+		m.reading.AsOf = asOf
+	}
 }
 
 // New returns a mirror that reads a kind from the store and passes it to the
@@ -171,7 +177,7 @@
 		m.handleSuccess()
 		m.handler.Replace(listing)
 		m.cache.replace(listing)
-		m.recordReading(listing.Version, newestVersion(listing))
+		m.recordReading(listing.Version, newestVersion(listing), listing.AsOf)
 		m.follow(ctx, source, listing.Version)
 	}
 	return ctx.Err()
@@ -244,10 +250,10 @@
 			m.handleSuccess()
 			m.cache.apply(event)
 			if event.Type == objectstore.EventBookmark {
-				m.recordReading(event.Version, 0)
+				m.recordReading(event.Version, 0, event.AsOf)
 			} else {
 				m.handler.Apply(event)
-				m.recordReading(0, event.Version)
+				m.recordReading(0, event.Version, time.Time{})
 			}
 			version = max(version, event.Version)
 		}
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -47,6 +47,9 @@
 type Listing struct {
 	Version Version  `json:"version"`
 	Items   []Object `json:"items"`
+	// AsOf is when the call that the store responded to began, by clock.Boot: what the
+	// store held then is in the listing or was removed since. Zero if that is unknown.
+	AsOf time.Time `json:"-"`
 }
 
 // EventType is the type of an Event.
@@ -70,6 +73,9 @@
 	Type    EventType `json:"type"`
 	Version Version   `json:"version"`
 	Object  Object    `json:"object"`
+	// AsOf is set in bookmarks if it is known when the call that the store responded to
+	// began, by clock.Boot: all changes up to then have been delivered.
+	AsOf time.Time `json:"-"`
 }
 
 // Watch is a stream of the events of a kind. Events is closed when the watch
