Take up streams only by recent knowledge of software versions

Cause: that one version alone is there, so that it began every stream, was concluded from what the host knew, however old. A new version is held back for two intervals of reports; a host that does not run or hears nothing for longer does not learn of it in that time. The history of versions also counted as complete after a minute of the clock, whether the process ran or not.

Now each host tracks as of when it knows every version that any host knew (internal/streamorigin/currency.go), by polls of the store's list, by reports of all peers, or by a peer that knows the same versions as of that time. The conclusion is drawn only while that is at most 4 s and two intervals old, by the boot clock and in each lookup. Otherwise the lookup waits for 0.5 s as before and is refused as not run. An outdated host requests the history with its reports; after a gap that no peer fills it reads the record again. A new version is held until each peer has reported it, or until a peer that does not can no longer take its knowledge for recent. A host that stood still for 5 s begins no resumable stream until its knowledge is recent, 2 s at most: its peers may have forgotten the version that it still lists. One that has no complete history holds a single version as it does several.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,7 +164,10 @@
 	h.exchange.AddParticipant(h.quota)
 	h.exchange.AddParticipant(h.endpoints)
 	h.exchange.AddParticipant(h.quarantine)
-	h.origins = streamorigin.New(streamorigin.Config{Listed: h.endpoints.SoftwareVersions, Recorded: true})
+	endpointMirror := h.adapter.Endpoints(h.endpoints)
+	h.origins = streamorigin.New(streamorigin.Config{
+		Listed: h.endpoints.SoftwareVersions, ListedAt: func() time.Time { return endpointMirror.Reading().AsOf }, Clock: clock.Boot, Recorded: true,
+	})
 	h.exchange.AddParticipant(h.origins)
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
@@ -185,7 +188,6 @@
 		Shutdown:    &h.stopping,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
-	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
 	fresh := []freshMirror{
 		{Mirror: configMirror, tolerance: configurationTolerance},
@@ -212,7 +214,7 @@
 		}}},
 		supervise.Branch{Name: "software", Services: []suture.Service{&softwareKeeper{
 			store: h.adapter.Store(), origins: h.origins, host: s.Host.Name, firstStart: s.FirstStart,
-			listed: h.endpoints.SoftwareVersions, leads: h.leads,
+			listed: h.endpoints.SoftwareVersions, leads: h.leads, clock: clock.Boot,
 		}}},
 		supervise.Branch{Name: "paths", Services: []suture.Service{h.paths}},
 		supervise.Branch{Name: "placement", Services: []suture.Service{h.lease, h.orders}},
--- a/internal/edge/software.go
+++ b/internal/edge/software.go
@@ -33,7 +33,8 @@
 
 // softwareKeeper keeps the software versions that services had lately in the store, so that
 // hosts know of those that are gone after a restart of all hosts. Each host reads them
-// once, as soon as it lists endpoints; the holder of the placement lease writes them when
+// once, as soon as it lists endpoints, and again after it was out of touch with the store
+// and peers; the holder of the placement lease writes them when
 // they change. It implements suture.Service.
 type softwareKeeper struct {
 	store   objectstore.RestorableStore
@@ -47,6 +48,8 @@
 	leads func() bool
 	// object is the object as last read or written; without a name if there is none.
 	object objectstore.Object
+	// clock is that of origins.
+	clock func() time.Time
 }
 
 // String returns the name of the service for the supervisor's logs.
@@ -76,11 +79,8 @@
 	pause := softwareInterval
 	for retry.Sleep(ctx, pause) {
 		pause = softwareInterval
-		if !k.writes() {
-			continue
-		}
-		if err := k.write(ctx); err != nil {
-			logrus.WithError(err).Warn("recording the software versions failed; trying again")
+		if err := k.update(ctx); err != nil {
+			logrus.WithError(err).Warn("reading or recording the software versions failed; trying again")
 			pause = backoff.NextBackOff()
 			continue
 		}
@@ -89,6 +89,18 @@
 	return ctx.Err()
 }
 
+// update reads the record again if this host was out of touch, and writes this host's
+// versions if it is to.
+func (k *softwareKeeper) update(ctx context.Context) error {
+	if k.origins.NeedsRecord() {
+		return k.read(ctx)
+	}
+	if !k.writes() {
+		return nil
+	}
+	return k.write(ctx)
+}
+
 // writes reports whether this host is to write changes: as holder of the placement lease,
 // or if the holder has not recorded a version for too long.
 func (k *softwareKeeper) writes() bool {
@@ -97,33 +109,34 @@
 }
 
 func (k *softwareKeeper) read(ctx context.Context) error {
+	readAt := k.clock()
 	object, err := k.store.Get(ctx, kindSoftware, softwareName)
 	var notFound *objectstore.NotFoundError
 	if errors.As(err, &notFound) {
-		k.origins.Restore(nil, k.era(), k.firstStart)
+		k.origins.Restore(nil, k.era(), k.firstStart, readAt)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	k.restore(object)
+	k.restore(object, readAt)
 	return nil
 }
 
-// restore takes over an object. One that can't be read counts as missing and is replaced
-// by the next write.
-func (k *softwareKeeper) restore(object objectstore.Object) {
+// restore takes over an object that was read by a call that began at readAt. One that can't
+// be read counts as missing and is replaced by the next write.
+func (k *softwareKeeper) restore(object objectstore.Object, readAt time.Time) {
 	k.object = object
 	var record streamorigin.Record
 	if err := json.Unmarshal(object.Value, &record); err != nil {
 		logrus.WithError(err).Warn("recorded software versions ignored; they are replaced by those of this host")
-		k.origins.Restore(nil, k.era(), false)
+		k.origins.Restore(nil, k.era(), false, readAt)
 		return
 	}
 	if era := k.era(); record.Era < era {
 		logrus.WithFields(logrus.Fields{"era": era, "recorded_era": record.Era}).Warn("the recorded software versions are of an older copy of the store; versions may be missing")
 	}
-	k.origins.Restore(&record, k.era(), false)
+	k.origins.Restore(&record, k.era(), false, readAt)
 }
 
 // era returns the store's era; 0 if it has none.
@@ -145,12 +158,13 @@
 	if !exists && len(record.Services) == 0 || exists && sameJSON(value, k.object.Value) {
 		return nil
 	}
+	writtenAt := k.clock()
 	current, replaced, err := writeStored(ctx, k.store, kindSoftware, softwareName, k.object, value)
 	switch {
 	case err != nil:
 		return err
 	case replaced:
-		k.restore(current)
+		k.restore(current, writtenAt)
 		return nil
 	}
 	k.object = current
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -8,12 +8,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Restore takes over the record that was read from the store, whose era is given; nil if
-// there is none. Without one, or with one of an earlier era, versions may be missing, and
+// Restore takes over the record that was read from the store, whose era is given, by a call
+// that began at readAt; nil if there is none. Without one, or with one of an earlier era, versions may be missing, and
 // streams of unknown origin are refused until a peer reports the versions, or for memory.
 // firstStart means that the whole system starts for the first time, so that there need be
 // none.
-func (o *Origins) Restore(record *Record, era int64, firstStart bool) {
+func (o *Origins) Restore(record *Record, era int64, firstStart bool, readAt time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock()
@@ -21,12 +21,29 @@
 		record = &Record{Era: -1}
 		if firstStart {
 			o.history.complete(SourceFirstStart)
+			o.currency.begin(readAt)
+		}
+	}
+	if record.Era >= era {
+		o.currency.begin(readAt)
+		if readAt.After(o.currency.recordAt) {
+			o.currency.recordAt = readAt
 		}
 	}
 	o.history.restore(record, era, now)
 	o.notify()
 }
 
+// NeedsRecord reports whether a read of the record would make this host's knowledge of
+// software versions recent, after it was out of touch with the store or peers.
+func (o *Origins) NeedsRecord() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock()
+	o.observe(now)
+	return o.currency.needsRecord(o.listedAt(), now)
+}
+
 // Record returns what the store should hold in its present era.
 func (o *Origins) Record(era int64) Record {
 	o.mu.Lock()
@@ -74,7 +91,7 @@
 	slices.SortFunc(list, func(a, b dump) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Software, b.Software))
 	})
-	return map[string]any{"source": o.history.source, "versions": list}
+	return map[string]any{"source": o.history.source, "versions": list, "knownMs": now.Sub(o.currency.knownAt).Milliseconds(), "current": o.current(now)}
 }
 
 // source returns what made the history complete; SourceNone if it isn't.
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -3,11 +3,13 @@
 // takes up again, at any host, may go on only at the version that began it. Each host
 // reports the streams that it relays while several versions of their service are
 // listed. The versions that services had lately are kept in the store, so that a host that
-// has just started also has those that are no longer listed.
+// has just started also has those that are no longer listed. What a host knows counts
+// while it is recent, by a clock that runs while the process or the machine stands still.
 package streamorigin
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/exchange"
 )
 
@@ -61,7 +64,10 @@
 // Config configures Origins.
 type Config struct {
 	Listed Listed
-	// Clock returns the current time; only differences count. Nil means time.Now.
+	// ListedAt returns the latest time, by Clock, of which Listed shows all endpoints that
+	// the store held then; zero if that is unknown. Nil means that it always is.
+	ListedAt func() time.Time
+	// Clock returns the current time; only differences count. Nil means clock.Boot.
 	Clock func() time.Time
 	// Recorded is set if the versions are kept in the store, by way of Restore, Record and
 	// Written. Otherwise the versions listed since the start are taken for all that there
@@ -72,9 +78,9 @@
 // Origins tells where streams began. It is safe for concurrent use and implements
 // exchange.Participant.
 type Origins struct {
-	clock   func() time.Time
-	listed  Listed
-	metrics metrics
+	clock, listedAt func() time.Time
+	listed          Listed
+	metrics         metrics
 
 	mu    sync.Mutex
 	known *lru.Cache[stream, origin]
@@ -83,6 +89,8 @@
 	// at observedAt.
 	history    history
 	observedAt time.Time
+	// currency is how recent the history is.
+	currency currency
 	// interval is the time between two reports of a peer, settle that in which peers learn
 	// of what this host reports.
 	interval, settle time.Duration
@@ -96,14 +104,17 @@
 // New returns Origins that know of no stream.
 func New(cfg Config) *Origins {
 	if cfg.Clock == nil {
-		cfg.Clock = time.Now
+		cfg.Clock = clock.Boot
+	}
+	if cfg.ListedAt == nil {
+		cfg.ListedAt = func() time.Time { return time.Time{} }
 	}
 	known, err := lru.New[stream, origin](maxOrigins)
 	if err != nil {
 		panic(err) // returned only for a size below one
 	}
 	o := &Origins{
-		clock: cfg.Clock, listed: cfg.Listed, known: known, own: make(map[stream]*relayed),
+		clock: cfg.Clock, listedAt: cfg.ListedAt, listed: cfg.Listed, currency: newCurrency(), known: known, own: make(map[stream]*relayed),
 		history: newHistory(cfg.Clock()), interval: maxWait, settle: maxWait, changed: make(chan struct{}),
 	}
 	if !cfg.Recorded {
@@ -143,7 +154,8 @@
 
 // MayBegin returns the software versions of a service at which new streams may begin; nil
 // means any. One that appeared just now is missing until it is recorded and known to the
-// peers.
+// peers, and all are while a host that stood still lacks recent knowledge, for maxHoldAlone
+// at most.
 func (o *Origins) MayBegin(service string) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -151,12 +163,34 @@
 	if now.Sub(o.observedAt) >= observeInterval || len(o.history.services[service]) == 0 {
 		o.observe(now)
 	}
-	return o.history.mayBegin(service, now, o.settle)
+	if o.resuming(now) {
+		return []string{}
+	}
+	return o.history.mayBegin(service, now, func(v *version) bool { return o.settled(v, now) })
+}
+
+// settled reports whether all peers that may be serving know of a version, or can no longer
+// take their knowledge for recent without knowing of it. It must be called with the mutex
+// held.
+func (o *Origins) settled(v *version, now time.Time) bool {
+	known := now.Sub(v.since)
+	return known >= o.settle && (v.first || known >= o.currency.maxAge()+holdMargin || !o.currency.unconfirmed(v.confirmed, now))
+}
+
+// resuming reports whether this process has just resumed after it stood still, and may list
+// a version that its peers have forgotten meanwhile. It must be called with the mutex held.
+func (o *Origins) resuming(now time.Time) bool {
+	return !o.history.resumedAt.IsZero() && now.Sub(o.history.resumedAt) < maxHoldAlone && !o.current(now)
+}
+
+// current reports whether the history is recent. It must be called with the mutex held.
+func (o *Origins) current(now time.Time) bool {
+	return o.history.source == SourceNotKept || o.currency.current(now)
 }
 
 // Find returns the software version at which a stream may go on. If several versions may
-// have begun it, or the versions are not known yet, it waits a short time for a peer's
-// report of the stream or for the record. It returns false if the version remains unknown.
+// have begun it, or the versions are not known yet or not by recent knowledge, it waits a
+// short time for reports of peers or for the record. It returns false if the version remains unknown.
 func (o *Origins) Find(ctx context.Context, service, attempt string) (software string, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, o.wait())
 	defer cancel()
@@ -187,6 +221,8 @@
 	resultMixed result = "several_versions"
 	// resultNoHistory means that this host does not know yet which versions there were.
 	resultNoHistory result = "no_history"
+	// resultOutdated means that this host has not learned lately which versions there are.
+	resultOutdated result = "outdated_history"
 )
 
 func (r result) found() bool { return r == resultReported || r == resultOnly }
@@ -200,7 +236,7 @@
 func (o *Origins) wait() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.history.source == SourceNone {
+	if o.history.source == SourceNone || !o.current(o.clock()) {
 		return maxWait
 	}
 	return min(2*o.interval, maxWait)
@@ -220,6 +256,9 @@
 		return "", resultNoHistory, o.changed
 	}
 	if versions := o.history.counted(service, now); len(versions) == 1 {
+		if !o.current(now) {
+			return "", resultOutdated, o.changed
+		}
 		for only := range versions {
 			return only, resultOnly, nil
 		}
@@ -230,7 +269,15 @@
 // observe notes which versions are listed. It must be called with the mutex held.
 func (o *Origins) observe(now time.Time) {
 	o.observedAt = now
+	listedAt := o.listedAt() // before the list, which may be more recent
+	hadHistory := o.history.source != SourceNone
 	o.history.observe(o.listed(), now)
+	if !hadHistory && o.history.source != SourceNone {
+		o.currency.begin(now)
+	}
+	o.currency.advanceByList(listedAt)
+	o.currency.advanceByPeers(now)
+	o.currency.logChange(now)
 }
 
 // notify wakes the lookups that wait. It must be called with the mutex held.
@@ -245,6 +292,8 @@
 	defer o.mu.Unlock()
 	now := o.clock()
 	o.interval, o.settle = reachability.Interval, reachability.SettleTime()
+	o.currency.interval = reachability.Interval
+	o.currency.addPeers(slices.Concat(reachability.Reachable, reachability.Unreachable), now)
 	o.observe(now)
 	// Streams that have ended are reported once more, for those that began and ended
 	// between two reports.
