Report which engines have started again under their identifiers

A holder that had just started sent no load to engines younger than 25 s, since it couldn't know whether their identifiers were new: orders of before could be on the way to an earlier start.

Hosts now report the engines that have started again lately, and whether they know of all of them: they run for 25 s, since the first start of the system, or have learned it from a peer. A process that has heard one such host counts other identifiers as new.

Specs: 'are known to a process that has just started from the reports of its peers' (new interface; without it 'restarted' stays true for both engines). The drawn schedules let half of the processes that know nothing learn from the other host.

--- a/internal/orders/schedule_test.go
+++ b/internal/orders/schedule_test.go
@@ -215,11 +215,27 @@
 		next := s.hosts[s.rng.IntN(2)]
 		if s.chance(0.3) { // a process that knows nothing
 			*next = simHost{starts: newStarts(s.now, false), sent: &sentLoads{}}
+			if s.chance(0.5) {
+				s.learn(next)
+			}
 		}
 		s.take(next, s.between(2*time.Second, 5*time.Second))
 	}
 }
 
+// learn tells a process what the other host knows, as its report does.
+func (s *schedule) learn(h *simHost) {
+	for _, other := range s.hosts {
+		if other == h || !other.starts.complete(s.now) {
+			continue
+		}
+		for id, start := range other.starts.recent(s.now) {
+			h.starts.learn(s.now, id, start.started, s.now.Sub(start.since))
+		}
+		h.starts.learnAll()
+	}
+}
+
 // deliver delivers the late orders that are due. Those for an engine that is down are lost.
 func (s *schedule) deliver() {
 	s.late = slices.DeleteFunc(s.late, func(l lateOrder) bool {
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -250,6 +250,26 @@
 	for _, a := range s.recent {
 		report.Holdings = append(report.Holdings, a.holding)
 	}
+	boot := clock.Boot()
+	report.StartsKnown = s.starts.complete(boot)
+	for id, start := range s.starts.recent(boot) {
+		report.Restarted = append(report.Restarted, &fleetv1.EndpointStart{
+			Endpoint: id, StartedMillis: start.started.UnixMilli(), AgeMillis: boot.Sub(start.since).Milliseconds(),
+		})
+	}
+}
+
+// learnStarts records what a peer reports of engines that have started again.
+func (s *Service) learnStarts(report *fleetv1.Report) {
+	now := clock.Boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range report.GetRestarted() {
+		s.starts.learn(now, r.GetEndpoint(), time.UnixMilli(r.GetStartedMillis()), time.Duration(r.GetAgeMillis())*time.Millisecond)
+	}
+	if report.GetStartsKnown() && !s.starts.known {
+		s.starts.learnAll()
+	}
 }
 
 // HandleReport implements exchange.Participant.
@@ -257,6 +277,7 @@
 	if !report.GetWithoutDemand() {
 		s.setPeerDemand(report)
 	}
+	s.learnStarts(report)
 	if l := report.GetLease(); l != nil {
 		s.config.Lease.UpdateFromPeer(lease.Value{Holder: l.GetHolder(), Incarnation: l.GetIncarnation(), Term: l.GetTerm()}, objectstore.NewVersion(l.GetEra(), l.GetVersion()))
 	} else if report.GetHost() == s.config.Lease.Status().Holder {
--- a/internal/orders/starts.go
+++ b/internal/orders/starts.go
@@ -16,10 +16,10 @@
 	started time.Time
 	// since is when the start was first seen.
 	since time.Time
-	// again is set unless there was certainly no earlier start under the identifier that
-	// got orders lately.
-	again    bool
-	lastSeen time.Time
+	// again is set if there was an earlier start under the identifier; uncertain, if this
+	// process doesn't know whether there was one lately.
+	again, uncertain bool
+	lastSeen         time.Time
 }
 
 // starts tracks which engines have started again under their identifiers. An order that
@@ -27,14 +27,15 @@
 // nothing is known of it. It is not safe for concurrent use.
 type starts struct {
 	engines map[string]*engineStart
-	// began is when tracking began. At the system's first start, no order was sent
-	// before; else this process doesn't know which engines have just started again.
-	began      time.Time
-	firstStart bool
+	// began is when tracking began. known is set if this process knows of all engines that
+	// have started again lately: since the system starts for the first time, since it has
+	// run for long enough, or from a peer.
+	began time.Time
+	known bool
 }
 
 func newStarts(now time.Time, firstStart bool) *starts {
-	return &starts{engines: make(map[string]*engineStart), began: now, firstStart: firstStart}
+	return &starts{engines: make(map[string]*engineStart), began: now, known: firstStart}
 }
 
 // observe records the present entries of engines, wall being the time of day.
@@ -57,13 +58,51 @@
 		s.lastSeen = now
 	case known:
 		t.engines[id] = &engineStart{started: started, since: now, again: true, lastSeen: now}
-	case t.firstStart || now.Sub(t.began) > lateLimit+startLag:
+	case t.complete(now):
 		t.engines[id] = &engineStart{started: started, since: now, lastSeen: now}
 	default:
 		// The engine may have started just before this process did. Its start time tells
 		// that, unless the clocks differ so much that it lies in the future.
 		age := max(0, wall.Sub(started))
+		t.engines[id] = &engineStart{started: started, since: now.Add(-age), uncertain: true, lastSeen: now}
+	}
+}
+
+// complete reports whether this process knows of all engines that have started again
+// lately.
+func (t *starts) complete(now time.Time) bool {
+	t.known = t.known || now.Sub(t.began) > lateLimit+startLag
+	return t.known
+}
+
+// recent returns the engines that have started again lately, with the time since.
+func (t *starts) recent(now time.Time) map[string]*engineStart {
+	recent := make(map[string]*engineStart)
+	for id, s := range t.engines {
+		if s.again && now.Sub(s.since) <= lateLimit+startLag {
+			recent[id] = s
+		}
+	}
+	return recent
+}
+
+// learn records what a peer knows: an engine that has started again, age ago.
+func (t *starts) learn(now time.Time, id string, started time.Time, age time.Duration) {
+	s, known := t.engines[id]
+	switch {
+	case !known:
 		t.engines[id] = &engineStart{started: started, since: now.Add(-age), again: true, lastSeen: now}
+	case s.started.Equal(started) && !s.again:
+		s.again, s.uncertain, s.since = true, false, now.Add(-age)
+	}
+}
+
+// learnAll records that a peer knows of all engines that have started again lately, which
+// learn was told.
+func (t *starts) learnAll() {
+	t.known = true
+	for _, s := range t.engines {
+		s.uncertain = false
 	}
 }
 
@@ -71,7 +110,7 @@
 // still reach the present one.
 func (t *starts) restarted(now time.Time, id string) bool {
 	s, known := t.engines[id]
-	return !known || s.again && now.Sub(s.since) <= lateLimit+startLag
+	return !known || (s.again || s.uncertain) && now.Sub(s.since) <= lateLimit+startLag
 }
 
 // mayMeetUnknown reports whether an engine may carry out orders of which a lease holder
--- a/internal/orders/unknown_test.go
+++ b/internal/orders/unknown_test.go
@@ -247,6 +247,30 @@
 		Expect(t.restarted(now, "e1")).To(BeTrue())
 	})
 
+	// Guards against engines that get no loads since a holder that has just started doesn't
+	// know whether their identifiers are new, though its peers do.
+	It("are known to a process that has just started from the reports of its peers", func() {
+		older, younger := New(Config{FirstStart: true, Lease: &fakeLease{}}), New(Config{Lease: &fakeLease{}})
+		boot := clock.Boot()
+		first, second := time.Now().Add(-20*time.Second).Truncate(time.Millisecond), time.Now().Truncate(time.Millisecond)
+		older.starts.observeOne(boot, time.Now(), "again", first)
+		older.starts.observeOne(boot, time.Now(), "again", second)
+		older.starts.observeOne(boot, time.Now(), "new", second)
+		for _, id := range []string{"again", "new"} {
+			younger.starts.observeOne(boot, time.Now(), id, second)
+			Expect(younger.starts.restarted(boot, id)).To(BeTrue(), "it may be")
+		}
+		var report fleetv1.Report
+		older.FillReport(&report)
+		younger.HandleReport(&report, true)
+		Expect(younger.starts.restarted(boot, "again")).To(BeTrue())
+		Expect(younger.starts.restarted(boot, "new")).To(BeFalse())
+		report.Reset()
+		younger.FillReport(&report)
+		Expect(report.GetStartsKnown()).To(BeTrue())
+		Expect(report.GetRestarted()).To(HaveLen(1))
+	})
+
 	It("are new ones under a known identifier for a limited time, also after a gap in the entry", func() {
 		t := newStarts(now, true)
 		observe(t, 0, time.Minute)
