--- a/internal/exchange/entry_test.go
+++ b/internal/exchange/entry_test.go
@@ -21,7 +21,7 @@
 			s.Apply(objectstore.Event{Type: objectstore.EventPut, Version: version, Object: objectstore.Object{Kind: KindHost, Name: "b", Version: version, Value: []byte(value)}})
 		}
 		put(1, `{"address":"10.0.0.2:7","incarnation":"1"}`)
-		s.handleReport(time.Now(), &fleetv1.Report{Host: "b", Incarnation: "1", Address: "10.0.0.2:7"})
+		s.handleReport(time.Now(), time.Time{}, &fleetv1.Report{Host: "b", Incarnation: "1", Address: "10.0.0.2:7"})
 		put(2, value)
 		Expect(s.roster.peers["b"].address).To(Equal("10.0.0.2:7"))
 		Expect(s.roster.peers["b"].report).NotTo(BeNil())
