Send no two requests with the same identifier over one connection to an endpoint

But connections were told apart by the identifier alone, which is no protection where it repeats:

- an engine's report took any response, also a late refusal of a request, and its Retry-After as the engine's;
- a connection stayed in use after a response to another request;
- a late response to HEAD was read as if it had a body: 'malformed HTTP status code "get"', a request that failed.

Change: a connection remembers the identifiers that it carried (8 bytes each, and ends after 1024) and carries no second request with one; the pool looks for another idle connection first. One on which a response to another request was seen is not used again. HEAD and requests without an identifier have connections of their own. A report skips responses to requests that its connection carried. The bound of an endpoint's keep-alive timeout no longer overflows. Sound connections go on being reused: 1024 requests over one (reuse_test.go).

Not changed: internal/endpoint of bilberryslipd, which has a transport of its own.

--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -269,9 +269,9 @@
 	x.progress.endpoint.Store(&attempt.Endpoint.ID)
 	codec := x.forwarder.config.Codec
 	message := upstream.Message{
-		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
+		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host, ID: x.call.ID,
 		EncodeHeader: func() http.Header { return codec.Encode(x.call, x.attemptParams(attempt)) },
-		Body:         x.call.Body, Dedicated: !x.route.MayRepeat(),
+		Body:         x.call.Body, Dedicated: !x.route.MayRepeat() || x.call.ID == "", // nothing tells the response from others
 	}
 	message.Check = func() error { return x.checkZone(attempt) }
 	x.chooseWay(attempt, &message)
@@ -384,7 +384,9 @@
 	return x.relayBuffered(attempt, exchange)
 }
 
-// handleRefusal records the outcome of an attempt that the endpoint did not run.
+// handleRefusal records the outcome of an attempt that the endpoint did not run. It leaves
+// the body unread, so that the connection is closed: an endpoint that repeats the refusal
+// there can't reach a later attempt.
 func (x *inflightCall) handleRefusal(attempt *fleet.Attempt, exchange *upstream.Exchange, reply Reply) (repeat.Outcome, error) {
 	outcome := endpoint.OutcomeCancelled // refusing because it is full is not a failure
 	if reply.WrongEndpoint {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,6 +1,8 @@
 // Package upstream is an HTTP client for endpoints. It sends one request at a
 // time over each persistent connection, never retries a request, and never
-// mistakes bytes of another response for the expected one.
+// mistakes bytes of another response for the expected one: no connection carries
+// two requests with the same identifier, and none on which a response to another
+// request was seen is used again.
 package upstream
 
 import (
@@ -14,7 +16,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,8 @@
 	// idleMargin is how much earlier than the endpoint this side closes an idle
 	// connection, so that no request is sent while the endpoint closes it.
 	idleMargin = 500 * time.Millisecond
+	// maxIdleSeconds bounds the keep-alive timeout that an endpoint sends.
+	maxIdleSeconds = 600
 	// maxIdle limits the idle connections to one endpoint.
 	maxIdle = 8
 	// maxStrayResponses is how many responses to other requests are skipped on
@@ -43,6 +46,13 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID identifies the request in its response. A connection carries no two requests with
+	// the same one, since an endpoint may repeat an earlier response. Empty for requests
+	// without one.
+	ID string
+	// ResponseID, unless nil, returns the identifier in the header of a response. One that
+	// names an earlier request of the connection is skipped. It serves requests without an ID.
+	ResponseID func(http.Header) string
 	// Dedicated makes Send dial a connection for this request alone.
 	Dedicated bool
 	// EncodeHeader, unless nil, returns the header in place of Header once the connection
@@ -55,7 +65,9 @@
 	Dial func(ctx context.Context) (net.Conn, error)
 }
 
-func (m Message) dedicated() bool { return m.Dedicated || m.Dial != nil }
+// dedicated reports whether the request has a connection of its own. One with HEAD does,
+// since a late response to it would be read as if it had a body.
+func (m Message) dedicated() bool { return m.Dedicated || m.Dial != nil || m.Method == http.MethodHead }
 
 // NotSentError means that no byte of a request was sent, so that the endpoint
 // can't have run it.
@@ -87,62 +99,6 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
 
-// conn is a connection to an endpoint.
-type conn struct {
-	*boundedConn
-	reader *bufio.Reader
-	// expires is when the idle connection may no longer be used.
-	expires time.Time
-}
-
-// Pool sends requests to endpoints and keeps idle connections by address. It is
-// safe for concurrent use.
-type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*conn
-	now  func() time.Time
-}
-
-// NewPool returns a pool without connections.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn), now: time.Now} }
-
-// CloseIdle closes the idle connections to an address.
-func (p *Pool) CloseIdle(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		_ = c.Close()
-	}
-	delete(p.idle, address)
-}
-
-func (p *Pool) takeIdle(address string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.now()
-	for len(p.idle[address]) > 0 {
-		last := len(p.idle[address]) - 1
-		c := p.idle[address][last]
-		p.idle[address] = p.idle[address][:last]
-		if now.Before(c.expires) && openAndIdle(c.Conn) {
-			return c
-		}
-		_ = c.Close()
-	}
-	return nil
-}
-
-func (p *Pool) putIdle(address string, c *conn, timeout time.Duration) {
-	c.expires = p.now().Add(timeout)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdle {
-		_ = c.Close()
-		return
-	}
-	p.idle[address] = append(p.idle[address], c)
-}
-
 // Exchange is a request whose response header has arrived. The caller reads
 // Response.Body, calls MarkBodyRead if it read all of it, and must then call Close.
 type Exchange struct {
@@ -178,6 +134,10 @@
 	if m.EncodeHeader != nil {
 		m.Header = m.EncodeHeader()
 	}
+	if m.ResponseID != nil {
+		belongs = c.exceptEarlier(belongs, m.ResponseID)
+	}
+	c.recordRequest(m.ID)
 	x := &Exchange{pool: p, address: address, conn: c, dedicated: m.dedicated(), Reused: reused, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	request := newRequest(address, m)
@@ -191,7 +151,7 @@
 
 func (p *Pool) connect(ctx context.Context, address string, m Message) (*conn, bool, error) {
 	if !m.dedicated() {
-		if c := p.takeIdle(address); c != nil {
+		if c := p.takeIdle(address, m.ID); c != nil {
 			return c, true, nil
 		}
 	}
@@ -260,6 +220,7 @@
 			return nil
 		}
 		strays++
+		x.conn.tainted = true
 		x.conn.bound(PartStray, maxStrayBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return err
@@ -297,7 +258,7 @@
 }
 
 // Close ends the exchange. The connection returns to the pool if the whole request
-// was sent and the whole response was read.
+// was sent, the whole response was read and no response to another request was seen.
 func (x *Exchange) Close() {
 	if !x.stop() || !x.reusable() {
 		_ = x.conn.Close()
@@ -307,7 +268,7 @@
 }
 
 func (x *Exchange) reusable() bool {
-	if !x.bodyRead || x.dedicated || x.Response.Close || x.Framing() == FramingClose || x.conn.reader.Buffered() > 0 {
+	if !x.bodyRead || x.dedicated || x.conn.tainted || x.Response.Close || x.Framing() == FramingClose || x.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
@@ -333,7 +294,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return time.Duration(min(seconds, maxIdleSeconds))*time.Second - idleMargin
 		}
 	}
 	return defaultIdleTimeout
