Use live endpoints again after outages and drills of the store, in any order

Cause: after a restore, a listed entry was ignored if the host had seen it vanish at any time before, until a watch showed a write. But the entry had vanished for the outage, which says nothing of the endpoint; and no event follows the return of a live one, since a write that raises only the sequence changes nothing, or came before the first listing of the new era. The memory of a departure had nothing of what it rested on.

A removal for which an outage may be the reason holds nothing back. One in a sound store does only until the entry shows that the endpoint lives: a sequence above that of the removed entry, an event, a version or sequence that rises in the new era, or six seconds in which a store that removes silent entries keeps it. While entries are held back, the kind is listed each 1.3 s. An endpoint that drained or announced its shutdown is never used again, now also if a peer's report of that comes after its removal. An older incarnation in the copy no longer replaces a later one, which was charged as a crash. Reads are applied by their era under one mutex, so that neither a late read of the former era nor an early one of the new era is taken for the other.

Not within 2 s but within 7.3 s: an endpoint whose entry vanished in a sound store and whose return was missed, if the copy is from before the removal and the store shows none of its writes.

Specs: internal/fleet, 'An entry that a restored store lists', 'What the registry remembers of departures'.

--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -190,27 +190,6 @@
 	}
 }
 
-// observeEra passes on the era of the store that a peer reports, so that this host
-// detects a restore without access to the store.
-func (c *watchCoordinator) observeEra(report *fleetv1.Report) {
-	for _, reading := range report.GetReadings() {
-		if era := reading.GetEra(); era > 0 {
-			c.host.adapter.Store().ObserveEra(era)
-		}
-	}
-}
-
-// handleRestore is called when the store has been restored from an older copy. All
-// kinds are listed again, and endpoints missing from the copy stay usable for a
-// moment, in which live ones write their entries again.
-func (c *watchCoordinator) handleRestore(era int64) {
-	logrus.WithField("era", era).Info("listing all kinds again after the store's restore")
-	c.host.endpoints.StoreRestored()
-	for _, m := range c.served {
-		m.Refresh()
-	}
-}
-
 // processReport processes a peer's report and returns the mirrors that have to
 // list again.
 func (c *watchCoordinator) processReport(now time.Time, report *fleetv1.Report) []*mirror.Mirror {
@@ -305,15 +284,6 @@
 	c.updateRole(now)
 }
 
-// SetReachability implements exchange.Participant. It updates this host's role.
-func (c *watchCoordinator) SetReachability(reachability exchange.Reachability) {
-	c.mu.Lock()
-	c.large = len(reachability.Reachable)+len(reachability.Unreachable)+1 >= followFleetSize
-	c.reachable = reachability.Reachable
-	c.mu.Unlock()
-	c.updateRole(time.Now())
-}
-
 // updateRole sets this host's role and, in a large fleet, the watcher that it follows.
 func (c *watchCoordinator) updateRole(now time.Time) {
 	c.mu.Lock()
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -34,6 +34,10 @@
 	ColdRemaining time.Duration
 	// EntryVersion is the store's version of the entry. It rises with each write.
 	EntryVersion int64
+	// Sequence is a count that rises with each heartbeat of the incarnation; zero if the
+	// entry has none. The store may keep an entry of which nothing else changes, so that an
+	// equal sequence says nothing.
+	Sequence int64
 }
 
 // Adapters is a set of adapter names.
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -95,9 +95,7 @@
 	r.handleLimits(report.GetHost(), report.GetLimits())
 	r.handleBrittle(report.GetHost(), report.GetBrittle())
 	for _, l := range report.GetLeaving() {
-		if m, ok := r.members[l.GetEndpoint()]; ok && m.StartedMillis() == l.GetStartedMillis() {
-			r.markLeaving(m, report.GetHost())
-		}
+		r.markLeavingByID(l.GetEndpoint(), l.GetStartedMillis(), report.GetHost())
 	}
 }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
-	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/exchange"
@@ -19,12 +18,6 @@
 	// maxCachedSegments bounds the prompt segments that are recorded as cached
 	// for one endpoint; an engine caches some tens of long ones.
 	maxCachedSegments = 256
-	// relistGrace is how long endpoints that were delisted because of a store
-	// outage may still be used after it: live ones are listed again within it.
-	relistGrace = 2 * time.Second
-	// minOutage is the shortest time without a response of the store in which endpoints
-	// may miss so many heartbeats that their entries expire.
-	minOutage = 2 * time.Second
 	// observationTTL is how long an observation of an endpoint's models overrides
 	// its own description.
 	observationTTL = 4 * time.Second
@@ -58,6 +51,8 @@
 	Endpoint
 	// removedAt is when the endpoint was delisted; zero while listed.
 	removedAt time.Time
+	// seenInEra is the store's era in which the entry was last read.
+	seenInEra int64
 	// running counts this host's requests there. unreadTokens is the number of
 	// prompt tokens to be processed for those whose response has not started.
 	running      int
@@ -107,18 +102,11 @@
 	mu      sync.Mutex
 	members map[string]*member
 	ejector *endpoint.Ejector
-	// storeUnavailable is set while the store is unavailable, so that the list of
-	// endpoints is not updated. lastResponse is when it last answered then.
-	// outageBeganAt and outageEndedAt are when the last outage was noticed, or the first
-	// of several with less than relistGrace between them, and when the last one ended.
-	storeUnavailable bool
-	lastResponse     time.Time
-
-	outageBeganAt, outageEndedAt time.Time
-	// departed are the incarnations that were deleted recently, by ID. restoredAt
-	// is when the store was last restored from an older copy.
-	departed   map[string]departure
-	restoredAt time.Time
+	// store is when the store was available, departures which incarnations have ended.
+	// relistAt is when the entries are listed again if some are held back.
+	store      storeState
+	departures departures
+	relistAt   time.Time
 	// peers is the load of each peer, peerTotals the sum by endpoint ID.
 	peers      map[string]peerLoad
 	peerTotals map[string]endpointWork
@@ -157,152 +145,11 @@
 	return &Registry{
 		config: cfg, members: make(map[string]*member), ejector: endpoint.NewEjector(cfg.Ejector),
 		peers: make(map[string]peerLoad), peerTotals: make(map[string]endpointWork),
-		departed: make(map[string]departure), limitSettle: exchange.MaxSettleTime, speeds: newSpeeds(), sampler: sampler{state: xxhash.Sum64String(cfg.Host)},
+		limitSettle: exchange.MaxSettleTime, speeds: newSpeeds(), sampler: sampler{state: xxhash.Sum64String(cfg.Host)},
 		cold: newColdRegistry(cfg.Clock()), brittle: make(map[string]*brittleService),
 	}
 }
 
-// Replace replaces the list of endpoints. Those missing from the new list are
-// delisted, as by Remove.
-func (r *Registry) Replace(endpoints []Endpoint) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	listed := make(map[string]bool, len(endpoints))
-	for i := range endpoints {
-		if r.undone(&endpoints[i]) {
-			continue
-		}
-		listed[endpoints[i].ID] = true
-		r.put(endpoints[i], true)
-	}
-	for id := range r.members {
-		if !listed[id] {
-			r.remove(id)
-		}
-	}
-	r.cold.listed = true
-}
-
-// Put adds an endpoint or updates its description. A new incarnation starts
-// without the load, outcomes and cached segments of the earlier one.
-func (r *Registry) Put(e Endpoint) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.put(e, false)
-}
-
-// put adds or updates an endpoint. Listed is set if the entry is from a listing, which
-// may show an older state.
-func (r *Registry) put(e Endpoint, listed bool) {
-	now := r.config.Clock()
-	known, ok := r.members[e.ID]
-	if ok && known.sameIncarnation(&e) {
-		if !known.Leaving && e.Leaving {
-			r.logChange("endpoint leaves", &e)
-		}
-		// Descriptions may arrive out of order, and an incarnation that drains
-		// never stops draining.
-		e.Leaving = e.Leaving || known.Leaving
-		returned := !known.removedAt.IsZero() && !r.usable(known, now)
-		known.Endpoint = e
-		known.removedAt = time.Time{}
-		r.handleColdEntry(known, now, returned, listed)
-		return
-	}
-	if ok && known.removedAt.IsZero() && !known.Leaving {
-		r.config.OnVanished(known.Endpoint)
-	}
-	if r.hasLeft(&e) {
-		e.Leaving = true
-	}
-	segments, err := lru.New[string, struct{}](maxCachedSegments)
-	if err != nil {
-		panic(err) // returned only for a size below one
-	}
-	r.members[e.ID] = &member{Endpoint: e, segments: segments, observations: make(map[item]observation)}
-	r.ejector.Remove(e.ID)
-	r.ejector.Add(e.ID, e.Service)
-	r.logChange("endpoint listed", &e)
-	r.handleColdEntry(r.members[e.ID], now, true, listed)
-}
-
-func (r *Registry) logChange(event string, e *Endpoint) {
-	logrus.WithFields(logrus.Fields{
-		"endpoint": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "software": e.Software, "models": len(e.Models),
-	}).Info(event)
-}
-
-// Remove delists an endpoint. Its running attempts stay counted until they
-// finish.
-func (r *Registry) Remove(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.remove(id)
-}
-
-func (r *Registry) remove(id string) {
-	known, ok := r.members[id]
-	if !ok || !known.removedAt.IsZero() {
-		return
-	}
-	known.removedAt = r.config.Clock()
-	r.logChange("endpoint vanished", &known.Endpoint)
-	if !known.Leaving {
-		r.config.OnVanished(known.Endpoint)
-	}
-}
-
-// StoreUnavailable must be called when the store becomes unavailable, with the time of
-// its last response. Endpoints delisted during the outage or within relistGrace after it
-// stay usable until relistGrace after StoreAvailable, since the outage may have kept
-// them from renewing their entries. An outage shorter than minOutage can't have.
-func (r *Registry) StoreUnavailable(since time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.storeUnavailable, r.lastResponse = true, since
-	if now := r.config.Clock(); now.Sub(r.outageEndedAt) >= relistGrace {
-		r.outageBeganAt = now
-	}
-}
-
-// StoreAvailable must be called when the store is available again.
-func (r *Registry) StoreAvailable() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.config.Clock()
-	if r.storeUnavailable && now.Sub(r.lastResponse) >= minOutage {
-		r.outageEndedAt = now
-	}
-	r.storeUnavailable = false
-}
-
-// usable reports whether an endpoint may get new requests. A delisted one may get
-// them during a store outage and for relistGrace after it, if the outage may be
-// the reason for the delisting.
-func (r *Registry) usable(m *member, now time.Time) bool {
-	if m.Leaving {
-		return false
-	}
-	if m.removedAt.IsZero() {
-		return true
-	}
-	byOutage := !m.removedAt.Before(r.outageBeganAt) && (r.storeUnavailable || m.removedAt.Sub(r.outageEndedAt) < relistGrace)
-	return byOutage && (r.storeUnavailable || now.Sub(r.outageEndedAt) < relistGrace)
-}
-
-// sweep deletes delisted endpoints that are no longer usable and have no running
-// requests.
-func (r *Registry) sweep(now time.Time) {
-	for id, m := range r.members {
-		if !m.removedAt.IsZero() && m.running == 0 && !r.usable(m, now) {
-			r.departed[id] = departure{endpoint: m.Endpoint, removedAt: m.removedAt}
-			delete(r.members, id)
-			r.ejector.Remove(id)
-		}
-	}
-	r.forgetDepartures(now)
-}
-
 // holds reports whether an endpoint holds a model and adapter, by unexpired
 // observations or else by its own description.
 func (m *member) holds(now time.Time, model, adapter string) bool {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -195,7 +195,7 @@
 		registry.Remove("drained")
 		registry.Remove("gone")
 		now = now.Add(5 * time.Second)
-		registry.StoreRestored()
+		registry.StoreRestored(2)
 		registry.Replace([]Endpoint{engine("gone", "z1", "m"), engine("drained", "z1", "m"), engine("old", "z1", "m")})
 		usable := func() map[string]bool {
 			found := make(map[string]bool)
--- a/internal/fleet/targets.go
+++ b/internal/fleet/targets.go
@@ -34,9 +34,7 @@
 func (r *Registry) RecordLeaving(id string, startedMillis int64, peer string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m, ok := r.members[id]; ok && m.StartedMillis() == startedMillis {
-		r.markLeaving(m, peer)
-	}
+	r.markLeavingByID(id, startedMillis, peer)
 }
 
 // ForgetFailures forgets the failures of a service's endpoints. It is called when the
