Write the holds again after the store went back

After a restore from an older copy the store lacked the newest holds, and after a restart of all hosts requests and prompt segments that had been held back were sent again, which costs further crashes. Cause: the holder of the placement lease compares its holds with the object as it last wrote it, without the era, and writes only when they differ. It now takes an object of an earlier era for undone. Such a write finds the copy's object first, adds its holds to its own, and replaces it with the next write.

Found while looking for other memories that outlast a restore. The lease, the fencing tokens, the evacuations and the software versions name their era; the roster of hosts is corrected by each report, and an entry of a host that is gone counts for 15 s.

Spec: TestHoldKeeperWritesAgainAfterARestore, which failed with '0 holds after a restart, want 1' and '1 holds after a restart, want 2', and passes. A second write in the same era that changes nothing is still left out.

--- a/internal/edge/holds.go
+++ b/internal/edge/holds.go
@@ -33,10 +33,10 @@
 }
 
 // holdKeeper keeps the holds in the store, so that they outlast a restart of all hosts.
-// Each host reads them at its start; the holder of the placement lease writes them. It
-// implements suture.Service.
+// Each host reads them at its start; the holder of the placement lease writes them when
+// they change or the store was restored. It implements suture.Service.
 type holdKeeper struct {
-	store      objectstore.Store
+	store      objectstore.RestorableStore
 	quarantine *quarantine.Quarantine
 	// leads reports whether this host holds the placement lease.
 	leads func() bool
@@ -108,7 +108,7 @@
 		return errors.Wrap(err, "encode the holds")
 	}
 	exists := k.object.Name != ""
-	if !exists && len(holds) == 0 || exists && sameJSON(value, k.object.Value) {
+	if !exists && len(holds) == 0 || exists && !k.undone() && sameJSON(value, k.object.Value) {
 		return nil
 	}
 	current, replaced, err := writeStored(ctx, k.store, kindHolds, holdsName, k.object, value)
@@ -123,6 +123,13 @@
 	return nil
 }
 
+// undone reports whether the store was restored from an older copy since the object was
+// read or written, so that it may lack it or hold an earlier one.
+func (k *holdKeeper) undone() bool {
+	era, known := k.store.Era()
+	return known && k.object.Version.Era() < era
+}
+
 // sameJSON reports whether two values are equal but for white space.
 func sameJSON(a, b json.RawMessage) bool {
 	var compactA, compactB bytes.Buffer
