--- a/internal/edge/stored_test.go
+++ b/internal/edge/stored_test.go
@@ -24,7 +24,7 @@
 	if _, err := store.Create(context.Background(), kindHolds, holdsName, "w", value); err != nil {
 		t.Fatal(err)
 	}
-	k := &holdKeeper{store: store, quarantine: quarantine.New(nil)}
+	k := &holdKeeper{store: &eraStore{Store: storetest.New(store)}, quarantine: quarantine.New(nil)}
 	mustDo(t, k.read)
 	holds := k.quarantine.Holds()
 	if len(holds) != 2 {
--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -130,6 +130,72 @@
 		Expect(attempt.Endpoint.Address).To(Equal("e:2"))
 	})
 
+	// Guards against holding back an endpoint that writes its entry after a read of the new
+	// era that lacked it.
+	It("is used at once if it was missing in the same era before", func() {
+		leave()
+		list(2)
+		list(2, entry(5, 10))
+		Expect(used()).To(BeTrue())
+		registry.Remove("e")
+		list(2, entry(5, 10))
+		Expect(used()).To(BeTrue())
+	})
+
+	// Guards against the use of an endpoint whose entry was last seen with its removal, when
+	// it drained.
+	It("is not used if the endpoint drained when its entry was removed", func() {
+		last := entry(5, 10)
+		last.Leaving = true
+		registry.Apply(Read{Era: 1, Removed: []Removal{{ID: "e", Last: &last}}})
+		list(1, entry(6, 11))
+		Expect(used()).To(BeFalse())
+	})
+
+	// Guards against the use of an incarnation that ended before this host started, if a
+	// later one has left since.
+	It("is held back if a later incarnation was there before the restore", func() {
+		later := entry(5, 10)
+		later.Started = now
+		registry = NewRegistry(Config{Clock: func() time.Time { return now }})
+		list(1, later)
+		registry.Remove("e")
+		now = now.Add(5 * time.Second)
+		Expect(used()).To(BeFalse())
+		list(2, entry(9, 5))
+		Expect(used()).To(BeFalse())
+	})
+
+	// Guards against the use of an incarnation that ended before this host started, in
+	// place of a later one that is listed.
+	It("is held back if a later incarnation is in use", func() {
+		later := entry(1, 10)
+		later.Started = now
+		registry = NewRegistry(Config{Clock: func() time.Time { return now }})
+		list(1, later)
+		now = now.Add(5 * time.Second)
+		list(2, entry(9, 5))
+		now = now.Add(relistGrace)
+		Expect(used()).To(BeFalse())
+		registry.Apply(Read{Era: 2, Endpoints: []Endpoint{later}})
+		Expect(used()).To(BeTrue())
+	})
+
+	// Guards against taking an incarnation for silent that vanished in an outage, and
+	// whose ID a later one had after it.
+	It("is held back if a later incarnation followed the removal in an outage", func() {
+		registry.StoreUnavailable(now.Add(-minOutage))
+		registry.Remove("e")
+		registry.StoreAvailable()
+		later := entry(1, 11)
+		later.Started = now
+		registry.Apply(Read{Era: 1, Endpoints: []Endpoint{later}})
+		registry.Apply(Read{Era: 1, Removed: []Removal{{ID: "e"}}})
+		now = now.Add(5 * time.Second)
+		list(2, entry(5, 10))
+		Expect(used()).To(BeFalse())
+	})
+
 	// Guards against a read of the former era that is applied after the restore.
 	It("of the former era is ignored", func() {
 		leave()
