--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -8,6 +8,9 @@
 const (
 	percentileAtFirst  = 90
 	percentileBalanced = 99
+	// headroomBalanced is by how much a request may exceed the estimate then, relative to it:
+	// an estimate may rest on few requests, and endpoints slow down while a fleet restarts.
+	headroomBalanced = 0.25
 )
 
 // Admission decides whether a request may start while its host shuts down.
@@ -32,5 +35,8 @@
 	if !known {
 		return !a.Window.Balanced(now)
 	}
+	if a.Window.Balanced(now) {
+		expected += time.Duration(headroomBalanced * float64(expected))
+	}
 	return expected <= left
 }
