Don't count copies of a model that wait for their unload

Requests don't go to an engine that unloads, so that the model was gone.

A change's victims are no longer among the models of its engine in the plan.

--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -135,7 +135,7 @@
 		})
 	}
 	for _, v := range s.currentViews(service.Name) {
-		incoming, changing := s.changing[v.id]
+		current, changing := s.changing[v.id]
 		if v.endpoint.Leaving {
 			continue
 		}
@@ -144,10 +144,13 @@
 			busy: changing || s.unusable(boot, v) || boot.Before(v.avoidUntil), refused: v.refused(service.Engine), reserved: v.reserved(),
 		}
 		for name := range v.models {
-			e.models = append(e.models, name)
+			// A model that waits for the end of its runs to be unloaded gets no more requests.
+			if !changing || !slices.Contains(current.victims, name) {
+				e.models = append(e.models, name)
+			}
 		}
-		if changing && !v.silent(boot) && !slices.Contains(e.models, incoming) {
-			e.models = append(e.models, incoming)
+		if changing && !v.silent(boot) && !slices.Contains(e.models, current.model) {
+			e.models = append(e.models, current.model)
 		}
 		slices.Sort(e.models)
 		in.engines = append(in.engines, e)
@@ -167,7 +170,7 @@
 		s.mu.Unlock()
 		return false
 	}
-	s.changing[c.engine] = c.model
+	s.changing[c.engine] = c
 	if c.cold {
 		s.loads = append(s.loads, clock.Boot())
 	}
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -115,9 +115,8 @@
 	unknownUntil time.Time
 	// loads are the start times of recent loads from the weight store.
 	loads []time.Time
-	// changing maps each engine with a change in progress to the model being
-	// loaded there.
-	changing map[string]string
+	// changing are the changes in progress, by engine.
+	changing map[string]change
 	// recent are the announcements to include in reports to peers.
 	recent []announcement
 	// placing holds, for each placement request in progress, a channel that is
@@ -144,7 +143,7 @@
 		}, []string{"action", "answer"}),
 		demand: newDemand(), views: make(map[string]*view),
 		sent: make(map[string]*sentLoads), starts: newStarts(clock.Boot(), cfg.FirstStart),
-		locks: make(map[string]chan struct{}), changing: make(map[string]string), placing: make(map[placement]chan struct{}),
+		locks: make(map[string]chan struct{}), changing: make(map[string]change), placing: make(map[placement]chan struct{}),
 	}
 }
 
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -285,6 +285,15 @@
 		})
 	})
 
+	// Guards against the unload of a model's last copy, since the plan counts one that is
+	// about to be unloaded elsewhere.
+	It("don't count a copy of a model that waits for its unload", func() {
+		service.changing["e1"] = change{engine: "e1", model: "n", victims: []string{"m"}}
+		in := service.planInput(service.config.Source.Current().Service("llm"))
+		Expect(in.engines).To(HaveLen(1))
+		Expect(in.engines[0].models).To(Equal([]string{"n"}))
+	})
+
 	// Guards against an engine that is left with neither the model that it had nor the one
 	// that it was to have, since its holder ended between the unload and the load.
 	It("start no change of models while the host shuts down", func() {
--- a/internal/orders/unknown_test.go
+++ b/internal/orders/unknown_test.go
@@ -206,7 +206,7 @@
 		for i := range minConcurrentChanges {
 			id := fmt.Sprint("e", i+1)
 			v := service.views[id]
-			service.changing[id] = "n"
+			service.changing[id] = change{engine: id, model: "n"}
 			silence(true, id)
 			_, err := service.readReport(context.Background(), v)
 			Expect(err).To(HaveOccurred())
