--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -168,7 +168,10 @@
 	h.exchange.AddParticipant(h.quota)
 	h.exchange.AddParticipant(h.endpoints)
 	h.exchange.AddParticipant(h.quarantine)
-	h.origins = streamorigin.New(streamorigin.Config{Listed: h.endpoints.SoftwareVersions, Recorded: true})
+	endpointMirror := h.adapter.Endpoints(h.endpoints)
+	h.origins = streamorigin.New(streamorigin.Config{
+		Listed: h.endpoints.SoftwareVersions, ListedAt: func() time.Time { return endpointMirror.Reading().AsOf }, Clock: clock.Boot, Recorded: true,
+	})
 	h.exchange.AddParticipant(h.origins)
 	retries := newRetryDivider(s.Bounds)
 	h.exchange.AddParticipant(retries)
@@ -190,7 +193,6 @@
 		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
 	h.bodies = membudget.New(int64(bodyFraction * float64(s.MemoryMB) * (1 << 20)))
-	endpointMirror := h.adapter.Endpoints(h.endpoints)
 	hostMirror := mirror.New(h.adapter.Store(), exchange.KindHost, h.exchange)
 	fresh := []freshMirror{
 		{Mirror: configMirror, tolerance: configurationTolerance},
@@ -217,7 +219,7 @@
 		}}},
 		supervise.Branch{Name: "software", Services: []suture.Service{&softwareKeeper{
 			store: h.adapter.Store(), origins: h.origins, host: s.Host.Name, firstStart: s.FirstStart,
-			listed: h.endpoints.SoftwareVersions, leads: h.leads,
+			listed: h.endpoints.SoftwareVersions, leads: h.leads, clock: clock.Boot,
 		}}},
 		supervise.Branch{Name: "paths", Services: []suture.Service{h.paths}},
 		supervise.Branch{Name: "placement", Services: []suture.Service{h.lease, h.orders}},
@@ -271,14 +273,15 @@
 		// the same lease holder.
 		Store: h.adapter.Store(), Name: placementLease, Host: s.Host.Name, Incarnation: s.Host.Name,
 		Duration: duration, RenewalInterval: duration / renewalsPerLease, Now: clock.Boot,
-		Era: h.adapter.Store().Era, FirstStart: s.FirstStart, Eligible: h.reachesEngines,
+		Era: h.adapter.Store().Era, FirstStart: s.FirstStart, Eligible: h.mayPlace,
 		Yield:      func() time.Duration { return h.watches.leaseYield() },
 		AwaitPeers: func(ctx context.Context) { h.watches.awaitSize(ctx) },
 	})
 	h.orders = orders.New(orders.Config{
 		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
 		Lease: h.lease, Peers: h.exchange, LeaseTime: duration,
-		LoadWindow: s.Bounds.LoadWindow.Std(), LoadOverage: s.Bounds.LoadOverage,
+		LoadWindow: s.Bounds.LoadWindow.Std(), LoadOverage: s.Bounds.LoadOverage, Stopping: h.draining.Load,
+		FirstStart: s.FirstStart,
 	})
 	h.exchange.AddParticipant(h.orders)
 	h.exchange.SetPlacementHandler(h.orders.Place)
@@ -287,6 +290,13 @@
 // leads reports whether this host holds the placement lease.
 func (h *host) leads() bool { return h.lease.Status().Held }
 
+// mayPlace reports whether this host may hold the placement lease. A host that stops
+// releases it once its changes of models have ended, for another host to go on with the
+// placement while this one still serves requests.
+func (h *host) mayPlace() bool {
+	return h.reachesEngines() && !(h.draining.Load() && h.orders.Idle())
+}
+
 // reachesEngines reports whether this host can order engines: no peer reaches engines of a
 // service that it does not reach itself.
 func (h *host) reachesEngines() bool {
--- a/internal/exchange/roster.go
+++ b/internal/exchange/roster.go
@@ -27,6 +27,9 @@
 	groupRetention  = 40 * time.Second
 	// largeFleetSize is the minimum number of hosts of a large fleet.
 	largeFleetSize = 24
+	// maxLeaseLeft bounds the time for which a report says that its sender holds the lease.
+	// Leases last for some seconds, and a longer time would overflow.
+	maxLeaseLeft = time.Minute
 	// roundsPerInterval is the number of rounds per interval in a large fleet.
 	roundsPerInterval = 2
 )
@@ -46,6 +49,7 @@
 	// leaseUntil is when its hold on the placement lease expires.
 	leaseUntil time.Time
 	report     *fleetv1.Report
+	ages       reportAges
 }
 
 // roster tracks the other hosts and their last reports. It is not safe for
@@ -104,7 +108,7 @@
 	if asOf.After(p.reportedAt) {
 		p.reportedAt = asOf
 		p.report = report
-		p.leaseUntil = asOf.Add(time.Duration(report.GetLease().GetLeftMillis()) * time.Millisecond)
+		p.leaseUntil = asOf.Add(time.Duration(min(report.GetLease().GetLeftMillis(), maxLeaseLeft.Milliseconds())) * time.Millisecond)
 	}
 	return true
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -27,8 +27,11 @@
 type Call struct {
 	traffic.Request
 	Method string
-	// Target is the path and query as the caller sent them.
+	// Target is the request target as the caller sent it. Path, by which the route is
+	// chosen, is a part of it.
 	Target string
+	// Authority is the host that the caller named, as sent; empty if that is Host.
+	Authority string
 	// Header holds the fields to pass on, without those that this system sets.
 	Header http.Header
 	Body   []byte
@@ -63,6 +66,9 @@
 	Signed bool
 	// NotRun is set if the endpoint reports that it did not run the request.
 	NotRun bool
+	// ClaimsNotRun is set if callers take the status for a promise that the request has not
+	// run and never will, though the endpoint did not report that.
+	ClaimsNotRun bool
 	// WrongEndpoint is set if the address belongs to another endpoint, or if the
 	// endpoint doesn't hold the model or adapter that the request needs.
 	WrongEndpoint bool
@@ -231,6 +237,9 @@
 	if call.ID == "" {
 		return x, &Failure{Reason: ReasonBadRequest}
 	}
+	if x.route.Resumable {
+		x.received = receivedBefore(call.ResumeAfter)
+	}
 	x.suspects = suspectsOf(call, x.organisation)
 	x.service = x.route.SelectService(x.streamAttempt())
 	if service := config.Service(x.service); service != nil {
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -80,9 +80,8 @@
 	mayHaveRun bool
 	// responseStarted is set once the response header was written to the caller.
 	responseStarted bool
-	// lastEventID is the identifier of the last complete event of a stream that
-	// was relayed.
-	lastEventID string
+	// received is what the caller has received of a resumable stream.
+	received receivedEvents
 	// events is the number of complete events in the stream of the last attempt.
 	events int
 	// framing is the framing of the last response whose body was read.
@@ -141,7 +140,7 @@
 		if errors.Is(err, errZoneEvacuated) {
 			continue // nothing was sent, and the zone is left out from now on
 		}
-		if !x.inVain(err) && x.shouldRetry(outcome) {
+		if !x.inVain(err) && x.mayGoOn() && x.shouldRetry(outcome) {
 			continue
 		}
 		return x.finalError(outcome, err)
@@ -269,9 +268,9 @@
 	x.progress.endpoint.Store(&attempt.Endpoint.ID)
 	codec := x.forwarder.config.Codec
 	message := upstream.Message{
-		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
+		Method: x.call.Method, Target: x.call.Target, Host: cmp.Or(x.call.Authority, x.call.Host), ID: x.call.ID,
 		EncodeHeader: func() http.Header { return codec.Encode(x.call, x.attemptParams(attempt)) },
-		Body:         x.call.Body, Dedicated: !x.route.MayRepeat(),
+		Body:         x.call.Body, Dedicated: !x.route.MayRepeat() || x.call.ID == "", // nothing tells the response from others
 	}
 	message.Check = func() error { return x.checkZone(attempt) }
 	x.chooseWay(attempt, &message)
@@ -297,7 +296,7 @@
 		Endpoint:    attempt.Endpoint.ID,
 		Remaining:   x.deadline.Sub(x.forwarder.config.Clock()),
 		Rank:        x.rank(),
-		ResumeAfter: x.resumeAfter(),
+		ResumeAfter: x.received.lastID,
 		Engine:      x.engine,
 	}
 	if x.organisation != nil {
@@ -306,19 +305,6 @@
 	return params
 }
 
-// resumeAfter returns the identifier of the event after which the stream is to
-// resume; empty if there is none or the route is not resumable.
-func (x *inflightCall) resumeAfter() string {
-	switch {
-	case !x.route.Resumable:
-		return ""
-	case x.lastEventID != "":
-		return x.lastEventID
-	default:
-		return x.call.ResumeAfter
-	}
-}
-
 func (x *inflightCall) handleSendError(attempt *fleet.Attempt, err error) (repeat.Outcome, error) {
 	var notSent *upstream.NotSentError
 	wasNotSent := errors.As(err, &notSent)
@@ -371,6 +357,9 @@
 	}
 	x.mayHaveRun = true
 	attempt.ResponseStarted()
+	if reply.ClaimsNotRun {
+		return x.handleFalseClaim(attempt, exchange)
+	}
 	if reply.Encoded || exchange.Response.StatusCode < http.StatusMultipleChoices && !reply.Signed {
 		attempt.Finish(endpoint.OutcomeFailed)
 		err := errors.Newf("response with status %d was not produced by the endpoint", exchange.Response.StatusCode)
@@ -378,13 +367,15 @@
 		return repeat.Unknown, err
 	}
 	x.framing = exchange.Framing()
-	if x.route.Kind == traffic.Streaming && exchange.Response.StatusCode == http.StatusOK && !x.call.NeedsLength {
+	if x.relaysAsStream(exchange.Response) {
 		return x.relayStream(attempt, exchange)
 	}
 	return x.relayBuffered(attempt, exchange)
 }
 
-// handleRefusal records the outcome of an attempt that the endpoint did not run.
+// handleRefusal records the outcome of an attempt that the endpoint did not run. It leaves
+// the body unread, so that the connection is closed: an endpoint that repeats the refusal
+// there can't reach a later attempt.
 func (x *inflightCall) handleRefusal(attempt *fleet.Attempt, exchange *upstream.Exchange, reply Reply) (repeat.Outcome, error) {
 	outcome := endpoint.OutcomeCancelled // refusing because it is full is not a failure
 	if reply.WrongEndpoint {
@@ -398,3 +389,13 @@
 	x.logAttempt(attempt, "endpoint refused", err)
 	return repeat.NotRun, err
 }
+
+// handleFalseClaim records the outcome of an attempt whose status must not reach the
+// caller, since the request may have run. Its response is not relayed in any case: without
+// the status, it is not the endpoint's.
+func (x *inflightCall) handleFalseClaim(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.Outcome, error) {
+	attempt.Finish(endpoint.OutcomeFailed)
+	err := errors.Newf("endpoint %s answered with status %d, but did not say that the request has not run", attempt.Endpoint.ID, exchange.Response.StatusCode)
+	x.logAttempt(attempt, "endpoint answered with an error", err)
+	return repeat.Unknown, err
+}
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -23,6 +23,10 @@
 	// loadTimeoutFactor is the time limit of a load, as a multiple of its usual
 	// duration.
 	loadTimeoutFactor = 4
+	// toleratedLateLoads is the number of loads from the weight store that may begin
+	// late, beyond those that were counted when they were ordered. The platform's limit
+	// has as many on top, which loads that are counted don't use.
+	toleratedLateLoads = 3
 )
 
 // plan starts the model changes whose benefit justifies their loads.
@@ -77,10 +81,32 @@
 	}
 }
 
+// changesInProgress returns the number of engines that are changing their models. Those
+// that send no reports or left an order without response don't count, so that they don't
+// keep others from changing.
 func (s *Service) changesInProgress() int {
+	now := clock.Boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.changing)
+	count := 0
+	for id := range s.changing {
+		if v := s.views[id]; v == nil || !v.silent(now) && !now.Before(v.avoidUntil) {
+			count++
+		}
+	}
+	return count
+}
+
+// silent reports whether the engine has sent no report for so long that a change of its
+// models may never end.
+func (v *view) silent(now time.Time) bool {
+	return !v.silentSince.IsZero() && now.Sub(v.silentSince) >= silentAfter
+}
+
+// unusable reports whether no load can be ordered from the engine now. A view that is
+// stale since the engine sends no reports doesn't tell what it holds.
+func (s *Service) unusable(now time.Time, v *view) bool {
+	return v.reportedBusy || v.stale && !v.silentSince.IsZero() || s.config.Registry.InBackoff(v.id) || s.mayMeetUnknown(now, v.id)
 }
 
 // mayLoadCold reports whether the weight store's rate limit allows another load
@@ -88,14 +114,18 @@
 func (s *Service) mayLoadCold(engine *traffic.Engine) bool {
 	now := clock.Boot()
 	s.loads = slices.DeleteFunc(s.loads, func(at time.Time) bool { return now.Sub(at) > s.config.LoadWindow })
+	late := 0
+	for _, v := range s.views {
+		late += v.lateCold(now, s.config.LoadWindow)
+	}
 	allowed := loadLimitFraction * engine.LoadsPerSecond * s.config.LoadWindow.Seconds() * s.config.LoadOverage
-	return float64(len(s.loads)+1) <= allowed
+	return float64(len(s.loads)+max(0, late-toleratedLateLoads)+1) <= allowed
 }
 
 // planInput returns the demand for a service's models and the state of its
 // engines. Draining engines are left out.
 func (s *Service) planInput(service *traffic.Service) planInput {
-	now := time.Now()
+	now, boot := time.Now(), clock.Boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	in := planInput{slots: service.Engine.Slots}
@@ -105,16 +135,22 @@
 		})
 	}
 	for _, v := range s.currentViews(service.Name) {
-		incoming, changing := s.changing[v.id]
-		e := planEngine{id: v.id, freeMB: v.freeMB(service.Engine), copies: v.endpoint.Copies, busy: changing || v.reportedBusy || s.config.Registry.InBackoff(v.id)}
+		current, changing := s.changing[v.id]
 		if v.endpoint.Leaving {
 			continue
 		}
+		e := planEngine{
+			id: v.id, freeMB: v.freeMB(boot, service.Engine), copies: v.endpoint.Copies,
+			busy: changing || s.unusable(boot, v) || boot.Before(v.avoidUntil), refused: v.refused(service.Engine), reserved: v.reserved(),
+		}
 		for name := range v.models {
-			e.models = append(e.models, name)
+			// A model that waits for the end of its runs to be unloaded gets no more requests.
+			if !changing || !slices.Contains(current.victims, name) {
+				e.models = append(e.models, name)
+			}
 		}
-		if changing && !slices.Contains(e.models, incoming) {
-			e.models = append(e.models, incoming)
+		if changing && !v.silent(boot) && !slices.Contains(e.models, current.model) {
+			e.models = append(e.models, current.model)
 		}
 		slices.Sort(e.models)
 		in.engines = append(in.engines, e)
@@ -126,12 +162,15 @@
 // may not start now, because the engine is already changing or the weight
 // store's rate limit is reached.
 func (s *Service) start(ctx context.Context, service *traffic.Service, c change) bool {
+	if s.stopping() {
+		return false
+	}
 	s.mu.Lock()
 	if _, busy := s.changing[c.engine]; busy || c.cold && !s.mayLoadCold(service.Engine) {
 		s.mu.Unlock()
 		return false
 	}
-	s.changing[c.engine] = c.model
+	s.changing[c.engine] = c
 	if c.cold {
 		s.loads = append(s.loads, clock.Boot())
 	}
@@ -141,13 +180,15 @@
 		"endpoint": c.engine, "model": c.model, "victims": c.victims, "cold": c.cold, "unreachable": c.unheld,
 	}).Info("model placed")
 	go func() {
-		if err := s.execute(ctx, service, v, c); err != nil {
+		err := s.execute(ctx, service, v, c)
+		if err != nil {
 			logrus.WithError(err).WithFields(logrus.Fields{"endpoint": c.engine, "model": c.model}).Warn("model placement failed; the next planning cycle decides again")
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.changing, c.engine)
 		v.busy = false
+		v.stale = v.stale || err != nil
 	}()
 	return true
 }
@@ -155,9 +196,11 @@
 // execute unloads the victims and loads the model. It returns when the engine
 // reports the model as loaded.
 func (s *Service) execute(ctx context.Context, service *traffic.Service, v *view, c change) error {
-	l := s.engineLock(c.engine)
-	l.Lock()
-	defer l.Unlock()
+	release, ok := s.lockEngine(ctx, c.engine)
+	if !ok {
+		return ctx.Err()
+	}
+	defer release()
 	if err := s.refreshIfStale(ctx, v); err != nil {
 		return err
 	}
@@ -175,8 +218,7 @@
 	if model == nil {
 		return errors.Newf("model %s is no longer configured", c.model)
 	}
-	fits := func() bool { return v.freeMB(service.Engine) >= model.MemoryMB }
-	if err := s.order(ctx, v, Order{Action: Load, Model: c.model}, fits); err != nil {
+	if err := s.order(ctx, v, Order{Action: Load, Model: c.model}, service.Engine); err != nil {
 		return err
 	}
 	if err := s.await(ctx, v, c.model, true, loadTimeoutFactor*model.LoadTime); err != nil {
@@ -193,8 +235,11 @@
 }
 
 // await polls the engine's reports until they show the model as held, or as not
-// held, and returns an error after the time limit.
+// held. It returns an error after the time limit, which says nothing of the order, and
+// if a load is lost since the engine started again.
 func (s *Service) await(ctx context.Context, v *view, model string, held bool, limit time.Duration) error {
+	starts := 0
+	s.underLock(func() bool { starts = v.starts; return true })
 	for end := clock.Boot().Add(limit); clock.Boot().Before(end); {
 		if !retry.Sleep(ctx, reportPollInterval) {
 			return ctx.Err()
@@ -210,8 +255,12 @@
 		}
 		s.mu.Lock()
 		_, present := v.models[model]
+		restarted := v.starts != starts
 		s.mu.Unlock()
-		if present == held {
+		switch {
+		case restarted && held:
+			return errRestarted
+		case present == held:
 			return nil
 		}
 	}
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -71,8 +71,21 @@
 	// LoadWindow, at most LoadOverage times as many as its rate limit allows.
 	LoadWindow  time.Duration
 	LoadOverage float64
+	// FirstStart reports that the whole system starts for the first time, so that no
+	// engine got an order before.
+	FirstStart bool
+	// Stopping reports whether this host shuts down. It then starts no change of models,
+	// which it may not finish: an engine would be left without the model that it had and
+	// the one that it was to have. Nil means that it never does.
+	Stopping func() bool
 }
 
+// stopping reports whether this host shuts down.
+func (s *Service) stopping() bool { return s.config.Stopping != nil && s.config.Stopping() }
+
+// Idle reports whether no change of models is in progress.
+func (s *Service) Idle() bool { return s.changesInProgress() == 0 }
+
 // Service plans the placement of models and adapters and sends orders to engines
 // while this host holds the placement lease. Otherwise it sends placement
 // requests to the lease holder. It implements suture.Service, forward.Placer
@@ -85,17 +98,25 @@
 	demand *demand
 	// views holds the lease holder's view of each engine, by endpoint ID.
 	views map[string]*view
-	// locks holds one lock per engine, which serializes the orders to it.
-	locks map[string]*sync.Mutex
+	// sent holds the orders that engines may still carry out, by endpoint ID, and
+	// starts which engines have started again.
+	sent   map[string]*sentLoads
+	starts *starts
+	// locks holds one lock per engine, which serializes the orders to it: a channel that
+	// has an element while the lock is held.
+	locks map[string]chan struct{}
 	// held is whether this host held the lease at the last check, and actsFrom
-	// when it may send its first order as the holder.
+	// when it may send its first order as the holder. heldTerm is the last term in
+	// which it held the lease.
 	held     bool
 	actsFrom time.Time
+	heldTerm int64
+	// unknownUntil is until when orders of earlier holders may be carried out.
+	unknownUntil time.Time
 	// loads are the start times of recent loads from the weight store.
 	loads []time.Time
-	// changing maps each engine with a change in progress to the model being
-	// loaded there.
-	changing map[string]string
+	// changing are the changes in progress, by engine.
+	changing map[string]change
 	// recent are the announcements to include in reports to peers.
 	recent []announcement
 	// placing holds, for each placement request in progress, a channel that is
@@ -121,7 +142,8 @@
 			Help: "Orders to engines, by action and answer.",
 		}, []string{"action", "answer"}),
 		demand: newDemand(), views: make(map[string]*view),
-		locks: make(map[string]*sync.Mutex), changing: make(map[string]string), placing: make(map[placement]chan struct{}),
+		sent: make(map[string]*sentLoads), starts: newStarts(clock.Boot(), cfg.FirstStart),
+		locks: make(map[string]chan struct{}), changing: make(map[string]change), placing: make(map[placement]chan struct{}),
 	}
 }
 
@@ -132,9 +154,10 @@
 func (s *Service) Collectors() []prometheus.Collector { return []prometheus.Collector{s.metrics} }
 
 // Serve runs a planning cycle once per interval while this host holds the lease,
-// until ctx is done.
+// until ctx is done. On all hosts it follows the starts of the engines.
 func (s *Service) Serve(ctx context.Context) error {
 	for {
+		s.observeStarts()
 		if s.mayOrder() {
 			s.plan(ctx)
 		}
@@ -144,6 +167,22 @@
 	}
 }
 
+// observeStarts records the present starts of all endpoints and drops what is too old to
+// matter.
+func (s *Service) observeStarts() {
+	endpoints := s.config.Registry.Endpoints()
+	now := clock.Boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts.observe(now, time.Now(), endpoints)
+	for id, sent := range s.sent {
+		sent.expire(now)
+		if len(sent.list) == 0 && s.views[id] == nil {
+			delete(s.sent, id)
+		}
+	}
+}
+
 // mayOrder reports whether this host may send orders now: it holds the placement
 // lease, and the wait after another host's lease is over. If the lease was
 // acquired since the last call, mayOrder discards all views.
@@ -166,12 +205,25 @@
 			s.actsFrom = status.PreviousUntil.Add(s.config.LeaseTime + takeoverMargin)
 		}
 		s.views = make(map[string]*view)
+		if known := status.Term == s.heldTerm || status.Term <= 1 && s.config.FirstStart; !known {
+			s.unknownUntil = lastOrderBefore(now, status).Add(lateLimit)
+		}
+		s.heldTerm = status.Term
 		logrus.WithFields(logrus.Fields{"term": status.Term, "version": status.Version, "acts_in_ms": s.actsFrom.Sub(now).Milliseconds()}).
 			Info("placement lease held")
 	}
 	return !now.Before(s.actsFrom)
 }
 
+// lastOrderBefore returns until when another lease holder, or an earlier process of this
+// one, may have sent orders.
+func lastOrderBefore(now time.Time, status lease.Status) time.Time {
+	if status.PreviousUntil.IsZero() {
+		return now
+	}
+	return status.PreviousUntil.Add(orderTimeout)
+}
+
 // RecordDemand implements forward.Placer.
 func (s *Service) RecordDemand(service, model, adapter string, tokens int) {
 	now := time.Now()
@@ -207,6 +259,26 @@
 	for _, a := range s.recent {
 		report.Holdings = append(report.Holdings, a.holding)
 	}
+	boot := clock.Boot()
+	report.StartsKnown = s.starts.complete(boot)
+	for id, start := range s.starts.recent(boot) {
+		report.Restarted = append(report.Restarted, &fleetv1.EndpointStart{
+			Endpoint: id, StartedMillis: start.started.UnixMilli(), AgeMillis: boot.Sub(start.since).Milliseconds(),
+		})
+	}
+}
+
+// learnStarts records what a peer reports of engines that have started again.
+func (s *Service) learnStarts(report *fleetv1.Report) {
+	now := clock.Boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range report.GetRestarted() {
+		s.starts.learn(now, r.GetEndpoint(), time.UnixMilli(r.GetStartedMillis()), time.Duration(r.GetAgeMillis())*time.Millisecond)
+	}
+	if report.GetStartsKnown() && !s.starts.known {
+		s.starts.learnAll()
+	}
 }
 
 // HandleReport implements exchange.Participant.
@@ -214,6 +286,7 @@
 	if !report.GetWithoutDemand() {
 		s.setPeerDemand(report)
 	}
+	s.learnStarts(report)
 	if l := report.GetLease(); l != nil {
 		s.config.Lease.UpdateFromPeer(lease.Value{Holder: l.GetHolder(), Incarnation: l.GetIncarnation(), Term: l.GetTerm()}, objectstore.NewVersion(l.GetEra(), l.GetVersion()))
 	} else if report.GetHost() == s.config.Lease.Status().Holder {
@@ -274,10 +347,11 @@
 		}
 		v, ok := s.views[e.ID]
 		if !ok {
-			v = newView(e)
+			v = newView(e, s.sentTo(e.ID))
 			s.views[e.ID] = v
 		}
 		v.update(e)
+		s.starts.observeOne(clock.Boot(), time.Now(), e.ID, e.Started)
 		if s.config.Registry.Evacuated(e.Zone) {
 			v.stale = true
 			continue
@@ -287,17 +361,34 @@
 	return views
 }
 
-// engineLock returns the lock that must be held while orders are sent to an
-// engine.
-func (s *Service) engineLock(endpoint string) *sync.Mutex {
+// sentTo returns the orders that an engine may still carry out. It must be called with
+// the mutex held.
+func (s *Service) sentTo(endpoint string) *sentLoads {
+	sent, ok := s.sent[endpoint]
+	if !ok {
+		sent = &sentLoads{}
+		s.sent[endpoint] = sent
+	}
+	return sent
+}
+
+// lockEngine takes the lock that must be held while orders are sent to an engine, and
+// returns the function that releases it. It returns false if ctx is done before: a
+// change of the models holds the lock until its end.
+func (s *Service) lockEngine(ctx context.Context, endpoint string) (release func(), ok bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	l, ok := s.locks[endpoint]
 	if !ok {
-		l = &sync.Mutex{}
+		l = make(chan struct{}, 1)
 		s.locks[endpoint] = l
 	}
-	return l
+	s.mu.Unlock()
+	select {
+	case l <- struct{}{}:
+		return func() { <-l }, true
+	case <-ctx.Done():
+		return nil, false
+	}
 }
 
 // engineState is one engine in the state dump.
@@ -306,6 +397,10 @@
 	Orders   int64
 	Models   map[string]fleet.Adapters
 	Busy     bool
+	// Loading is a model that the engine is loading, Unsettled the number of orders to
+	// load that it may still carry out.
+	Loading   string
+	Unsettled int
 }
 
 // DumpState returns the state of the placement lease and this host's views of
@@ -316,7 +411,7 @@
 	defer s.mu.Unlock()
 	engines := []engineState{}
 	for id, v := range s.views {
-		engines = append(engines, engineState{id, v.orders, cloneModels(v.models), v.busy})
+		engines = append(engines, engineState{id, v.orders, cloneModels(v.models), v.busy, v.incoming, len(v.sent.list)})
 	}
 	return map[string]any{"held": status.Held, "holder": status.Holder, "term": status.Term, "engines": engines}
 }
