--- a/internal/orders/unknown_test.go
+++ b/internal/orders/unknown_test.go
@@ -104,7 +104,7 @@
 	})
 
 	// Guards against a late order that overloads an engine which has started again under
-	// its identifier, since the count of accepted orders that it names is reached anew.
+	// its identifier, since its count of accepted orders reaches the named one again.
 	DescribeTable("stay counted when the engine starts again, until they can't be carried out any more", func(inTime bool) {
 		engines.engines["e1"].delay = maxAttempts
 		load("n")
--- a/internal/streamorigin/currency.go
+++ b/internal/streamorigin/currency.go
@@ -90,7 +90,7 @@
 	return !c.current(now) && c.recordAt.Before(listedAt) && now.Sub(listedAt) <= c.maxAge()
 }
 
-// addPeers adds peers that this host knows of without a report.
+// addPeers adds listed peers that have not reported.
 func (c *currency) addPeers(names []string, now time.Time) {
 	for _, name := range names {
 		if _, ok := c.peers[name]; !ok {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,7 +30,7 @@
 func (c *conn) recordRequest(id string) { c.carried = append(c.carried, xxhash.Sum64String(id)) }
 
 // hasCarried reports whether the connection carried a request with the identifier. Requests
-// without one don't count: they can't be told from each other.
+// without one don't count, since nothing distinguishes them.
 func (c *conn) hasCarried(id string) bool {
 	return id != "" && slices.Contains(c.carried, xxhash.Sum64String(id))
 }
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -29,7 +29,7 @@
 }
 
 // write writes the message. Its method, target, host and body are sent as they are; a
-// http.Request would parse the target and write it anew.
+// http.Request would parse and rewrite the target.
 func (m Message) write(w io.Writer) error {
 	buffered := bufio.NewWriter(w)
 	_, _ = fmt.Fprintf(buffered, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.Method, m.Target, m.Host)
