Log what the admission of a request in a shutdown rests on

A request that the end of a stop cuts was logged with its times, but not with why it had been admitted: by its deadline, by an estimate, or for want of requests like it. No decision changes.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -31,7 +31,7 @@
 		samples = drain.NewEstimator(func() time.Time { return now })
 		admission := drain.Admission{Window: window, Estimator: samples}
 		admits = func(after, deadline time.Duration, r drain.Request) bool {
-			return admission.Admits(now.Add(after), now.Add(after+deadline), r)
+			return admission.Decide(now.Add(after), now.Add(after+deadline), r).Admitted
 		}
 	})
 	begin := func() { window.Begin(now, now.Add(2*time.Second), now.Add(8*time.Second)) }
--- a/internal/forward/running.go
+++ b/internal/forward/running.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/drain"
 )
 
 // Arrival tells how a request reached this host.
@@ -24,6 +26,9 @@
 	endpoint atomic.Pointer[string]
 	sentAt   atomic.Pointer[time.Time]
 	events   atomic.Int64
+	// admission is the last decision whether this host ends too soon for the call; nil
+	// if no shutdown has begun.
+	admission atomic.Pointer[drain.Decision]
 }
 
 // runningCalls holds the calls that are being served.
@@ -96,5 +101,8 @@
 		fields["head_after_stop_ms"] = elapsed.Milliseconds()
 		fields["body_after_stop_ms"] = (elapsed + a.BodyAt.Sub(a.HeadAt)).Milliseconds()
 	}
+	if d := x.progress.admission.Load(); d != nil {
+		fields["admission"], fields["left_ms"], fields["expected_ms"] = d.Basis, d.Left.Milliseconds(), d.Expected.Milliseconds()
+	}
 	return fields
 }
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -19,7 +19,11 @@
 func (x *inflightCall) checkShutdown() *Failure {
 	f := x.forwarder
 	admission := drain.Admission{Window: f.config.Shutdown, Estimator: f.durations}
-	if admission.Admits(f.config.Clock(), x.deadline.Add(responseGrace), x.size()) {
+	decision := admission.Decide(f.config.Clock(), x.deadline.Add(responseGrace), x.size())
+	if decision.Basis != drain.BasisNone {
+		x.progress.admission.Store(&decision)
+	}
+	if decision.Admitted {
 		return nil
 	}
 	return newRefusal(ReasonStopping, stoppingRetryAfter)
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -27,7 +27,7 @@
 		deadline = now.Add(maxTimeout)
 	}
 	admission := drain.Admission{Window: &g.shutdown, Estimator: g.durations}
-	if admission.Admits(now, deadline, size) {
+	if admission.Decide(now, deadline, size).Admitted {
 		return nil
 	}
 	return errStopping()
