Admit requests in a shutdown by their deadline once the balancer has noticed

Callers saw streams that a stopping host had taken late in the grace period end with its process (LOST, 30 of 48 in the spec with engines that become 8 times as slow). The host took them since earlier ones had ended soon: the 99th percentile of the last 30 s and a quarter more. That is a belief about the future, and engines change their pace just when hosts are restarted.

A refusal costs its caller 10 ms and another connection then. Until it has noticed, an estimate counts as well, since most requests arrive then: the slowest recent one and half as much again if all reachable hosts of the zone serve, so that the balancer sends the caller to one of them; else the 90th percentile as before, and who is refused is asked to come back once the balancer has noticed. The same for bilberryslipd, which knows no peers there.

The spec fails before (30 cut of 48) and passes now (0 served, 48 refused, 0 cut with each pace). Those that are still cut came before the signal, or shortly after it.

--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -2,15 +2,15 @@
 
 import "time"
 
-// A request is admitted if this percentage of those like it ends in the time left. While the
-// balancer sends new callers, a refusal of many costs each an attempt, which may find the
-// other hosts' endpoints full; afterwards few requests arrive, and none should be cut.
 const (
-	percentileAtFirst  = 90
-	percentileBalanced = 99
-	// headroomBalanced is by how much a request may exceed the estimate then, relative to it:
-	// an estimate may rest on few requests, and endpoints slow down while a fleet restarts.
-	headroomBalanced = 0.25
+	// percentileWithOthers is the percentile of the recent requests like a request that has
+	// to end in the time left, with headroomWithOthers relative to it, for the request to be
+	// admitted if callers find another host: a refusal costs them an attempt, a cut the
+	// response. Endpoints slow down while a fleet restarts.
+	percentileWithOthers = 100
+	headroomWithOthers   = 0.5
+	// percentileAlone is that percentile, without headroom, if they find none.
+	percentileAlone = 90
 )
 
 // Admission decides whether a request may start while its host shuts down.
@@ -42,30 +42,30 @@
 	Left, Expected time.Duration
 }
 
-// Decide decides whether a request that starts now and must have ended by deadline is
-// expected to end before the host's process does. Without a shutdown all are admitted. One
-// like which none was served is admitted until the balancer has noticed.
+// Decide decides whether a request that starts now and must have ended by deadline ends
+// before the host's process does. Without a shutdown all are admitted. Once the balancer has
+// noticed, only the deadline counts: how long earlier requests took does not bound how long
+// the next one takes. Until then an estimate does as well, since many requests arrive.
 func (a Admission) Decide(now, deadline time.Time, r Request) Decision {
 	left, draining := a.Window.Left(now)
 	if !draining {
 		return Decision{Admitted: true, Basis: BasisNone}
 	}
 	d := Decision{Basis: BasisDeadline, Left: left}
-	if d.Admitted = deadline.Sub(now) <= left; d.Admitted {
+	if d.Admitted = deadline.Sub(now) <= left; d.Admitted || a.Window.Balanced(now) {
 		return d
 	}
-	percentile := float64(percentileAtFirst)
-	if a.Window.Balanced(now) {
-		percentile = percentileBalanced
+	percentile, headroom := float64(percentileAlone), 0.0
+	othersServe := a.Window.OthersServe != nil && a.Window.OthersServe()
+	if othersServe {
+		percentile, headroom = percentileWithOthers, headroomWithOthers
 	}
 	expected, known := a.Estimator.Estimate(r, percentile)
 	if !known {
-		d.Admitted, d.Basis = !a.Window.Balanced(now), BasisUnknown
+		d.Basis, d.Admitted = BasisUnknown, !othersServe
 		return d
 	}
-	if a.Window.Balanced(now) {
-		expected += time.Duration(headroomBalanced * float64(expected))
-	}
-	d.Admitted, d.Basis, d.Expected = expected <= left, BasisEstimate, expected
+	d.Expected = expected + time.Duration(headroom*float64(expected))
+	d.Admitted, d.Basis = d.Expected <= left, BasisEstimate
 	return d
 }
--- a/internal/drain/window.go
+++ b/internal/drain/window.go
@@ -10,6 +10,10 @@
 // Window is the time in which a host shuts down. The zero Window means that no shutdown
 // has begun. It is safe for concurrent use.
 type Window struct {
+	// OthersServe reports whether callers that are refused find another host. Nil means that
+	// it isn't known.
+	OthersServe func() bool
+
 	period atomic.Pointer[period]
 }
 
@@ -30,6 +34,16 @@
 	return p != nil && !now.Before(p.balanced)
 }
 
+// UntilBalanced returns the time until the balancer has noticed the shutdown; zero if it has,
+// or if none has begun.
+func (w *Window) UntilBalanced(now time.Time) time.Duration {
+	p := w.period.Load()
+	if p == nil {
+		return 0
+	}
+	return max(p.balanced.Sub(now), 0)
+}
+
 // Left returns the time that requests may still run. It returns false if no shutdown has
 // begun.
 func (w *Window) Left(now time.Time) (left time.Duration, draining bool) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -185,6 +185,7 @@
 	})
 	h.detours = newDetours(h)
 	h.exchange.AddParticipant(h.detours)
+	h.stopping.OthersServe = h.othersServe
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
@@ -358,6 +359,21 @@
 // ready reports whether the load balancer should send requests to this host.
 func (h *host) ready() bool { return !h.draining.Load() && h.source.Current() != nil }
 
+// othersServe reports whether all reachable peers of the availability zone serve callers, so
+// that the balancer sends there whom this host refuses.
+func (h *host) othersServe() bool {
+	found := false
+	for _, p := range h.exchange.ReachablePeers() {
+		if p.Report.GetZone() != h.settings.Host.Zone {
+			continue
+		}
+		if found = p.Report.GetRelays(); !found {
+			return false
+		}
+	}
+	return found
+}
+
 func (h *host) registry() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -9,8 +9,18 @@
 	"bilberryslip.example/bilberryslip/internal/drain"
 )
 
-// stoppingRetryAfter is when to retry if this host shuts down: at once, on another host.
-const stoppingRetryAfter = 10 * time.Millisecond
+// otherHostRetryAfter is when to retry on another host: at once.
+const otherHostRetryAfter = 10 * time.Millisecond
+
+// stoppingRetryAfter returns when to retry if this host shuts down: at once if the balancer
+// sends the caller to another host, else once it has noticed.
+func (f *Forwarder) stoppingRetryAfter() time.Duration {
+	window := f.config.Shutdown
+	if window.OthersServe == nil || window.OthersServe() {
+		return otherHostRetryAfter
+	}
+	return max(window.UntilBalanced(f.config.Clock()), otherHostRetryAfter)
+}
 
 // errStopped is the cancellation cause of calls that still run at the end of a shutdown.
 var errStopped = errors.New("this host has shut down")
@@ -26,7 +36,7 @@
 	if decision.Admitted {
 		return nil
 	}
-	return newRefusal(ReasonStopping, stoppingRetryAfter)
+	return newRefusal(ReasonStopping, f.stoppingRetryAfter())
 }
 
 // size returns what the duration of the call depends on.
@@ -48,7 +58,7 @@
 func (x *inflightCall) stoppedFailure(cause error) *Failure {
 	failure := &Failure{Reason: ReasonStopping, NotRun: !x.mayHaveRun, Cause: cause}
 	if failure.NotRun {
-		failure.RetryAfter = stoppingRetryAfter
+		failure.RetryAfter = x.forwarder.stoppingRetryAfter()
 	}
 	return failure
 }
