Report connections that close although a received request has no answer

The accepted connection's wrapper now follows the framing of what net/http reads, so that it knows how many requests have begun and how many have arrived whole. Each connection that closes with fewer answers than whole requests is counted by cause, and logged at up to 1 line a second for each server unless its caller had gone. Connections that are open when Close or the end of Serve gives up are counted and logged.

Simpler ways were weighed: net/http shows neither its buffer nor the length of a head, its background read runs whether or not its buffer holds a further request, and the end of a request's body says nothing about what follows it. Reading one request at a time would need the same framing. For TLS the wrapper is beneath the encryption and reports no lost requests.

netmeter's connections implement NetConn, so that the server of bilberryslipd finds the socket beneath.

--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -230,6 +230,7 @@
 func (h *host) metrics() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(invariant.Collector(), netmeter.Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(httpserver.Collectors()...)
 	for _, component := range []interface{ Collectors() []prometheus.Collector }{
 		h.platform, h.log, h.recorder, h.endpoints, h.owner, h.shares, h.claimStore, h.gateway,
 	} {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -377,6 +377,7 @@
 func (h *host) registry() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
+	registry.MustRegister(httpserver.Collectors()...)
 	registry.MustRegister(h.adapter.Collectors()...)
 	registry.MustRegister(h.forwarder.Collectors()...)
 	registry.MustRegister(h.bodies.Collectors()...)
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"bilberryslip.example/bilberryslip/internal/retry"
 )
@@ -62,6 +63,10 @@
 
 	// draining is set by Drain: connections close after their next response.
 	draining atomic.Bool
+	// stopBegan is when Drain was first called, in nanoseconds since 1970, or 0.
+	stopBegan atomic.Int64
+	// logs limits the log lines about connections.
+	logs *rate.Limiter
 
 	mu sync.Mutex
 	// server is the running server, or nil before the first start.
@@ -81,7 +86,9 @@
 }
 
 // New returns a server. It accepts requests once Serve runs.
-func New(config Config) *Server { return &Server{config: config, initialListener: config.Listener} }
+func New(config Config) *Server {
+	return &Server{config: config, initialListener: config.Listener, logs: newLogLimiter()}
+}
 
 // Certificate names the files of a certificate and its key.
 type Certificate struct {
@@ -99,7 +106,7 @@
 		Handler:   s.withConnectionClose(s.config.Handler),
 		ConnState: s.trackConnState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, &connection{Conn: conn, acceptedAt: time.Now()})
+			return context.WithValue(ctx, connKey{}, &connection{Conn: conn, tracked: tracked(conn), acceptedAt: time.Now()})
 		},
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -119,7 +126,9 @@
 		// ctx is already done, so Shutdown needs a context of its own.
 		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 		defer cancel()
-		_ = server.Shutdown(stopCtx)
+		if server.Shutdown(stopCtx) != nil {
+			s.reportOpen()
+		}
 	}()
 	err := s.serve(server)
 	if s.draining.Load() || errors.Is(err, http.ErrServerClosed) {
@@ -131,7 +140,10 @@
 
 // Drain makes each connection close after its next response, so that clients
 // don't send a request on a connection that is about to be closed.
-func (s *Server) Drain() { s.draining.Store(true) }
+func (s *Server) Drain() {
+	s.stopBegan.CompareAndSwap(0, time.Now().UnixNano())
+	s.draining.Store(true)
+}
 
 // Connection describes the connection of a request.
 type Connection struct {
@@ -156,6 +168,8 @@
 // connection is a connection that requests are read from.
 type connection struct {
 	net.Conn
+	// tracked is the accepted connection, or nil if the server did not accept it.
+	tracked    *trackedConn
 	acceptedAt time.Time
 	// requests is the number of requests that have ended.
 	requests atomic.Int64
@@ -167,15 +181,29 @@
 // send the request again.
 func (s *Server) withConnectionClose(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var tracked *trackedConn
 		if conn, ok := r.Context().Value(connKey{}).(*connection); ok {
 			if s.wasClosed(conn.Conn) {
 				panic(http.ErrAbortHandler)
 			}
 			defer conn.requests.Add(1)
+			tracked = conn.tracked
 		}
 		closing := &closingWriter{ResponseWriter: w, draining: &s.draining}
+		if tracked != nil {
+			tracked.handled.Add(1)
+			defer func() {
+				if r.Close || closing.Header().Get("Connection") == "close" {
+					tracked.saidClose.Store(true)
+				}
+				tracked.ended.Add(1)
+			}()
+		}
 		next.ServeHTTP(closing, r)
 		closing.begin() // an empty response begins after the handler
+		if tracked != nil {
+			tracked.answered.Add(1)
+		}
 	})
 }
 
@@ -238,6 +266,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateIdleTimer(conn, state)
+	if c := tracked(conn); state == http.StateIdle && c != nil {
+		c.wrote.Store(false)
+	}
 	if state == http.StateNew || state == http.StateActive {
 		s.busy[conn] = state
 		return
@@ -311,6 +342,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if server.Shutdown(ctx) != nil {
+		s.reportOpen()
 		_ = server.Close()
 	}
 }
@@ -322,7 +354,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn, state := range s.busy {
-		if state == http.StateActive || awaitNew || hasReceived(conn) {
+		if c := tracked(conn); state == http.StateActive || awaitNew || c != nil && c.hasReceived() {
 			return false
 		}
 	}
@@ -348,7 +380,7 @@
 	s.idle = make(map[net.Conn]*time.Timer)
 	s.closed = make(map[net.Conn]bool)
 	s.mu.Unlock()
-	listener = receiptListener{listener}
+	listener = trackingListener{listener, s}
 	if s.config.TLS == nil {
 		return server.Serve(listener)
 	}
--- a/internal/netmeter/netmeter.go
+++ b/internal/netmeter/netmeter.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
