Answer a request that arrives behind one answered while the server drains

Callers that had sent a second request before the first answer began got that answer with "Connection: close", and then the end of the connection: net/http closes it after such an answer and drops what it has read of the next request.

An answer now says that the connection closes only if no byte of a further request was received by then, in the process or in the socket's buffer, so that the last answer says it. What comes after it was said is not handled, as before. HTTP/1 over TLS is as before: the requests can't be seen beneath the encryption.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -123,6 +123,20 @@
 	return int64(c.framing.begun), int64(c.framing.whole)
 }
 
+// furtherBegun reports whether any byte has been received of a request after the one that is
+// handled. If it can't be told where that one ends, it returns true. For TLS it returns
+// false.
+func (c *trackedConn) furtherBegun() bool {
+	if c.encrypted {
+		return false
+	}
+	c.mu.Lock()
+	handled := int(c.handled.Load())
+	further, ended := c.framing.lost || c.framing.begun > handled, c.framing.whole >= handled
+	c.mu.Unlock()
+	return further || ended && c.unread() > 0
+}
+
 // hasReceived reports whether any byte of a request was received. For TLS it returns false,
 // since what was received may be no more than the handshake.
 func (c *trackedConn) hasReceived() bool {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -138,8 +138,9 @@
 	return errors.Wrapf(err, "serve %s", s.config.Name)
 }
 
-// Drain makes each connection close after its next response, so that clients
-// don't send a request on a connection that is about to be closed.
+// Drain makes each connection close after its next response behind which no further
+// request is arriving, so that clients don't send a request on a connection that is about
+// to be closed.
 func (s *Server) Drain() {
 	s.stopBegan.CompareAndSwap(0, time.Now().UnixNano())
 	s.draining.Store(true)
@@ -189,7 +190,7 @@
 			defer conn.requests.Add(1)
 			tracked = conn.tracked
 		}
-		closing := &closingWriter{ResponseWriter: w, draining: &s.draining}
+		closing := &closingWriter{ResponseWriter: w, draining: &s.draining, tracked: tracked}
 		if tracked != nil {
 			tracked.handled.Add(1)
 			defer func() {
@@ -208,11 +209,14 @@
 }
 
 // closingWriter sets "Connection: close" on a response that begins while the server
-// drains.
+// drains, unless a further request is arriving behind its request: net/http closes the
+// connection after the response and drops what it has read by then.
 type closingWriter struct {
 	http.ResponseWriter
 	draining *atomic.Bool
-	began    bool
+	// tracked is the connection, or nil if the server did not accept it.
+	tracked *trackedConn
+	began   bool
 }
 
 // Unwrap returns the underlying writer for http.ResponseController.
@@ -231,7 +235,7 @@
 }
 
 func (w *closingWriter) begin() {
-	if !w.began && w.draining.Load() {
+	if !w.began && w.draining.Load() && (w.tracked == nil || !w.tracked.furtherBegun()) {
 		w.Header().Set("Connection", "close")
 	}
 	w.began = true
