Keep connections open on which a request is arriving

A connection now closes as idle or unused only if no byte of a further request was received, in the process or in the socket's buffer. It closes by a read deadline that has expired, so that the goroutine that reads decides: bytes that arrive between the decision and the close are served. While a request is arriving, the connection is checked each 50 ms, and closed after readHeaderTimeout at most.

Close and the end of Serve wait in the same way instead of by http.Server.Shutdown, which drops requests that are read while it runs; it is still used to end TLS servers with their context. Shutdown runs only once every connection is closed, and after the accept loop has ended, so that a connection can't be accepted in between.

TestArrivingRequestIsNotIdle before: 5 of 6 cases fail with EOF instead of an answer (all but the first request of a connection). The limit of readHeaderTimeout for heads that never end has no test.

--- a/internal/httpserver/close_header_test.go
+++ b/internal/httpserver/close_header_test.go
@@ -44,7 +44,7 @@
 					<-end
 				}
 				_, _ = io.WriteString(w, r.URL.Path)
-			})
+			}, nil)
 			write(t, conn, c.before)
 			waitFor(t, "the first request is handled", func() bool { return handled.Load() == 1 })
 			time.Sleep(20 * time.Millisecond) // until what follows was received
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -15,17 +16,26 @@
 type trackingListener struct {
 	net.Listener
 	server *Server
+	// onClosed is called each time when no connection is accepted because the listener is
+	// closed.
+	onClosed func()
 }
 
 // Accept implements net.Listener.
 func (l trackingListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
+		if errors.Is(err, net.ErrClosed) && l.onClosed != nil {
+			l.onClosed()
+		}
 		return nil, err
 	}
 	return newTrackedConn(l.server, accepted), nil
 }
 
+// expiredDeadline makes reads return at once.
+var expiredDeadline = time.Unix(1, 0)
+
 // trackedConn is an accepted connection that follows which requests were received.
 type trackedConn struct {
 	net.Conn
@@ -39,6 +49,10 @@
 	mu sync.Mutex
 	// framing is that of what net/http has read.
 	framing framing
+	// readDeadline is the last that net/http has set.
+	readDeadline time.Time
+	// closing is set once reads end because the connection is quiet.
+	closing bool
 
 	// handled is the number of requests whose handler was called, ended that of those whose
 	// handler has returned or panicked, answered that of those whose handler has returned.
@@ -82,18 +96,79 @@
 	return c
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. On a connection that closeIfQuiet closes it returns io.EOF, which
+// makes net/http close it.
 func (c *trackedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 && !c.encrypted {
+	for {
+		n, err := c.Conn.Read(b)
 		c.mu.Lock()
-		c.framing.add(b[:n])
+		if n > 0 {
+			if !c.encrypted {
+				c.framing.add(b[:n])
+			}
+			c.keepOpen()
+			c.mu.Unlock()
+			return n, err
+		}
+		expired := errors.Is(err, os.ErrDeadlineExceeded)
+		closing := c.closing
+		again := expired && closing && c.unread() > 0
+		if again {
+			c.keepOpen()
+		}
 		c.mu.Unlock()
+		switch {
+		case again:
+			continue
+		case expired && closing:
+			return 0, io.EOF
+		case err != nil && !expired && !c.closed.Load():
+			c.callerGone.Store(true)
+		}
+		return n, err
 	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !c.closed.Load() {
-		c.callerGone.Store(true)
+}
+
+// closeIfQuiet closes the connection and returns true, or returns false if any byte of a
+// request without an answer was received. The goroutine that reads from the connection closes
+// it, and keeps it open if bytes arrive before, so that none that net/http has read is lost.
+// It must not be called for TLS.
+func (c *trackedConn) closeIfQuiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.framing.lost || int64(c.framing.begun) > c.ended.Load() || c.unread() > 0 {
+		return false
 	}
-	return n, err
+	c.closing = true
+	_ = c.Conn.SetReadDeadline(expiredDeadline)
+	return true
+}
+
+// keepOpen reverts closeIfQuiet. It must be called with the mutex held.
+func (c *trackedConn) keepOpen() {
+	if c.closing {
+		c.closing = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *trackedConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = deadline
+	if c.closing {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *trackedConn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
 }
 
 // Write implements net.Conn.
--- a/internal/httpserver/metrics_test.go
+++ b/internal/httpserver/metrics_test.go
@@ -26,14 +26,14 @@
 }
 
 // start starts a server whose name is unique, so that its counters are, with one connection
-// to it.
-func start(t *testing.T, handler http.HandlerFunc) (*Server, *net.TCPConn) {
+// to it. idle is its Config.Idle.
+func start(t *testing.T, handler http.HandlerFunc, idle func() time.Duration) (*Server, *net.TCPConn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := New(Config{Name: t.Name() + listener.Addr().String(), Listener: listener, Handler: handler})
+	server := New(Config{Name: t.Name() + listener.Addr().String(), Listener: listener, Handler: handler, Idle: idle})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = server.Serve(ctx) }()
@@ -63,7 +63,8 @@
 		name, text, cause string
 		handler           http.HandlerFunc
 	}{
-		{"answered", plainGet + post + "GET /a", "", func(http.ResponseWriter, *http.Request) {}},
+		{"answered", plainGet + post, "", func(http.ResponseWriter, *http.Request) {}},
+		{"open with a part of a request", plainGet + "GET /a", "", func(http.ResponseWriter, *http.Request) {}},
 		{"refused by net/http", "GET / HTTP/1.1\r\n\r\n", "", nil},
 		{"aborted", plainGet, causeAborted, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
 		{"second behind close", plainGet + plainGet, causeSaidClose, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") }},
@@ -72,7 +73,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			hook.Reset()
-			server, conn := start(t, c.handler)
+			server, conn := start(t, c.handler, nil)
 			write(t, conn, c.text)
 			time.Sleep(50 * time.Millisecond) // until the text was read
 			if c.cause == causeCallerGone {
@@ -97,7 +98,7 @@
 				}
 			}
 			wantLines := 0
-			if c.cause == causeRunning {
+			if c.cause == causeRunning || strings.HasPrefix(c.name, "open") {
 				open, wantLines = 1, 1
 			}
 			if c.cause != "" && c.cause != causeCallerGone {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -32,6 +32,9 @@
 	// request may have been read behind the one before, whose response did not say that
 	// the connection closes.
 	idleLinger = 50 * time.Millisecond
+	// arrivingCheckInterval is how often a connection that is to be closed as idle is checked
+	// while a request is arriving on it.
+	arrivingCheckInterval = 50 * time.Millisecond
 	// idlePollInterval is how often a stopping server checks for requests in
 	// flight.
 	idlePollInterval = 10 * time.Millisecond
@@ -83,6 +86,11 @@
 	// idle holds the idle connections with the timers that close them. The timer
 	// is nil if net/http closes the connection.
 	idle map[net.Conn]*time.Timer
+	// arriving holds, for each idle connection that was to be closed, when it first was. It
+	// stays open while a request is arriving on it.
+	arriving map[net.Conn]time.Time
+	// acceptEnded is closed once no further connection is accepted from activeListener.
+	acceptEnded chan struct{}
 }
 
 // New returns a server. It accepts requests once Serve runs.
@@ -126,7 +134,14 @@
 		// ctx is already done, so Shutdown needs a context of its own.
 		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 		defer cancel()
-		if server.Shutdown(stopCtx) != nil {
+		var stopped bool
+		if s.config.TLS != nil {
+			// Shutdown tells the callers of HTTP/2 that the connection ends.
+			stopped = server.Shutdown(stopCtx) == nil
+		} else {
+			stopped = s.stop(stopCtx, 0)
+		}
+		if !stopped {
 			s.reportOpen()
 		}
 	}()
@@ -248,8 +263,18 @@
 	return s.closed[conn]
 }
 
-// close closes an idle connection. It must be called with the mutex held.
+// close closes a connection on which no request is arriving, as far as is known. It must be
+// called with the mutex held.
 func (s *Server) close(conn net.Conn) {
+	if c := tracked(conn); c != nil && !c.encrypted {
+		c.closeIfQuiet()
+		return
+	}
+	s.closeNow(conn)
+}
+
+// closeNow closes a connection whatever arrives on it. It must be called with the mutex held.
+func (s *Server) closeNow(conn net.Conn) {
 	s.closed[conn] = true
 	_ = conn.Close()
 }
@@ -260,8 +285,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.idle[conn]; ok {
-		s.close(conn)
+		s.closeIdle(conn)
+	}
+}
+
+// closeIdle closes an idle connection. If a request is arriving on it, the connection stays
+// open for readHeaderTimeout at most. It must be called with the mutex held.
+func (s *Server) closeIdle(conn net.Conn) {
+	if timer := s.idle[conn]; timer != nil {
+		timer.Stop()
+	}
+	if c := tracked(conn); c == nil || c.encrypted {
+		s.closeNow(conn)
+		return
+	}
+	since, waiting := s.arriving[conn]
+	switch {
+	case !waiting:
+		s.arriving[conn] = time.Now()
+	case time.Since(since) > readHeaderTimeout:
+		s.closeNow(conn)
+		return
 	}
+	s.close(conn)
+	s.idle[conn] = time.AfterFunc(arrivingCheckInterval, func() { s.closeIfIdle(conn) })
 }
 
 // trackConnState records the state of a connection. It is the ConnState callback
@@ -291,6 +338,7 @@
 		timer.Stop()
 	}
 	delete(s.idle, conn)
+	delete(s.arriving, conn)
 	if state != http.StateIdle {
 		return
 	}
@@ -303,57 +351,66 @@
 	}
 }
 
-// closeIdleConns closes all idle connections, and makes each connection that
-// becomes idle later close after idleLinger.
+// closeIdleConns closes all idle connections on which no request is arriving, and makes each
+// connection that becomes idle later close after idleLinger.
 func (s *Server) closeIdleConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopping = true
 	for conn := range s.idle {
-		s.close(conn)
+		s.closeIdle(conn)
 	}
 }
 
 // StopAccepting drains the server: it closes the listener and waits until no
 // connection carries a request or ctx is done. Meanwhile, requests are served that
-// arrive on connections that were accepted before. http.Server.Shutdown is called
-// last because it drops requests whose headers arrive while it runs.
-func (s *Server) StopAccepting(ctx context.Context) {
-	s.Drain()
-	s.mu.Lock()
-	server, listener := s.server, s.activeListener
-	s.mu.Unlock()
-	if server == nil || listener == nil {
-		return
-	}
-	_ = listener.Close()
-	s.closeIdleConns()
-	newConnDeadline := time.Now().Add(newConnGrace)
-	for !s.closeIfDrained(time.Now().Before(newConnDeadline)) && retry.Sleep(ctx, idlePollInterval) {
-	}
-	_ = server.Shutdown(ctx)
-}
+// arrive on connections that were accepted before.
+func (s *Server) StopAccepting(ctx context.Context) { s.stop(ctx, newConnGrace) }
 
 // Close closes the listener, waits for the requests in flight up to the timeout and closes
 // all connections.
 func (s *Server) Close(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if s.stop(ctx, 0) {
+		return
+	}
+	s.reportOpen()
 	s.mu.Lock()
 	server := s.server
 	s.mu.Unlock()
-	if server == nil {
-		return
+	_ = server.Close()
+}
+
+// stop is StopAccepting with the time for which it waits for the first requests of accepted
+// connections. It returns false if ctx was done before.
+func (s *Server) stop(ctx context.Context, newConnGrace time.Duration) bool {
+	s.Drain()
+	s.mu.Lock()
+	server, listener, acceptEnded := s.server, s.activeListener, s.acceptEnded
+	s.mu.Unlock()
+	if server == nil || listener == nil {
+		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
-		s.reportOpen()
-		_ = server.Close()
+	_ = listener.Close()
+	select {
+	case <-acceptEnded:
+	case <-ctx.Done():
+	}
+	s.closeIdleConns()
+	newConnDeadline := time.Now().Add(newConnGrace)
+	for !s.closeIfDrained(time.Now().Before(newConnDeadline)) {
+		if !retry.Sleep(ctx, idlePollInterval) {
+			return false
+		}
 	}
+	// It is called last, since it drops requests that are read while it runs.
+	return server.Shutdown(ctx) == nil
 }
 
-// closeIfDrained closes the connections on which nothing was received, and returns true,
-// once no connection carries a request. If awaitNew is set, those that were just accepted
-// count as carrying one.
+// closeIfDrained closes the connections on which nothing was received once no connection
+// carries a request, and returns whether all are closed. If awaitNew is set, those that were
+// just accepted count as carrying one.
 func (s *Server) closeIfDrained(awaitNew bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -368,7 +425,7 @@
 	for conn := range s.busy {
 		s.close(conn)
 	}
-	return true
+	return len(s.busy) == 0
 }
 
 // serve opens the listener and serves requests until the server is shut down or
@@ -383,8 +440,13 @@
 	s.busy = make(map[net.Conn]http.ConnState)
 	s.idle = make(map[net.Conn]*time.Timer)
 	s.closed = make(map[net.Conn]bool)
+	s.arriving = make(map[net.Conn]time.Time)
+	acceptEnded := make(chan struct{})
+	s.acceptEnded = acceptEnded
 	s.mu.Unlock()
-	listener = trackingListener{listener, s}
+	onClosed := sync.OnceFunc(func() { close(acceptEnded) })
+	defer onClosed()
+	listener = trackingListener{listener, s, onClosed}
 	if s.config.TLS == nil {
 		return server.Serve(listener)
 	}
