Close accepted connections without a reset that destroys the answer

Callers that read late, or behind a link with delay, got a part of an answer that the host had logged as served, and then a reset. A socket that is closed with unread bytes (a second request, the rest of a body), or that gets bytes after it was closed (a request that crosses the close), is reset, and the kernel drops what it has not delivered.

Closing an accepted connection now shuts down the sending half, reads and drops what arrives until the caller closes, for 2 s at most, and then closes the socket, in a goroutine that net/http doesn't wait for. At most 512 connections of a server wait so; beyond it they close at once. It is skipped if the caller has closed before, if nothing was sent, and for connections that were idle for 2 s with everything acknowledged. A stop waits for these connections up to its limit. Answers that are not acknowledged after the 2 s or at the limit are counted and logged.

Answers that are aborted in the middle now end by FIN, which shows in the chunks or the length. An aborted answer of HTTP/1.0 without a length looked complete to its caller, since the end of the connection is its end; such a connection is now reset.

net/http's own delay before it closes after some errors (CloseWrite) works as before.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -53,6 +53,8 @@
 	readDeadline time.Time
 	// closing is set once reads end because the connection is quiet.
 	closing bool
+	// idleSince is when the connection became idle, or zero if it isn't.
+	idleSince time.Time
 
 	// handled is the number of requests whose handler was called, ended that of those whose
 	// handler has returned or panicked, answered that of those whose handler has returned.
@@ -64,7 +66,14 @@
 	// callerGone is set once the caller is known to have closed the connection or its
 	// sending half, or the connection has failed.
 	callerGone atomic.Bool
-	closed     atomic.Bool
+	// endsByClose is set while a response is written whose end is that of the connection.
+	endsByClose atomic.Bool
+	closed      atomic.Bool
+	// untakenReported is set once it is reported that the caller has not taken the answer.
+	untakenReported atomic.Bool
+
+	// reading is held by Read, and once the connection is closed by linger.
+	reading sync.Mutex
 }
 
 func newTrackedConn(server *Server, accepted net.Conn) *trackedConn {
@@ -99,9 +108,18 @@
 // Read implements net.Conn. On a connection that closeIfQuiet closes it returns io.EOF, which
 // makes net/http close it.
 func (c *trackedConn) Read(b []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	c.reading.Lock()
+	defer c.reading.Unlock()
 	for {
 		n, err := c.Conn.Read(b)
 		c.mu.Lock()
+		if c.closed.Load() {
+			c.mu.Unlock()
+			return 0, net.ErrClosed
+		}
 		if n > 0 {
 			if !c.encrypted {
 				c.framing.add(b[:n])
@@ -122,7 +140,7 @@
 			continue
 		case expired && closing:
 			return 0, io.EOF
-		case err != nil && !expired && !c.closed.Load():
+		case err != nil && !expired:
 			c.callerGone.Store(true)
 		}
 		return n, err
@@ -157,7 +175,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = deadline
-	if c.closing {
+	if c.closing || c.closed.Load() {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(deadline)
@@ -173,6 +191,9 @@
 
 // Write implements net.Conn.
 func (c *trackedConn) Write(b []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	c.wrote.Store(true)
 	n, err := c.Conn.Write(b)
 	if err != nil && !c.closed.Load() {
@@ -181,15 +202,49 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Unless the caller can't lose an answer by it, the connection
+// closes in the background, as linger describes.
 func (c *trackedConn) Close() error {
+	c.mu.Lock()
 	if c.closed.Swap(true) {
+		c.mu.Unlock()
 		return net.ErrClosed
 	}
+	_ = c.Conn.SetReadDeadline(expiredDeadline) // ends a Read
+	c.mu.Unlock()
 	c.reportUnanswered()
+	switch {
+	case c.tcp == nil:
+	case c.endsByClose.Load():
+		// Without a reset the answer would look complete.
+		_ = c.tcp.SetLinger(0)
+	case c.mayLoseAnswer() && c.server.lingerers.add(c):
+		_ = c.tcp.CloseWrite()
+		go c.linger()
+		return nil
+	}
 	return c.Conn.Close()
 }
 
+// CloseWrite shuts down the sending half, as net/http does after some errors.
+func (c *trackedConn) CloseWrite() error {
+	if c.tcp == nil {
+		return errors.New("not a TCP connection")
+	}
+	return c.tcp.CloseWrite()
+}
+
+// setIdle records whether the connection is idle.
+func (c *trackedConn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+	if idle {
+		c.idleSince = time.Now()
+		c.wrote.Store(false)
+	}
+}
+
 // received returns the numbers of requests that have begun to arrive and that have arrived
 // to their last byte. For TLS they are 0.
 func (c *trackedConn) received() (begun, whole int64) {
--- /dev/null
+++ b/internal/httpserver/linger.go
@@ -0,0 +1,117 @@
+package httpserver
+
+import (
+	"context"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"bilberryslip.example/bilberryslip/internal/retry"
+)
+
+const (
+	// lingerTimeout is how long a connection whose sending half has been shut down waits for
+	// its caller to close. It allows for a round trip and callers that read late. What the
+	// caller has not taken by then is still delivered by the kernel unless more arrives.
+	lingerTimeout = 2 * time.Second
+	// maxLingerers limits these connections, each of which holds a descriptor: an eighth of
+	// the 4,100 connections that a host may have. Beyond it, connections close at once.
+	maxLingerers = 512
+	// discardBufferBytes is the length of the buffer for what arrives meanwhile.
+	discardBufferBytes = 2 << 10
+)
+
+// lingerers are the connections that wait for their callers to close.
+type lingerers struct {
+	mu    sync.Mutex
+	conns map[*trackedConn]struct{}
+}
+
+// add adds a connection, or returns false if there are too many.
+func (l *lingerers) add(c *trackedConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) >= maxLingerers {
+		return false
+	}
+	if l.conns == nil {
+		l.conns = make(map[*trackedConn]struct{})
+	}
+	l.conns[c] = struct{}{}
+	return true
+}
+
+func (l *lingerers) remove(c *trackedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// all returns the connections.
+func (l *lingerers) all() []*trackedConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*trackedConn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// mayLoseAnswer reports whether the caller may lose an answer if the connection closes at
+// once. A socket that is closed with unread bytes, or that gets any later, is reset, and what
+// was not delivered by then is dropped.
+func (c *trackedConn) mayLoseAnswer() bool {
+	if c.callerGone.Load() {
+		return false // nothing can arrive any more
+	}
+	if c.handled.Load() == 0 && (c.encrypted || !c.wrote.Load()) {
+		return false // nothing but a handshake was sent
+	}
+	c.mu.Lock()
+	idleSince := c.idleSince
+	c.mu.Unlock()
+	return idleSince.IsZero() || time.Since(idleSince) < lingerTimeout || c.untaken() > 0
+}
+
+// untaken returns the number of sent bytes that the caller's kernel has not acknowledged, or -1
+// if it isn't known.
+func (c *trackedConn) untaken() int { return c.queue(unix.SIOCOUTQ) }
+
+// linger drops what arrives until the caller closes the connection, up to lingerTimeout, and
+// closes it. The sending half has been shut down.
+func (c *trackedConn) linger() {
+	defer c.server.lingerers.remove(c)
+	c.reading.Lock() // until the last Read has returned
+	defer c.reading.Unlock()
+	_ = c.tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
+	var buffer [discardBufferBytes]byte
+	for {
+		if _, err := c.tcp.Read(buffer[:]); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.reportUntaken()
+			}
+			break
+		}
+	}
+	_ = c.Conn.Close()
+}
+
+// awaitLingerers waits until all connections have closed or ctx is done.
+func (s *Server) awaitLingerers(ctx context.Context) {
+	for {
+		left := s.lingerers.all()
+		if len(left) == 0 {
+			return
+		}
+		if !retry.Sleep(ctx, idlePollInterval) {
+			for _, c := range left {
+				c.reportUntaken()
+			}
+			return
+		}
+	}
+}
--- a/internal/httpserver/metrics.go
+++ b/internal/httpserver/metrics.go
@@ -34,6 +34,10 @@
 		Name: "bilberryslip_http_unanswered_total",
 		Help: "Connections that were closed although a received request had no whole answer, by server and cause.",
 	}, []string{"server", "cause"})
+	untakenTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bilberryslip_http_untaken_total",
+		Help: "Closed connections whose callers had not taken the whole answer within the time for it, by server.",
+	}, []string{"server"})
 	openAtLimitTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "bilberryslip_http_open_at_limit_total",
 		Help: "Connections that were still open when a stopping server gave up waiting, by server.",
@@ -42,7 +46,7 @@
 
 // Collectors returns the metrics of all servers of the process.
 func Collectors() []prometheus.Collector {
-	return []prometheus.Collector{unansweredTotal, openAtLimitTotal}
+	return []prometheus.Collector{unansweredTotal, untakenTotal, openAtLimitTotal}
 }
 
 func newLogLimiter() *rate.Limiter { return rate.NewLimiter(logsPerSecond, logBurst) }
@@ -65,6 +69,24 @@
 	}).Warn("connection closed without an answer to a received request")
 }
 
+// reportUntaken counts and logs a connection, once, if its caller has not taken the whole answer.
+func (c *trackedConn) reportUntaken() {
+	const finBytes = 1 // the end of the stream counts as one byte
+	untaken := c.untaken() - finBytes
+	if untaken <= 0 || c.untakenReported.Swap(true) {
+		return
+	}
+	untakenTotal.WithLabelValues(c.server.config.Name).Inc()
+	if !c.server.logs.Allow() {
+		return
+	}
+	_, whole := c.received()
+	c.server.logEntry().WithFields(logrus.Fields{
+		"untaken_bytes": untaken, "requests_received": whole, "requests_answered": c.answered.Load(), "unread_bytes": c.unread(),
+		"connection_age_ms": time.Since(c.acceptedAt).Milliseconds(), "caller": c.RemoteAddr().String(),
+	}).Warn("caller has not taken the answer within the time for it")
+}
+
 // unansweredCause returns why a received request has no whole answer, or "" if each has one.
 func (c *trackedConn) unansweredCause() string {
 	_, whole := c.received()
--- a/internal/httpserver/metrics_test.go
+++ b/internal/httpserver/metrics_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := New(Config{Name: t.Name() + listener.Addr().String(), Listener: listener, Handler: handler, Idle: idle})
+	server := New(Config{Name: t.Name() + listener.Addr().String(), Listener: bufferingListener{listener}, Handler: handler, Idle: idle})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = server.Serve(ctx) }()
@@ -46,6 +46,19 @@
 	return server, conn.(*net.TCPConn)
 }
 
+// bufferingListener accepts connections whose send buffer takes an answer of largeAnswer bytes.
+type bufferingListener struct{ net.Listener }
+
+const largeAnswer = 200 << 10
+
+func (l bufferingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		err = conn.(*net.TCPConn).SetWriteBuffer(largeAnswer)
+	}
+	return conn, err
+}
+
 func write(t *testing.T, conn net.Conn, text string) {
 	t.Helper()
 	if _, err := io.WriteString(conn, text); err != nil {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -91,6 +91,8 @@
 	arriving map[net.Conn]time.Time
 	// acceptEnded is closed once no further connection is accepted from activeListener.
 	acceptEnded chan struct{}
+
+	lingerers lingerers
 }
 
 // New returns a server. It accepts requests once Serve runs.
@@ -137,7 +139,9 @@
 		var stopped bool
 		if s.config.TLS != nil {
 			// Shutdown tells the callers of HTTP/2 that the connection ends.
-			stopped = server.Shutdown(stopCtx) == nil
+			if stopped = server.Shutdown(stopCtx) == nil; stopped {
+				s.awaitLingerers(stopCtx)
+			}
 		} else {
 			stopped = s.stop(stopCtx, 0)
 		}
@@ -206,6 +210,9 @@
 			tracked = conn.tracked
 		}
 		closing := &closingWriter{ResponseWriter: w, draining: &s.draining, tracked: tracked}
+		if !r.ProtoAtLeast(1, 1) && r.Method != http.MethodHead {
+			closing.mayEndByClose = true
+		}
 		if tracked != nil {
 			tracked.handled.Add(1)
 			defer func() {
@@ -218,6 +225,7 @@
 		next.ServeHTTP(closing, r)
 		closing.begin() // an empty response begins after the handler
 		if tracked != nil {
+			tracked.endsByClose.Store(false)
 			tracked.answered.Add(1)
 		}
 	})
@@ -232,6 +240,9 @@
 	// tracked is the connection, or nil if the server did not accept it.
 	tracked *trackedConn
 	began   bool
+	// mayEndByClose is set if the end of the connection is the end of a response without a
+	// length, as in HTTP/1.0.
+	mayEndByClose bool
 }
 
 // Unwrap returns the underlying writer for http.ResponseController.
@@ -253,6 +264,9 @@
 	if !w.began && w.draining.Load() && (w.tracked == nil || !w.tracked.furtherBegun()) {
 		w.Header().Set("Connection", "close")
 	}
+	if !w.began && w.tracked != nil && w.mayEndByClose && w.Header().Get("Content-Length") == "" {
+		w.tracked.endsByClose.Store(true)
+	}
 	w.began = true
 }
 
@@ -317,8 +331,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateIdleTimer(conn, state)
-	if c := tracked(conn); state == http.StateIdle && c != nil {
-		c.wrote.Store(false)
+	if c := tracked(conn); c != nil {
+		c.setIdle(state == http.StateIdle)
 	}
 	if state == http.StateNew || state == http.StateActive {
 		s.busy[conn] = state
@@ -363,7 +377,8 @@
 }
 
 // StopAccepting drains the server: it closes the listener and waits until no
-// connection carries a request or ctx is done. Meanwhile, requests are served that
+// connection carries a request and the callers have taken their answers, up to lingerTimeout,
+// or ctx is done. Meanwhile, requests are served that
 // arrive on connections that were accepted before.
 func (s *Server) StopAccepting(ctx context.Context) { s.stop(ctx, newConnGrace) }
 
@@ -405,7 +420,11 @@
 		}
 	}
 	// It is called last, since it drops requests that are read while it runs.
-	return server.Shutdown(ctx) == nil
+	if server.Shutdown(ctx) != nil {
+		return false
+	}
+	s.awaitLingerers(ctx)
+	return true
 }
 
 // closeIfDrained closes the connections on which nothing was received once no connection
