Accept established connections before the listener closes

Closing a listener resets the connections that the kernel has established and the process has not accepted, with the requests that were sent on them. A host with a part of a core may have some when it stops. The stop now waits until the accept queue, whose length Linux reports, is empty, for 250 ms at most. Handshakes that are not complete when the listener closes are still refused. netmeter's listeners implement Unwrap for it.

TestStopServesConnectionsThatAreNotAccepted before: "connection reset by peer" instead of the first answer. Now it passes, 5 runs with -race.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,37 @@
 // expiredDeadline makes reads return at once.
 var expiredDeadline = time.Unix(1, 0)
 
+// acceptQueueLength returns how many established connections wait to be accepted, or -1 if it
+// isn't known.
+func acceptQueueLength(listener net.Listener) int {
+	for {
+		wrapper, ok := listener.(interface{ Unwrap() net.Listener })
+		if !ok {
+			break
+		}
+		listener = wrapper.Unwrap()
+	}
+	socket, ok := listener.(syscall.Conn)
+	if !ok {
+		return -1
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	length := -1
+	err = raw.Control(func(fd uintptr) {
+		// For a listening socket, Linux reports the queue's length as unacked segments.
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			length = int(info.Unacked)
+		}
+	})
+	if err != nil {
+		return -1
+	}
+	return length
+}
+
 // trackedConn is an accepted connection that follows which requests were received.
 type trackedConn struct {
 	net.Conn
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -35,6 +35,11 @@
 	// arrivingCheckInterval is how often a connection that is to be closed as idle is checked
 	// while a request is arriving on it.
 	arrivingCheckInterval = 50 * time.Millisecond
+	// acceptQueueTimeout bounds how long a stopping server keeps its listener open for the
+	// connections that it has not accepted yet.
+	acceptQueueTimeout = 250 * time.Millisecond
+	// acceptQueuePollInterval is how often it checks for them.
+	acceptQueuePollInterval = time.Millisecond
 	// idlePollInterval is how often a stopping server checks for requests in
 	// flight.
 	idlePollInterval = 10 * time.Millisecond
@@ -407,6 +412,7 @@
 	if server == nil || listener == nil {
 		return true
 	}
+	awaitAcceptQueue(ctx, listener)
 	_ = listener.Close()
 	select {
 	case <-acceptEnded:
@@ -427,6 +433,16 @@
 	return true
 }
 
+// awaitAcceptQueue waits until the server has accepted all connections that the kernel has
+// established, up to acceptQueueTimeout: closing the listener resets the others.
+func awaitAcceptQueue(ctx context.Context, listener net.Listener) {
+	for deadline := time.Now().Add(acceptQueueTimeout); time.Now().Before(deadline); {
+		if acceptQueueLength(listener) <= 0 || !retry.Sleep(ctx, acceptQueuePollInterval) {
+			return
+		}
+	}
+}
+
 // closeIfDrained closes the connections on which nothing was received once no connection
 // carries a request, and returns whether all are closed. If awaitNew is set, those that were
 // just accepted count as carrying one.
--- a/internal/netmeter/netmeter.go
+++ b/internal/netmeter/netmeter.go
@@ -56,6 +56,9 @@
 	link Link
 }
 
+// Unwrap returns the listener whose connections are counted.
+func (l *listener) Unwrap() net.Listener { return l.Listener }
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
