Spare arriving requests from read deadlines, and leave taken-over connections alone

Two timeouts of net/http ended connections on which a request had begun: the one for the first head, which runs from the time the connection was accepted and not from the first byte, and any deadline that expires before a busy process has read what had been received. The first byte of the first head now starts readHeaderTimeout anew, and a deadline that expires while a received request is unread doesn't end the connection. Deadlines while a request is handled are unchanged.

Since the wrapper follows requests, connections that handlers take over, as the relays of internal/detour do, hid their socket (SetLinger, SyscallConn), so that a relay could not reset a connection whose other side had failed, and counted the relayed requests as unanswered. Both are as before: such connections are not followed, and close as their handler says.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -75,8 +75,11 @@
 	// tcp is nil if the connection is not over TCP.
 	tcp        *net.TCPConn
 	acceptedAt time.Time
-	// encrypted is set if what is received can't be read here.
-	encrypted bool
+	// opaque is set if what is received can't be followed: for TLS, and once a handler has
+	// taken the connection over.
+	opaque atomic.Bool
+	// hijacked is set once a handler has taken the connection over.
+	hijacked atomic.Bool
 
 	mu sync.Mutex
 	// framing is that of what net/http has read.
@@ -109,7 +112,8 @@
 }
 
 func newTrackedConn(server *Server, accepted net.Conn) *trackedConn {
-	c := &trackedConn{Conn: accepted, server: server, acceptedAt: time.Now(), encrypted: server.config.TLS != nil}
+	c := &trackedConn{Conn: accepted, server: server, acceptedAt: time.Now()}
+	c.opaque.Store(server.config.TLS != nil)
 	c.tcp, _ = innermost(accepted).(*net.TCPConn)
 	return c
 }
@@ -153,18 +157,17 @@
 			return 0, net.ErrClosed
 		}
 		if n > 0 {
-			if !c.encrypted {
-				c.framing.add(b[:n])
-			}
 			c.keepOpen()
+			c.follow(b[:n])
 			c.mu.Unlock()
 			return n, err
 		}
 		expired := errors.Is(err, os.ErrDeadlineExceeded)
 		closing := c.closing
-		again := expired && closing && c.unread() > 0
+		again := expired && (closing || c.quiet()) && c.unread() > 0
 		if again {
 			c.keepOpen()
+			c.awaitHead()
 		}
 		c.mu.Unlock()
 		switch {
@@ -186,7 +189,7 @@
 func (c *trackedConn) closeIfQuiet() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.framing.lost || int64(c.framing.begun) > c.ended.Load() || c.unread() > 0 {
+	if !c.quiet() || c.unread() > 0 {
 		return false
 	}
 	c.closing = true
@@ -194,6 +197,35 @@
 	return true
 }
 
+// quiet reports whether no byte was read of a request without an answer. It must be called
+// with the mutex held.
+func (c *trackedConn) quiet() bool {
+	return !c.opaque.Load() && !c.framing.lost && int64(c.framing.begun) <= c.ended.Load()
+}
+
+// follow adds what was read. net/http's timeout for the first head runs from the time the
+// connection was accepted, which may be long before; it is set anew when the head begins. It
+// must be called with the mutex held.
+func (c *trackedConn) follow(data []byte) {
+	if c.opaque.Load() {
+		return
+	}
+	first := c.framing.begun == 0
+	c.framing.add(data)
+	if first && c.framing.whole == 0 {
+		c.awaitHead()
+	}
+}
+
+// awaitHead gives the head of a request that has begun to arrive readHeaderTimeout. It must be
+// called with the mutex held.
+func (c *trackedConn) awaitHead() {
+	if deadline := time.Now().Add(readHeaderTimeout); !c.readDeadline.IsZero() && c.readDeadline.Before(deadline) {
+		c.readDeadline = deadline
+		_ = c.Conn.SetReadDeadline(deadline)
+	}
+}
+
 // keepOpen reverts closeIfQuiet. It must be called with the mutex held.
 func (c *trackedConn) keepOpen() {
 	if c.closing {
@@ -244,6 +276,9 @@
 	}
 	_ = c.Conn.SetReadDeadline(expiredDeadline) // ends a Read
 	c.mu.Unlock()
+	if c.hijacked.Load() {
+		return c.Conn.Close() // the handler decides how it ends
+	}
 	c.reportUnanswered()
 	switch {
 	case c.tcp == nil:
@@ -258,14 +293,38 @@
 	return c.Conn.Close()
 }
 
+// hijack stops following the connection, which a handler has taken over.
+func (c *trackedConn) hijack() {
+	c.opaque.Store(true)
+	c.hijacked.Store(true)
+}
+
+var errNotTCP = errors.New("not a TCP connection")
+
 // CloseWrite shuts down the sending half, as net/http does after some errors.
 func (c *trackedConn) CloseWrite() error {
 	if c.tcp == nil {
-		return errors.New("not a TCP connection")
+		return errNotTCP
 	}
 	return c.tcp.CloseWrite()
 }
 
+// SetLinger is that of net.TCPConn, for handlers that take the connection over.
+func (c *trackedConn) SetLinger(seconds int) error {
+	if c.tcp == nil {
+		return errNotTCP
+	}
+	return c.tcp.SetLinger(seconds)
+}
+
+// SyscallConn implements syscall.Conn, for handlers that take the connection over.
+func (c *trackedConn) SyscallConn() (syscall.RawConn, error) {
+	if c.tcp == nil {
+		return nil, errNotTCP
+	}
+	return c.tcp.SyscallConn()
+}
+
 // setIdle records whether the connection is idle.
 func (c *trackedConn) setIdle(idle bool) {
 	c.mu.Lock()
@@ -289,7 +348,7 @@
 // handled. If it can't be told where that one ends, it returns true. For TLS it returns
 // false.
 func (c *trackedConn) furtherBegun() bool {
-	if c.encrypted {
+	if c.opaque.Load() {
 		return false
 	}
 	c.mu.Lock()
--- a/internal/httpserver/linger.go
+++ b/internal/httpserver/linger.go
@@ -68,7 +68,7 @@
 	if c.callerGone.Load() {
 		return false // nothing can arrive any more
 	}
-	if c.handled.Load() == 0 && (c.encrypted || !c.wrote.Load()) {
+	if c.handled.Load() == 0 && (c.opaque.Load() || !c.wrote.Load()) {
 		return false // nothing but a handshake was sent
 	}
 	c.mu.Lock()
--- a/internal/httpserver/linger_test.go
+++ b/internal/httpserver/linger_test.go
@@ -173,3 +173,40 @@
 	}
 	waitFor(t, "the connection is closed at once", func() bool { _, err := io.WriteString(conn, plainGet); return err != nil })
 }
+
+// TestHijackedConnectionIsTheHandlers guards against a server that hides the socket from a
+// handler that takes its connection over, overrides how it ends, or follows what it carries as
+// requests.
+func TestHijackedConnectionIsTheHandlers(t *testing.T) {
+	server, conn := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		hijacked, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		buffer := make([]byte, len(plainGet))
+		if _, err := io.ReadFull(hijacked, buffer); err != nil {
+			t.Error(err)
+		}
+		if socket, ok := hijacked.(interface {
+			SetLinger(seconds int) error
+			CloseWrite() error
+			syscall.Conn
+		}); !ok || socket.SetLinger(0) != nil {
+			t.Error("the socket can't be controlled")
+		}
+		_ = hijacked.Close()
+	}, nil)
+	write(t, conn, plainGet)
+	time.Sleep(20 * time.Millisecond)
+	write(t, conn, plainGet)
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read error %v, want a reset", err)
+	}
+	for _, cause := range []string{causeAborted, causeRunning, causeSaidClose, causeNotHandled} {
+		if got := countOf(t, unansweredTotal.WithLabelValues(server.config.Name, cause)); got != 0 {
+			t.Errorf("%v connections closed for %s, want none", got, cause)
+		}
+	}
+}
--- a/internal/httpserver/quiet_test.go
+++ b/internal/httpserver/quiet_test.go
@@ -68,22 +68,7 @@
 		{"received before", "GET", "", false},
 		{"received after the decision and before the read", "", "GET", true},
 	} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer listener.Close()
-		caller, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer caller.Close()
-		accepted, err := trackingListener{Listener: listener, server: New(Config{})}.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer accepted.Close()
-		conn := tracked(accepted)
+		caller, conn := acceptOne(t)
 		sent := 0
 		receive := func(text string) {
 			write(t, caller, text)
@@ -115,3 +100,56 @@
 		t.Fatalf("answer %q, error %v; want %q", body, err, want)
 	}
 }
+
+// TestReadDeadlineSparesArrivingRequest guards against timeouts of net/http that end a
+// connection although a request has begun to arrive before them: that for the first head
+// runs from the time the connection was accepted, and an expired deadline hides what was
+// received.
+func TestReadDeadlineSparesArrivingRequest(t *testing.T) {
+	for _, c := range []struct {
+		name, first, second string
+		firstLate           bool
+	}{
+		{"received before the deadline, read after it", "GET", "", true},
+		{"in two parts around the deadline", "GE", "T", false},
+	} {
+		caller, conn := acceptOne(t)
+		_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		write(t, caller, c.first)
+		if c.firstLate {
+			time.Sleep(100 * time.Millisecond)
+		}
+		buffer := make([]byte, 10)
+		if n, err := conn.Read(buffer); string(buffer[:n]) != c.first {
+			t.Errorf("%s: read %q, error %v; want %q", c.name, buffer[:n], err, c.first)
+		}
+		if c.second != "" {
+			time.Sleep(100 * time.Millisecond)
+			write(t, caller, c.second)
+			if n, err := conn.Read(buffer); string(buffer[:n]) != c.second {
+				t.Errorf("%s: read %q, error %v; want %q", c.name, buffer[:n], err, c.second)
+			}
+		}
+	}
+}
+
+// acceptOne returns both ends of a connection.
+func acceptOne(t *testing.T) (net.Conn, *trackedConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = caller.Close() })
+	accepted, err := trackingListener{Listener: listener, server: New(Config{})}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = accepted.Close() })
+	return caller, tracked(accepted)
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -285,7 +285,7 @@
 // close closes a connection on which no request is arriving, as far as is known. It must be
 // called with the mutex held.
 func (s *Server) close(conn net.Conn) {
-	if c := tracked(conn); c != nil && !c.encrypted {
+	if c := tracked(conn); c != nil && !c.opaque.Load() {
 		c.closeIfQuiet()
 		return
 	}
@@ -314,7 +314,7 @@
 	if timer := s.idle[conn]; timer != nil {
 		timer.Stop()
 	}
-	if c := tracked(conn); c == nil || c.encrypted {
+	if c := tracked(conn); c == nil || c.opaque.Load() {
 		s.closeNow(conn)
 		return
 	}
@@ -338,6 +338,9 @@
 	s.updateIdleTimer(conn, state)
 	if c := tracked(conn); c != nil {
 		c.setIdle(state == http.StateIdle)
+		if state == http.StateHijacked {
+			c.hijack()
+		}
 	}
 	if state == http.StateNew || state == http.StateActive {
 		s.busy[conn] = state
