Lower the cost of following connections for each request

The wrapper cost a copy of the header after each response and a search by cockroachdb's errors.Is for each read that net/http interrupts, and could have asked the socket for unread bytes then. Whether a response says that the connection closes is now noted when it begins, and interrupted reads are told from timeouts.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"errors" // that of cockroachdb is slow, and net/http's reads often end with an error
 	"io"
 	"net"
 	"os"
@@ -9,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -134,11 +134,14 @@
 
 // tracked returns the trackedConn of a connection, or nil if the server did not accept it.
 func tracked(conn net.Conn) *trackedConn {
+	if c, ok := conn.(*trackedConn); ok {
+		return c
+	}
 	if wrapper, ok := conn.(netConner); ok {
-		conn = wrapper.NetConn()
+		c, _ := wrapper.NetConn().(*trackedConn)
+		return c
 	}
-	c, _ := conn.(*trackedConn)
-	return c
+	return nil
 }
 
 // Read implements net.Conn. On a connection that closeIfQuiet closes it returns io.EOF, which
@@ -164,7 +167,9 @@
 		}
 		expired := errors.Is(err, os.ErrDeadlineExceeded)
 		closing := c.closing
-		again := expired && (closing || c.quiet()) && c.unread() > 0
+		// net/http ends its reads after each request by a deadline long ago.
+		timedOut := expired && c.readDeadline.After(expiredDeadline)
+		again := expired && (closing || timedOut && c.quiet()) && c.unread() > 0
 		if again {
 			c.keepOpen()
 			c.awaitHead()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -206,33 +206,27 @@
 // send the request again.
 func (s *Server) withConnectionClose(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var tracked *trackedConn
+		closing := &closingWriter{
+			ResponseWriter: w, draining: &s.draining,
+			mayEndByClose: !r.ProtoAtLeast(1, 1) && r.Method != http.MethodHead,
+		}
 		if conn, ok := r.Context().Value(connKey{}).(*connection); ok {
 			if s.wasClosed(conn.Conn) {
 				panic(http.ErrAbortHandler)
 			}
 			defer conn.requests.Add(1)
-			tracked = conn.tracked
-		}
-		closing := &closingWriter{ResponseWriter: w, draining: &s.draining, tracked: tracked}
-		if !r.ProtoAtLeast(1, 1) && r.Method != http.MethodHead {
-			closing.mayEndByClose = true
-		}
-		if tracked != nil {
-			tracked.handled.Add(1)
-			defer func() {
-				if r.Close || closing.Header().Get("Connection") == "close" {
-					tracked.saidClose.Store(true)
+			if conn.tracked != nil {
+				closing.tracked = conn.tracked
+				conn.tracked.handled.Add(1)
+				if r.Close {
+					conn.tracked.saidClose.Store(true) // net/http says so
 				}
-				tracked.ended.Add(1)
-			}()
+				defer closing.end()
+			}
 		}
 		next.ServeHTTP(closing, r)
 		closing.begin() // an empty response begins after the handler
-		if tracked != nil {
-			tracked.endsByClose.Store(false)
-			tracked.answered.Add(1)
-		}
+		closing.complete = true
 	})
 }
 
@@ -248,6 +242,17 @@
 	// mayEndByClose is set if the end of the connection is the end of a response without a
 	// length, as in HTTP/1.0.
 	mayEndByClose bool
+	// complete is set once the handler has returned.
+	complete bool
+}
+
+// end records the end of the handler, which may have panicked.
+func (w *closingWriter) end() {
+	if w.complete {
+		w.tracked.endsByClose.Store(false)
+		w.tracked.answered.Add(1)
+	}
+	w.tracked.ended.Add(1)
 }
 
 // Unwrap returns the underlying writer for http.ResponseController.
@@ -266,13 +271,23 @@
 }
 
 func (w *closingWriter) begin() {
-	if !w.began && w.draining.Load() && (w.tracked == nil || !w.tracked.furtherBegun()) {
-		w.Header().Set("Connection", "close")
+	if w.began {
+		return
+	}
+	w.began = true
+	header := w.Header()
+	if w.draining.Load() && (w.tracked == nil || !w.tracked.furtherBegun()) {
+		header.Set("Connection", "close")
 	}
-	if !w.began && w.tracked != nil && w.mayEndByClose && w.Header().Get("Content-Length") == "" {
+	if w.tracked == nil {
+		return
+	}
+	if header.Get("Connection") == "close" {
+		w.tracked.saidClose.Store(true)
+	}
+	if w.mayEndByClose && header.Get("Content-Length") == "" {
 		w.tracked.endsByClose.Store(true)
 	}
-	w.began = true
 }
 
 // wasClosed reports whether the server closed the connection while it was idle.
