Go on with a stream only by events that follow those received

Cause: status and media type of the next answer were checked, its events were not. What was known of the caller's events served to choose Last-Event-Id alone.

Change: receivedEvents, which knows what the caller has, now decides what may be relayed. A further answer within a response must begin with an event whose identifier follows; later identifiers must follow as well; an answer that ends without an event proves nothing and fails; a first answer that named its media type is continued only by one that names it. Where the caller takes a stream up, an event that it has fails the attempt. Comments and retry fields are relayed as before: no caller takes them for events, they keep the connection in use while a prompt is read again, and the existing specs demand them. A continuation with a refusing status is rejected by its header, without reading its body.

An answer that brings nothing is not held against its endpoint, which may have had nothing left. The log line "answer does not go on with the stream" has the request, endpoint, reason and the last identifier received.

--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -80,6 +80,8 @@
 	mayHaveRun bool
 	// responseStarted is set once the response header was written to the caller.
 	responseStarted bool
+	// namesEvents is set if the header of that response names the media type of events.
+	namesEvents bool
 	// received is what the caller has received of a resumable stream.
 	received receivedEvents
 	// events is the number of complete events in the stream of the last attempt.
@@ -366,6 +368,9 @@
 		x.logAttempt(attempt, "answer discarded", err)
 		return repeat.Unknown, err
 	}
+	if mismatch := x.checkContinuation(exchange.Response); mismatch != nil {
+		return x.rejectContinuation(attempt, mismatch)
+	}
 	x.framing = exchange.Framing()
 	if x.relaysAsStream(exchange.Response) {
 		return x.relayStream(attempt, exchange)
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"strings"
 
@@ -54,8 +55,15 @@
 	return logrus.WithFields(logrus.Fields{"request": x.call.ID, "service": x.service})
 }
 
+// maxLoggedID bounds an event identifier in the log, in characters; endpoints choose them.
+const maxLoggedID = 64
+
 func (x *inflightCall) logAttempt(attempt *fleet.Attempt, event string, err error) {
-	x.log().WithError(err).WithFields(logrus.Fields{
+	entry := x.log()
+	if x.received.lastID != "" {
+		entry = entry.WithField("last_event", fmt.Sprintf("%.*s", maxLoggedID, x.received.lastID))
+	}
+	entry.WithError(err).WithFields(logrus.Fields{
 		"endpoint": attempt.Endpoint.ID, "software": attempt.Endpoint.Software, "address": attempt.Endpoint.Address, "send": x.attempts.Sent, "via": x.via,
 		"events": x.events, "shared_segments": segmentIDs(x.call.SharedSegments()), "request_hash": x.suspects[0].HashText(),
 	}).Info(event)
--- a/internal/forward/received_test.go
+++ b/internal/forward/received_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 )
 
@@ -90,8 +91,22 @@
 	return 1 + slices.Index(s.ids, strings.TrimSpace(lastID))
 }
 
-// checkResumedStream has a drawn stream break off at drawn places and go on, and compares
-// what the caller receives with a plain reading of it.
+// followsFirst reports whether the first part with an identifier or content, from the given
+// one on, has an identifier that is not in known. It is true if there is no such part.
+func (s drawnStream) followsFirst(from int, known []string) bool {
+	for n := from; n < len(s.parts); n++ {
+		if id := s.ids[n]; id != "\x00" {
+			return id != "" && !slices.Contains(known, id)
+		}
+		if strings.Contains(s.parts[n], "data") {
+			return false
+		}
+	}
+	return true
+}
+
+// checkResumedStream has a drawn stream break off at drawn places and go on, at times with
+// another answer than its rest, and compares what the caller receives with a plain reading.
 func checkResumedStream(t *rapid.T) {
 	s := drawStream(t)
 	mark := rapid.SampledFrom([]string{"", byteOrderMark}).Draw(t, "mark")
@@ -100,18 +115,37 @@
 		first := s.after(lastID)
 		response, complete, received := "", false, receivedBefore(lastID)
 		for range 4 { // attempts for one response
-			rest := mark + strings.Join(s.parts[s.after(received.lastID):], "")
+			from, continues := s.after(received.lastID), response != ""
+			rest, right := strings.Join(s.parts[from:], ""), true
+			if continues && received.any && rapid.IntRange(0, 3).Draw(t, "another answer") == 0 {
+				other := rapid.SampledFrom([]string{"", "HTTP/1.1 500 Error\r\n\r\nfailed\r\n\r\n", strings.Join(s.parts, "")}).Draw(t, "answer")
+				// With identifiers that were reset, another run can't be told.
+				if other == "" || other[0] == 'H' || !s.followsFirst(0, s.ids[:from]) {
+					rest, right = other, false
+				}
+			}
+			rest = mark + rest
 			cut := rapid.IntRange(0, len(rest)).Draw(t, "cut")
-			splitter := eventSplitter{wholeEvents: true, continues: response != ""}
-			for at := 0; at < cut; {
+			splitter := eventSplitter{wholeEvents: true, continues: continues}
+			received.beginAnswer(continues)
+			var mismatch error
+			for at := 0; at < cut && mismatch == nil; {
 				n := rapid.IntRange(1, cut-at).Draw(t, "length")
-				ready := splitter.feed([]byte(rest[at : at+n]))
-				if len(ready) > 0 {
-					received.read(ready)
-				}
+				var ready []byte
+				ready, mismatch = received.accept(splitter.feed([]byte(rest[at : at+n])))
 				response, at = response+string(ready), at+n
 			}
-			if complete = cut == len(rest); complete || !received.resumable() {
+			if mismatch == nil && cut == len(rest) {
+				mismatch = received.checkEnd()
+				complete = mismatch == nil
+			}
+			if complete && !right {
+				t.Fatalf("complete with %q\nresponse %q", rest, response)
+			}
+			if mismatch != nil && right && continues && s.followsFirst(from, s.ids[:from]) && strings.Contains(rest, "data") {
+				t.Fatalf("rejected the rest %q: %v\nresponse %q", rest, mismatch, response)
+			}
+			if complete || mismatch != nil || !received.resumable() {
 				break
 			}
 		}
@@ -136,4 +170,37 @@
 	It("are those of a plain reading of the stream, wherever it is cut and goes on", func() {
 		rapid.Check(GinkgoT(), checkResumedStream)
 	})
+
+	// Guards against taking an event that the caller has for a further one, or the reverse.
+	DescribeTable("tell new identifiers from those received",
+		func(received []string, id string, isNew bool) {
+			var r receivedEvents
+			for _, known := range received {
+				r.add(eventFields{id: known, hasID: true, hasContent: true})
+			}
+			Expect(r.isNew(id)).To(Equal(isNew))
+		},
+		Entry("a higher number", []string{"9"}, "10", true),
+		Entry("the same number", []string{"9"}, " 09", false),
+		Entry("a lower number", []string{"1", "10"}, "9", false),
+		Entry("a number of more than 64 bits", []string{"99999999999999999999"}, "100000000000000000000", true),
+		Entry("a lower number after a text", []string{"5", "x"}, "3", true),
+		Entry("a number received, after a text", []string{"5", "x"}, "5", false),
+		Entry("another text", []string{"b"}, "a", true),
+		Entry("a text received", []string{"a", "b"}, "a ", false),
+		Entry("the last text", []string{"b"}, "b", false),
+		Entry("none", []string{"b"}, "", true),
+	)
+
+	// Guards against holding ever more of a long stream, and against losing its beginning,
+	// where another run of it begins.
+	It("remember a bounded number of identifiers, the first ones among them", func() {
+		var r receivedEvents
+		for n := range 3 * maxKnownIDs {
+			r.add(eventFields{id: fmt.Sprint("a", n), hasID: true})
+		}
+		Expect(r.ids).To(HaveLen(maxKnownIDs))
+		Expect(r.isNew("a0")).To(BeFalse())
+		Expect(r.isNew(fmt.Sprint("a", 3*maxKnownIDs-1))).To(BeFalse(), "the last one")
+	})
 })
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -35,10 +35,6 @@
 	if response.StatusCode < http.StatusMultipleChoices {
 		x.recordSurvival()
 	}
-	if x.responseStarted { // a resumed stream was expected
-		attempt.Finish(endpoint.OutcomeFailed)
-		return repeat.Unknown, errors.Newf("endpoint did not resume the stream: status %d", response.StatusCode)
-	}
 	if response.StatusCode < http.StatusInternalServerError {
 		attempt.Finish(endpoint.OutcomeAnswered)
 		return x.writeResponse(attempt, response, body), nil
@@ -124,7 +120,8 @@
 }
 
 // relayStream relays events as they arrive. For a resumable stream it relays only
-// complete events, so that another endpoint can resume it.
+// complete events, so that another endpoint can resume it, and only those that go on with
+// what the caller has received.
 func (x *inflightCall) relayStream(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.Outcome, error) {
 	events := &eventSplitter{
 		wholeEvents: x.route.Resumable, continues: x.responseStarted,
@@ -133,6 +130,7 @@
 	if !mayBeEventStream(exchange.Response.Header) {
 		events.bound = upstream.TooLargeError{Part: upstream.PartBody, Limit: maxBufferedResponse}
 	}
+	x.received.beginAnswer(x.responseStarted)
 	control := http.NewResponseController(x.writer)
 	buffer := make([]byte, streamReadSize)
 	var timer streamTimer
@@ -152,6 +150,7 @@
 		x.progress.events.Store(int64(x.events))
 		readAt := x.forwarder.config.Clock()
 		timer.recordEvents(readAt, x.events)
+		ready, mismatch := x.accept(exchange.Response, ready)
 		if len(ready) > 0 {
 			if !x.responseStarted {
 				x.beginResponse(attempt, exchange.Response)
@@ -160,11 +159,16 @@
 				attempt.Finish(endpoint.OutcomeCancelled)
 				return repeat.CallerGone, errCallerGone
 			}
-			x.recordRelayed(exchange.Response, ready)
 			timer.blocked += x.forwarder.config.Clock().Sub(readAt)
 		}
+		if mismatch != nil {
+			return x.rejectContinuation(attempt, mismatch)
+		}
 		if errors.Is(err, io.EOF) {
 			err = events.checkEnd(exchange.Framing())
+			if mismatch := x.received.checkEnd(); err == nil && mismatch != nil {
+				return x.rejectContinuation(attempt, mismatch)
+			}
 			if err == nil || !mayBeEventStream(exchange.Response.Header) {
 				attempt.RecordStream(timer.pace)
 				return x.finishStream(attempt, exchange, events, control)
@@ -176,14 +180,17 @@
 	}
 }
 
-// recordRelayed records what the caller has received of a resumable stream.
-func (x *inflightCall) recordRelayed(response *http.Response, ready []byte) {
+// accept returns what may be relayed of the bytes that have arrived, and records that the
+// caller receives it. The error says why the rest does not go on with a resumable stream.
+func (x *inflightCall) accept(response *http.Response, ready []byte) ([]byte, error) {
 	switch {
-	case !x.route.Resumable:
+	case !x.route.Resumable || len(ready) == 0:
+		return ready, nil
 	case mayBeEventStream(response.Header):
-		x.received.read(ready)
+		return x.received.accept(ready)
 	default:
 		x.received.readOpaque()
+		return ready, nil
 	}
 }
 
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -5,7 +5,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/fleet"
+	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 )
 
@@ -25,11 +27,38 @@
 // it if it has not begun.
 func (x *inflightCall) mayGoOn() bool { return !x.responseStarted || x.received.resumable() }
 
-// relaysAsStream reports whether a response is relayed as it arrives. After the response
-// to the caller has begun, only a stream of events can go on with it.
+// relaysAsStream reports whether a response is relayed as it arrives.
 func (x *inflightCall) relaysAsStream(response *http.Response) bool {
-	return x.route.Kind == traffic.Streaming && response.StatusCode == http.StatusOK && !x.call.NeedsLength &&
-		(!x.responseStarted || mayBeEventStream(response.Header))
+	return x.route.Kind == traffic.Streaming && response.StatusCode == http.StatusOK && !x.call.NeedsLength
+}
+
+// checkContinuation returns an error if the header of a response shows that it does not go
+// on with the one that has begun. Only a stream of events can, and one that says so if the
+// first answer did.
+func (x *inflightCall) checkContinuation(response *http.Response) error {
+	switch {
+	case !x.responseStarted:
+		return nil
+	case response.StatusCode != http.StatusOK:
+		return errors.Newf("status %d", response.StatusCode)
+	case !mayBeEventStream(response.Header), x.namesEvents && !isEventStream(response.Header):
+		return errors.Newf("media type %q", response.Header.Get("Content-Type"))
+	default:
+		return nil
+	}
+}
+
+// rejectContinuation records the outcome of an attempt whose answer does not go on with the
+// stream. One that brought nothing is not held against its endpoint, which may have had
+// nothing left to send.
+func (x *inflightCall) rejectContinuation(attempt *fleet.Attempt, reason error) (repeat.Outcome, error) {
+	if errors.Is(reason, errNothingNew) {
+		attempt.Finish(endpoint.OutcomeCancelled)
+	} else {
+		attempt.Finish(endpoint.OutcomeFailed)
+	}
+	x.logAttempt(attempt, "answer does not go on with the stream", reason)
+	return repeat.Unknown, reason
 }
 
 // bindTakenUp binds a stream that the caller takes up to the software version that began
@@ -55,5 +84,6 @@
 		x.boundTo = attempt.Endpoint.Software
 		x.endStream = x.forwarder.config.Origins.Begin(x.service, x.streamAttempt(), x.boundTo)
 	}
+	x.namesEvents = isEventStream(response.Header)
 	x.writeHeader(response)
 }
--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -93,6 +93,15 @@
 		Entry("whose identifier is several lines before its end",
 			breakingStream{attempts: []string{"id: 1\ndata: a\ndata\n: note\ndata: b\n\n", testEvent(2, "\n")}},
 			[]string{"", "1"}, "id: 1\ndata: a\ndata\n: note\ndata: b\n\n"+testEvent(2, "\n")),
+		Entry("whose identifier is a text",
+			breakingStream{attempts: []string{"id: b\ndata: x\n\n", "id: a\ndata: y\n\n"}},
+			[]string{"", "b"}, "id: b\ndata: x\n\nid: a\ndata: y\n\n"),
+		Entry("though identifiers come twice in the first answer, which is passed on as it is",
+			breakingStream{attempts: []string{testEvent(2, "\n") + testEvent(1, "\n") + testEvent(1, "\n"), testEvent(3, "\n")}},
+			[]string{"", "1"}, testEvent(2, "\n")+testEvent(1, "\n")+testEvent(1, "\n")+testEvent(3, "\n")),
+		Entry("from the start if it has none, though events have no identifiers",
+			breakingStream{attempts: []string{": reading\n\n", "data: x\n\n"}},
+			[]string{"", ""}, ": reading\n\ndata: x\n\n"),
 	)
 
 	// Guards against repeated events where nothing names the last one, and against another
@@ -114,6 +123,10 @@
 			breakingStream{attempts: []string{"data: x\n\n", "data: x\n\n"}}, []string{""}),
 		Entry("if the last identifier can't be sent in a header field",
 			breakingStream{attempts: []string{"id: 1\x01\ndata: x\n\n", testEvent(2, "\n")}}, []string{""}),
+		Entry("if the next response repeats an identifier that is a text",
+			breakingStream{attempts: []string{"id: a\ndata: x\n\nid: b\ndata: y\n\n", "id: a\ndata: x\n\nid: b\ndata: y\n\n"}}, []string{"", "b"}),
+		Entry("if nothing follows the comments that the caller has",
+			breakingStream{attempts: []string{": reading\n\n", ""}}, []string{"", ""}),
 		Entry("if the next response is no stream of events",
 			breakingStream{attempts: []string{testEvent(1, "\n"), "{\"text\":\n\n\"\"}"}, mediaType: "application/json"}, []string{"", "1"}),
 	)
--- a/internal/forward/splitter_test.go
+++ b/internal/forward/splitter_test.go
@@ -22,7 +22,7 @@
 			for rest := stream[:cut]; rest != ""; {
 				n := rapid.IntRange(1, len(rest)).Draw(t, "piece")
 				ready := s.feed([]byte(rest[:n]))
-				received.read(ready)
+				_, _ = received.accept(ready)
 				returned += string(ready)
 				rest = rest[n:]
 			}
@@ -49,7 +49,7 @@
 		ready := s.feed([]byte("id: 7\r\ndata: x\r\n\r\nid: 8"))
 		Expect(string(ready)).To(Equal("id: 7\r\ndata: x\r\n\r\n"))
 		var received receivedEvents
-		received.read(ready)
+		_, _ = received.accept(ready)
 		Expect(received.lastID).To(Equal("7"))
 	})
 })
