Take a generation that starts anew for no resumption in bilberryslipd

The reader now returns an error if the first event of a response to a resume comes before the offset asked for. The gateway then resumes no more at that engine, keeps the attempt that began the stream as the one to resume, and goes on at another engine or ends the stream with the error event. Events that come twice later in a response are still skipped, those of one run.

The new row of the gateway's table (two stand-in engines that start anew, the first response cut after three events) fails before: the stream ended without an error.

--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -61,6 +61,20 @@
 // Unwrap returns the cause.
 func (e *IncompleteResponseError) Unwrap() error { return e.Cause }
 
+// NotResumedError reports a response to a resume that begins before the event at which it
+// was to begin, as that of a generation which was started anew.
+type NotResumedError struct {
+	Endpoint string
+	Attempt  string
+	// Want is the offset of the event to begin at, Got that of the first event.
+	Want, Got int64
+}
+
+// Error implements error.
+func (e *NotResumedError) Error() string {
+	return fmt.Sprintf("endpoint %s began its response to attempt %s at event %d instead of %d, and the response was discarded; check whether the endpoint can resume streams, or refuses to with status 409", e.Endpoint, e.Attempt, e.Got, e.Want)
+}
+
 // UnknownEndpointError reports an endpoint that is not configured.
 type UnknownEndpointError struct {
 	Endpoint string
--- a/internal/endpoint/sse.go
+++ b/internal/endpoint/sse.go
@@ -29,7 +29,9 @@
 	endpoint string
 	attempt  string
 	next     int64
-	reader   *bufio.Reader
+	// begun is set once the first event was read.
+	begun  bool
+	reader *bufio.Reader
 }
 
 // NewEventReader returns an EventReader for body. The first event that it
@@ -39,9 +41,10 @@
 }
 
 // Next returns the next event. It skips duplicate events. It returns a
-// MismatchError for an event of another attempt, a ProgressTimeoutError if a
-// progress limit expires, and an IncompleteResponseError for a gap or the end of
-// the body. Callers must stop at the event that has Done set.
+// MismatchError for an event of another attempt, a NotResumedError if the first event comes
+// before the one to begin at, since what follows it may be another generation, a
+// ProgressTimeoutError if a progress limit expires, and an IncompleteResponseError for a gap
+// or the end of the body. Callers must stop at the event that has Done set.
 func (r *EventReader) Next() (Event, error) {
 	for {
 		id, data, err := r.read()
@@ -52,6 +55,10 @@
 		if err != nil {
 			return Event{}, err
 		}
+		if offset < r.next && !r.begun {
+			return Event{}, &NotResumedError{Endpoint: r.endpoint, Attempt: r.attempt, Want: r.next, Got: offset}
+		}
+		r.begun = true
 		if offset < r.next {
 			continue
 		}
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -126,15 +126,21 @@
 		Expect(r.body).NotTo(ContainSubstring("data:"))
 	})
 
-	It("ends a stream that can't be resumed with an error event and without the final marker", func() {
-		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { o.RefuseResume = true })
-		f.setEngineFaults(func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 3 })
-		r := f.chat(`,"stream":true`)
-		Expect(r.err).To(HaveOccurred())
-		_, last := streamText(r.body)
-		Expect(reply{body: last}.failure().Error.Code).To(Equal("answer_cut"))
-		Expect(r.body).NotTo(ContainSubstring("[DONE]"))
-	})
+	// Guards against a stream that ends as complete though its rest is missing or belongs to
+	// another run.
+	DescribeTable("ends a stream that can't be resumed with an error event and without the final marker",
+		func(change func(*engineserver.Options)) {
+			f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { change(o) })
+			f.setEngineFaults(func(x *engineserver.Faults) { x.Cut, x.CutAfter = 1, 3 })
+			r := f.chat(`,"stream":true`)
+			Expect(r.err).To(HaveOccurred())
+			_, last := streamText(r.body)
+			Expect(reply{body: last}.failure().Error.Code).To(Equal("answer_cut"))
+			Expect(r.body).NotTo(ContainSubstring("[DONE]"))
+		},
+		Entry("since engines refuse to", func(o *engineserver.Options) { o.RefuseResume = true }),
+		Entry("since engines start the generation anew", func(o *engineserver.Options) { o.IgnoresResume = true }),
+	)
 
 	It("restarts a non-streamed response that can't be resumed at another engine", func() {
 		f := newFixture(func(o *engineserver.Options, _ *gateway.Config) { o.RefuseResume = true })
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -192,10 +192,16 @@
 		return gen.rejectionError(attempt, response)
 	}
 	events := endpoint.NewEventReader(attempt.Endpoint(), call.AttemptID, gen.nextOffset, response.Body)
+	earlierAttempt := gen.attemptID
 	gen.attemptID = call.AttemptID
 	err = gen.forwardEvents(events, func() {
 		attempt.RecordFirstToken(gen.target.model.GetName(), gen.gateway().config.Clock().Sub(sent))
 	})
+	var notResumed *endpoint.NotResumedError
+	if errors.As(err, &notResumed) {
+		// The new attempt runs another generation, which must not be resumed.
+		gen.attemptID, gen.resumeRefused = earlierAttempt, true
+	}
 	gen.cancelAttempt(attempt, call.AttemptID, err)
 	return err
 }
--- a/internal/standin/engineserver/completion.go
+++ b/internal/standin/engineserver/completion.go
@@ -59,7 +59,7 @@
 // starts at the first event.
 func (s *Server) resume(c echo.Context, current *run) bool {
 	header := c.Request().Header.Get(engineapi.HeaderResume)
-	if header == "" {
+	if header == "" || s.options.IgnoresResume {
 		return true
 	}
 	separator := strings.LastIndex(header, "/")
--- a/internal/standin/engineserver/server.go
+++ b/internal/standin/engineserver/server.go
@@ -59,6 +59,8 @@
 	EventGapEvery int64
 	// RefuseResume makes the engine respond with status 409 to every resume.
 	RefuseResume bool
+	// IgnoresResume makes the engine start the generation anew at every resume.
+	IgnoresResume bool
 	// ResumesAny makes the engine resume generations that another engine started.
 	ResumesAny bool
 	// Exit is called to end the process when the die switch is set. If it is
