Check what a caller without chunks takes up as for others

Callers of HTTP/1.0 get a response that is read completely before it is relayed. Where such a caller took up a stream, the events of the response were not compared with the one that it named, so that it got events twice (ORDER).

The check of streams is applied to the whole body before it is written. Of the seven rows of the new table, two fail before ("with a length": all events, and event 1 later) and pass now; the other five passed before, too.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -35,6 +35,9 @@
 	if response.StatusCode < http.StatusMultipleChoices {
 		x.recordSurvival()
 	}
+	if mismatch := x.checkWhole(response, body); mismatch != nil {
+		return x.rejectContinuation(attempt, mismatch)
+	}
 	if response.StatusCode < http.StatusInternalServerError {
 		attempt.Finish(endpoint.OutcomeAnswered)
 		return x.writeResponse(attempt, response, body), nil
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -48,6 +48,18 @@
 	}
 }
 
+// checkWhole returns an error if a whole response to a caller that takes up a stream has an
+// event that the caller has received.
+func (x *inflightCall) checkWhole(response *http.Response, body []byte) error {
+	if !x.takesUp() || response.StatusCode != http.StatusOK || !mayBeEventStream(response.Header) {
+		return nil
+	}
+	received := x.received // nothing of the body has been relayed
+	received.beginAnswer(false)
+	_, err := received.accept(body)
+	return err
+}
+
 // rejectContinuation records the outcome of an attempt whose answer does not go on with the
 // stream. One that brought nothing is not held against its endpoint, which may have had
 // nothing left to send.
--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -131,3 +131,38 @@
 			breakingStream{attempts: []string{testEvent(1, "\n"), "{\"text\":\n\n\"\"}"}, mediaType: "application/json"}, []string{"", "1"}),
 	)
 })
+
+var _ = Describe("A stream that its caller takes up after event 1", func() {
+	// Guards against sending event 1 again, also to callers whose responses are read completely
+	// before they are relayed.
+	DescribeTable("does not begin with an event that the caller has",
+		func(needsLength bool, body string, relayed bool) {
+			f := newStreamForwarder(startEndpoint(func(int, *http.Request) string {
+				return framedResponses[upstream.FramingLength](body, len(body))
+			}))
+			recorder := httptest.NewRecorder()
+			call := &Call{
+				Request: traffic.Request{ID: "next", Host: "h", Path: "/resumable/x", ResumeAfter: "1", Resumes: "id"},
+				Method:  "GET", Target: "/resumable/x", NeedsLength: needsLength,
+			}
+			defer f.config.Origins.Begin("s", "id", "")()
+			err := f.Serve(context.Background(), call, recorder)
+			if relayed {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(recorder.Body.String()).To(Equal(body))
+				return
+			}
+			var failure *Failure
+			Expect(errors.As(err, &failure)).To(BeTrue(), "%v, %q", err, recorder.Body)
+			Expect(failure.Reason).To(Equal(ReasonEndpointFailed))
+			Expect(recorder.Body.String()).To(BeEmpty())
+		},
+		Entry("relayed as it arrives, the rest", false, eventsFrom(2, 3, "\n"), true),
+		Entry("relayed as it arrives, all events", false, eventsFrom(1, 3, "\n"), false),
+		Entry("relayed as it arrives, nothing", false, "", true),
+		Entry("with a length, the rest", true, eventsFrom(2, 3, "\n"), true),
+		Entry("with a length, all events", true, eventsFrom(1, 3, "\n"), false),
+		Entry("with a length, event 1 later", true, testEvent(2, "\n")+testEvent(1, "\n"), false),
+		Entry("with a length, nothing", true, "", true),
+	)
+})
