--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -93,6 +93,15 @@
 		Entry("whose identifier is several lines before its end",
 			breakingStream{attempts: []string{"id: 1\ndata: a\ndata\n: note\ndata: b\n\n", testEvent(2, "\n")}},
 			[]string{"", "1"}, "id: 1\ndata: a\ndata\n: note\ndata: b\n\n"+testEvent(2, "\n")),
+		Entry("whose identifier is a text",
+			breakingStream{attempts: []string{"id: b\ndata: x\n\n", "id: a\ndata: y\n\n"}},
+			[]string{"", "b"}, "id: b\ndata: x\n\nid: a\ndata: y\n\n"),
+		Entry("though identifiers come twice in the first answer, which is passed on as it is",
+			breakingStream{attempts: []string{testEvent(2, "\n") + testEvent(1, "\n") + testEvent(1, "\n"), testEvent(3, "\n")}},
+			[]string{"", "1"}, testEvent(2, "\n")+testEvent(1, "\n")+testEvent(1, "\n")+testEvent(3, "\n")),
+		Entry("from the start if it has none, though events have no identifiers",
+			breakingStream{attempts: []string{": reading\n\n", "data: x\n\n"}},
+			[]string{"", ""}, ": reading\n\ndata: x\n\n"),
 	)
 
 	// Guards against repeated events where nothing names the last one, and against another
@@ -114,7 +123,46 @@
 			breakingStream{attempts: []string{"data: x\n\n", "data: x\n\n"}}, []string{""}),
 		Entry("if the last identifier can't be sent in a header field",
 			breakingStream{attempts: []string{"id: 1\x01\ndata: x\n\n", testEvent(2, "\n")}}, []string{""}),
+		Entry("if the next response repeats an identifier that is a text",
+			breakingStream{attempts: []string{"id: a\ndata: x\n\nid: b\ndata: y\n\n", "id: a\ndata: x\n\nid: b\ndata: y\n\n"}}, []string{"", "b"}),
+		Entry("if nothing follows the comments that the caller has",
+			breakingStream{attempts: []string{": reading\n\n", ""}}, []string{"", ""}),
 		Entry("if the next response is no stream of events",
 			breakingStream{attempts: []string{testEvent(1, "\n"), "{\"text\":\n\n\"\"}"}, mediaType: "application/json"}, []string{"", "1"}),
 	)
 })
+
+var _ = Describe("A stream that its caller takes up after event 1", func() {
+	// Guards against sending event 1 again, also to callers whose responses are read completely
+	// before they are relayed.
+	DescribeTable("does not begin with an event that the caller has",
+		func(needsLength bool, body string, relayed bool) {
+			f := newStreamForwarder(startEndpoint(func(int, *http.Request) string {
+				return framedResponses[upstream.FramingLength](body, len(body))
+			}))
+			recorder := httptest.NewRecorder()
+			call := &Call{
+				Request: traffic.Request{ID: "next", Host: "h", Path: "/resumable/x", ResumeAfter: "1", Resumes: "id"},
+				Method:  "GET", Target: "/resumable/x", NeedsLength: needsLength,
+			}
+			defer f.config.Origins.Begin("s", "id", "")()
+			err := f.Serve(context.Background(), call, recorder)
+			if relayed {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(recorder.Body.String()).To(Equal(body))
+				return
+			}
+			var failure *Failure
+			Expect(errors.As(err, &failure)).To(BeTrue(), "%v, %q", err, recorder.Body)
+			Expect(failure.Reason).To(Equal(ReasonEndpointFailed))
+			Expect(recorder.Body.String()).To(BeEmpty())
+		},
+		Entry("relayed as it arrives, the rest", false, eventsFrom(2, 3, "\n"), true),
+		Entry("relayed as it arrives, all events", false, eventsFrom(1, 3, "\n"), false),
+		Entry("relayed as it arrives, nothing", false, "", true),
+		Entry("with a length, the rest", true, eventsFrom(2, 3, "\n"), true),
+		Entry("with a length, all events", true, eventsFrom(1, 3, "\n"), false),
+		Entry("with a length, event 1 later", true, testEvent(2, "\n")+testEvent(1, "\n"), false),
+		Entry("with a length, nothing", true, "", true),
+	)
+})
