Answer what still runs at the limit of bilberryslipd's shutdown

What callers saw: at shutdown.limit, and at a second signal, bilberryslipd logged what still ran and closed the connections. Requests that waited for a model or for tokens, or whose body was incomplete, got no answer, streams ended without an event that says so, and with the platform slow or gone the process ran on for up to 9 s after its limit, since the final steps of 3 s each followed one another.

Cause: Drain returned at the limit without telling the requests, and nothing else ended them but the end of the process.

Change: the context of each request, and of the detached part of a call that may not be repeated, has a cancellation cause. At the limit all are aborted, also those that come later, and answered within gateway.AbortTimeout (500 ms): "stopping" if nothing was sent, "answer_cut" if the completion had begun, otherwise "outcome_unknown". Streams end after a whole event with the error as the last one. A claimed call records what became of it; its caller waits for that for 300 ms. The final steps run at the same time. shutdown.limit is now the time in which the process ends: requests are aborted settings.ShutdownEnd (4 s) before it, and a limit shorter than shutdown.balancer_delay plus that time is an error at start that names both.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,7 +18,8 @@
 )
 
 // Run runs a host until a signal or an operator requests shutdown, and then
-// shuts it down gracefully. A second signal ends the graceful shutdown early.
+// shuts it down gracefully. A second signal ends the graceful shutdown early;
+// requests that still run are then answered as at its limit.
 func Run(s *settings.Settings) error {
 	if err := setUpLog(s.Log); err != nil {
 		return err
@@ -80,7 +81,7 @@
 	}()
 	h.shutdown(shutdownCtx)
 	cancel()
-	<-ended
+	awaitExit(ended)
 	logrus.Info("stopped")
 	return nil
 }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -2,23 +2,32 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"bilberryslip.example/bilberryslip/internal/gateway"
 	"bilberryslip.example/bilberryslip/internal/invariant"
+	"bilberryslip.example/bilberryslip/internal/settings"
 )
 
-// shutdownStepTimeout bounds each final step of a shutdown, which releases
-// shares or writes records to the platform.
-const shutdownStepTimeout = 3 * time.Second
+// The parts of settings.ShutdownEnd: after gateway.AbortTimeout for the answers to
+// requests that still run, closeTimeout for their connections, shutdownStepTimeout for
+// the final steps, which release shares and write records to the platform, and
+// exitTimeout for the components.
+const (
+	closeTimeout        = 100 * time.Millisecond
+	shutdownStepTimeout = 3 * time.Second
+	exitTimeout         = settings.ShutdownEnd - gateway.AbortTimeout - closeTimeout - shutdownStepTimeout
+)
 
 // shutdown drains the host. It reports not ready to the balancer and announces
 // the shutdown to peers, then finishes the requests in flight, then releases
-// the rate shares and flushes claims and decisions. It stops waiting for
-// requests when ctx ends or the shutdown limit of the settings has passed.
+// the rate shares and flushes claims and decisions. It aborts the requests that
+// still run when ctx ends, or when settings.ShutdownEnd of the shutdown limit is left.
 func (h *host) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, h.settings.Shutdown.Limit.Std())
+	ctx, cancel := context.WithTimeout(ctx, h.settings.Shutdown.Limit.Std()-settings.ShutdownEnd)
 	defer cancel()
 	h.ready.setDraining()
 	h.callers.Drain()
@@ -26,9 +35,23 @@
 	h.members.Round(ctx)
 	aborted := h.gateway.Drain(ctx, h.settings.Shutdown.BalancerDelay.Std())
 	invariant.Assert(len(aborted) == 0 || ctx.Err() != nil, invariant.ShutdownCutsNothing, logrus.Fields{"cut": len(aborted)})
-	h.runShutdownStep(ctx, "shares", h.shares.Leave)
-	h.runShutdownStep(ctx, "claims", h.flushClaims)
-	h.runShutdownStep(ctx, "decisions", h.recorder.Flush)
+	if ctx.Err() != nil {
+		h.callers.Close(closeTimeout)
+	}
+	var steps sync.WaitGroup
+	steps.Go(func() { h.runShutdownStep(ctx, "shares", h.shares.Leave) })
+	steps.Go(func() { h.runShutdownStep(ctx, "claims", h.flushClaims) })
+	steps.Go(func() { h.runShutdownStep(ctx, "decisions", h.recorder.Flush) })
+	steps.Wait()
+}
+
+// awaitExit waits until the components have ended, for exitTimeout at most.
+func awaitExit(ended <-chan error) {
+	select {
+	case <-ended:
+	case <-time.After(exitTimeout):
+		logrus.Warn("components still running at the end of the shutdown")
+	}
 }
 
 // runShutdownStep runs one final step with its own timeout, even if ctx has
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -94,6 +94,9 @@
 	if err == nil {
 		return reservation, nil
 	}
+	if isAborted(ctx) {
+		return nil, errStopping()
+	}
 	var refused *ratelimit.RefusedError
 	if !errors.As(err, &refused) {
 		return nil, errRateUnavailable()
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -261,6 +261,10 @@
 	return newError(status, CodeOutcomeUnknown, "the request was sent and its answer was lost, so whether it ran is unknown: check with the service before you send it under a new key").withRun(RunStateUnknown)
 }
 
+func errStoppedBeforeAnswer() *Error {
+	return newError(http.StatusBadGateway, CodeOutcomeUnknown, "this host shut down before the answer came, so whether the request ran is unknown: send it again on a new connection").withRun(RunStateUnknown).withRetryAfter(time.Second)
+}
+
 func errAnswerNotKept() *Error {
 	return newError(http.StatusGone, CodeAnswerNotKept, "the request with this Idempotency-Key ran and its answer was too large to keep: look its result up at the service").withRun(RunStateRan)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,6 +162,7 @@
 		return
 	}
 	r := g.newRequest(c)
+	defer r.abort(context.Canceled)
 	failure := errInternal()
 	if he, ok := err.(*echo.HTTPError); ok {
 		switch he.Code {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -95,6 +95,9 @@
 		routing: gen.routingRequest(),
 	})
 	if failure := r.admissionError(ctx, refusal, err); failure != nil {
+		if gen.sink.started() && isAborted(ctx) {
+			return nil, errAnswerCut()
+		}
 		return nil, failure
 	}
 	if failure := gen.gateway().checkNotWithdrawn(r.caller); failure != nil {
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -142,37 +142,54 @@
 		c.recordClaimEnd(ctx, "not_run", cl.NotRun)
 		return failure
 	}
-	detached := c.detach()
+	runCtx, abort := context.WithCancelCause(context.WithoutCancel(ctx))
+	detached := c.detach(abort)
 	done := make(chan onceResult, 1)
 	c.gateway().running.add(detached.request)
 	go func() {
 		defer c.gateway().running.remove(detached.request)
-		done <- detached.execute(ctx, sl, cl)
+		defer abort(context.Canceled)
+		done <- detached.execute(ctx, runCtx, sl, cl)
 	}()
 	select {
 	case result := <-done:
-		c.request.mergeDetached(detached.request)
-		if result.failure != nil {
-			return result.failure
-		}
-		return c.writeResponse(result.response, false)
+		return c.respondOnce(detached, result)
 	case <-ctx.Done():
-		c.request.sent = true // may have been sent by the detached call
-		return errOutcomeUnknown(http.StatusGatewayTimeout).withRetryAfter(c.gateway().config.ServiceFirstByteTimeout)
 	}
+	if isAborted(ctx) { // the detached call is aborted as well
+		select {
+		case result := <-done:
+			return c.respondOnce(detached, result)
+		case <-time.After(abortedCallTimeout):
+		}
+	}
+	c.request.sent = true // may have been sent by the detached call
+	if isAborted(ctx) {
+		return errOutcomeUnknown(http.StatusBadGateway)
+	}
+	return errOutcomeUnknown(http.StatusGatewayTimeout).withRetryAfter(c.gateway().config.ServiceFirstByteTimeout)
+}
+
+// respondOnce responds with the result of a detached call that has ended.
+func (c *serviceCall) respondOnce(detached *serviceCall, result onceResult) error {
+	c.request.mergeDetached(detached.request)
+	if result.failure != nil {
+		return result.failure
+	}
+	return c.writeResponse(result.response, false)
 }
 
 // detach returns a copy of the call that doesn't use the caller's connection.
-func (c *serviceCall) detach() *serviceCall {
+func (c *serviceCall) detach(abort context.CancelCauseFunc) *serviceCall {
 	detached := *c
-	detached.request = c.request.detach()
+	detached.request = c.request.detach(abort)
 	return &detached
 }
 
 // execute sends the call and records its outcome. It tries another endpoint
-// only if provably nothing was sent to the previous one.
-func (c *serviceCall) execute(ctx context.Context, sl *slot, cl claim) onceResult {
-	runCtx := context.WithoutCancel(ctx)
+// only if provably nothing was sent to the previous one. runCtx is the context of
+// the call, which outlives ctx, that of the caller's request.
+func (c *serviceCall) execute(ctx, runCtx context.Context, sl *slot, cl claim) onceResult {
 	for attempts := 1; ; attempts++ {
 		if !cl.Valid() {
 			c.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
@@ -193,7 +210,9 @@
 		}
 		c.tried = append(c.tried, sl.attempt.Endpoint())
 		failure := errEndpointFailed(RunStateNotRun)
-		if c.gateway().retryAllowed(false, attempts, repeat.NotReached) {
+		if isAborted(runCtx) {
+			failure = errStopping()
+		} else if c.gateway().retryAllowed(false, attempts, repeat.NotReached) {
 			sl, failure = c.acquire(ctx)
 		}
 		if failure != nil {
@@ -224,7 +243,11 @@
 // same idempotency key get the response that the call is still running or that
 // its outcome is unknown, never that it did not run.
 func (c *serviceCall) recordClaimEnd(ctx context.Context, end string, record func(context.Context) error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimRecordTimeout)
+	timeout := claimRecordTimeout
+	if isAborted(ctx) {
+		timeout = abortedRecordTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
 	if err := record(ctx); err != nil {
 		logrus.WithFields(logrus.Fields{
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -81,12 +81,12 @@
 	if isFinal(err) && errors.As(err, &status) {
 		return errEndpointRefused(status.status).withRun(RunStateRan)
 	}
+	if gen.sink.started() && (ctx.Err() == nil || isAborted(ctx)) {
+		return errAnswerCut()
+	}
 	if ctx.Err() != nil {
 		return contextError(ctx, gen.runState())
 	}
-	if gen.sink.started() {
-		return errAnswerCut()
-	}
 	return errEndpointFailed(gen.runState())
 }
 
@@ -123,6 +123,9 @@
 
 // contextError returns the error response to a request whose context is done.
 func contextError(ctx context.Context, run RunState) *Error {
+	if isAborted(ctx) {
+		return abortError(run)
+	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return errTimeout(run)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,22 +49,27 @@
 	sent bool
 	// lastEndpoint is the endpoint of the last attempt.
 	lastEndpoint string
+	// abort cancels the request's context with a cause.
+	abort context.CancelCauseFunc
 }
 
 func (g *Gateway) newRequest(c echo.Context) *request {
+	ctx, abort := context.WithCancelCause(c.Request().Context())
 	return &request{
 		gateway: g,
 		echo:    c,
-		http:    c.Request(),
+		http:    c.Request().WithContext(ctx),
 		id:      uuid.NewString(),
 		started: g.config.Clock(),
+		abort:   abort,
 	}
 }
 
 // detach returns a copy of the request without the caller's connection, for a
-// call that continues after the caller disconnects.
-func (r *request) detach() *request {
+// call that continues after the caller disconnects. abort cancels the call.
+func (r *request) detach(abort context.CancelCauseFunc) *request {
 	return &request{
+		abort:   abort,
 		gateway: r.gateway, http: r.http, id: r.id, started: r.started, caller: r.caller,
 		class: r.class, model: r.model, lastEndpoint: r.lastEndpoint, sent: r.sent, decisionID: r.decisionID,
 	}
@@ -82,6 +87,7 @@
 func (g *Gateway) track(handle func(*request) error) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		r := g.newRequest(c)
+		defer r.abort(context.Canceled)
 		g.running.add(r)
 		defer g.running.remove(r)
 		c.Response().Header().Set(HeaderRequestID, r.id)
@@ -231,11 +237,15 @@
 	// deadlines.
 	_ = control.SetReadDeadline(time.Now().Add(r.gateway.config.ReadTimeout))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	defer context.AfterFunc(r.http.Context(), func() { _ = control.SetReadDeadline(time.Now().Add(abortedReadTimeout)) })()
 	body, err := io.ReadAll(http.MaxBytesReader(r.echo.Response(), r.http.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, errBodyTooLarge(limit)
 	}
+	if err != nil && isAborted(r.http.Context()) {
+		return nil, errStopping()
+	}
 	if err != nil {
 		return nil, errBodyIncomplete()
 	}
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -13,6 +13,8 @@
 	mu           sync.Mutex
 	requests     map[*request]struct{}
 	drainStarted bool
+	// aborted is set once all requests are aborted, later ones included.
+	aborted bool
 	// idle is closed when the last request ends. It is nil if nobody waits.
 	idle chan struct{}
 }
@@ -21,6 +23,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.requests[r] = struct{}{}
+	if t.aborted {
+		r.abort(errAborted)
+	}
+}
+
+// abort cancels the contexts of the requests that run, and of those that are added later.
+func (t *tracker) abort() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.aborted = true
+	for r := range t.requests {
+		r.abort(errAborted)
+	}
 }
 
 func (t *tracker) remove(r *request) {
@@ -86,8 +101,9 @@
 }
 
 // Drain makes the gateway not ready, continues to accept requests for
-// balancerDelay, then stops accepting and waits until no request is running. It
-// returns the requests that were still running when ctx was done.
+// balancerDelay, then stops accepting and waits until no request is running. Those
+// that still run when ctx is done are returned; they are aborted, and answered within
+// AbortTimeout.
 func (g *Gateway) Drain(ctx context.Context, balancerDelay time.Duration) []UnfinishedRequest {
 	g.beginShutdown(ctx, balancerDelay)
 	logrus.WithField("balancer_delay_ms", balancerDelay.Milliseconds()).Info("gateway is draining")
@@ -102,7 +118,9 @@
 	case <-g.running.awaitIdle():
 		return nil
 	case <-ctx.Done():
-		return g.unfinishedRequests()
+		unfinished := g.unfinishedRequests()
+		g.abort()
+		return unfinished
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -174,10 +174,15 @@
 	// not ready, so that the balancer has time to notice.
 	BalancerDelay Duration `json:"balancer_delay"`
 	// Limit is the time from the start of the shutdown, BalancerDelay included,
-	// after which requests that still run are aborted.
+	// in which the process ends. Requests that still run ShutdownEnd before it are
+	// aborted.
 	Limit Duration `json:"limit"`
 }
 
+// ShutdownEnd is the part of Shutdown.Limit that is left for the answers to requests that
+// are aborted, the release of shares, the flush of records and the exit.
+const ShutdownEnd = 4 * time.Second
+
 // Duration is a time.Duration that is written in JSON as a string such as
 // "250ms" or "24h".
 type Duration time.Duration
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,6 +52,22 @@
 		Expect(strings.Split(err.Error(), "\n")).To(HaveLen(5))
 	})
 
+	// Guards against a host that is to end before the balancer has noticed its shutdown and
+	// the requests that still run have been answered.
+	DescribeTable("checks the limit of the shutdown", func(delay, limit, want string) {
+		text := strings.Replace(valid(), `"peers": {`, `"shutdown": {"balancer_delay": "`+delay+`", "limit": "`+limit+`"}, "peers": {`, 1)
+		_, err := settings.Parse([]byte(text))
+		if want == "" {
+			Expect(err).NotTo(HaveOccurred())
+			return
+		}
+		Expect(err).To(MatchError(want))
+	},
+		Entry("long enough", "5s", "9s", ""),
+		Entry("too short for the delay", "5s", "8s", "shutdown.limit: 8s is out of range; write a duration from 9s (shutdown.balancer_delay and 4s for the end) to 24h0m0s"),
+		Entry("too short for the end", "0s", "3s", "shutdown.limit: 3s is out of range; write a duration from 4s (shutdown.balancer_delay and 4s for the end) to 24h0m0s"),
+	)
+
 	It("reports a malformed document as one fault", func() {
 		_, err := settings.Parse([]byte(`{"host": `))
 		Expect(err.(*settings.InvalidError).Faults).To(HaveLen(1))
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -121,7 +121,10 @@
 	c.number("placement.parallel_adapter_loads", float64(s.Placement.ParallelAdapterLoads), 1, 10_000)
 	c.duration("claims.retention", s.Claims.Retention, time.Minute, 30*day)
 	c.duration("shutdown.balancer_delay", s.Shutdown.BalancerDelay, 0, 10*time.Minute)
-	c.duration("shutdown.limit", s.Shutdown.Limit, time.Second, day)
+	if low := s.Shutdown.BalancerDelay.Std() + ShutdownEnd; s.Shutdown.Limit.Std() < low || s.Shutdown.Limit.Std() > day {
+		c.fault("shutdown.limit", fmt.Sprintf("%s is out of range", s.Shutdown.Limit.Std()),
+			fmt.Sprintf("write a duration from %s (shutdown.balancer_delay and %s for the end) to %s", low, ShutdownEnd, day))
+	}
 }
 
 func (c *checker) fault(path, problem, remedy string) {
