Keep serving requests that arrive as bilberryslipd closes its listener

What callers saw: 503 "stopping" for requests that had come before the listener closed.

The gateway gave the end of shutdown.balancer_delay as that time, at which it also closes the listener. Requests that were just accepted (refused after 2 ms) or waited in the queue (after 84 to 103 ms) were judged a moment later.

Change: the gateway names a time one second later, for which the callers' server waits for connections that were just accepted.

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -17,10 +17,15 @@
 	if !ok {
 		limit = now.Add(maxTimeout)
 	}
-	g.shutdown.Begin(now, now.Add(balancerDelay), limit)
+	g.shutdown.Begin(now, now.Add(balancerDelay+arrivalGrace), limit)
 	g.running.startDrain()
 }
 
+// arrivalGrace is how long after the balancer has noticed a shutdown requests may still
+// come that it sent before, on connections that were just accepted, or leave the queue. It
+// equals the time for which the callers' server waits for them.
+const arrivalGrace = time.Second
+
 const (
 	// AbortTimeout bounds the time in which requests that are aborted at the limit of a
 	// shutdown are answered.
