Take no first signal for the second after bilberryslip drain host

What callers saw: a host that an operator had drained with bilberryslip drain host cut everything that ran at the first SIGTERM, such as that of the service manager.

Cause: whatever began the shutdown, the next signal counted as the second one.

Change: after a drain the first signal is logged as "already leaving". Further drains have no effect, as before.

The spec on, without the line that awaits the new log entry: the request that runs long got a broken connection without an error.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,10 +64,12 @@
 	defer cancel()
 	ended := h.tree.ServeBackground(ctx)
 	h.logStart()
+	signalled := false
 	select {
 	case err := <-ended:
 		return errors.Wrap(err, "supervisor tree ended")
 	case received := <-signals:
+		signalled = true
 		logrus.WithField("signal", received.String()).Info("leaving")
 	case operator := <-h.shutdownRequested:
 		logrus.WithField("operator", operator).Info("leaving")
@@ -75,6 +77,9 @@
 	shutdownCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	go func() {
+		if !signalled { // by an operator: what stops the process sends its first signal
+			logrus.WithField("signal", (<-signals).String()).Info("already leaving")
+		}
 		received := <-signals
 		logrus.WithField("signal", received.String()).Warn("second signal; ending the graceful shutdown early")
 		stop()
--- a/test/process/shutdown_limit_test.go
+++ b/test/process/shutdown_limit_test.go
@@ -26,7 +26,7 @@
 
 var _ = Describe("A shutdown that requests outlast", func() {
 	const timeout = 20 * time.Second
-	start := func(services int) (*cluster.Cluster, *cluster.Host, *cluster.Caller) {
+	start := func(services int, limit time.Duration) (*cluster.Cluster, *cluster.Host, *cluster.Caller) {
 		GinkgoHelper()
 		c := cluster.Start(programs, cluster.Options{
 			HostsPerZone: 2, EnginesPerZone: 1, ServicesPerZone: services,
@@ -38,7 +38,7 @@
 			},
 			Settings: func(s *settings.Settings) {
 				s.Shutdown.BalancerDelay = settings.Duration(100 * time.Millisecond)
-				s.Shutdown.Limit = settings.Duration(shutdownLimit)
+				s.Shutdown.Limit = settings.Duration(limit)
 			},
 		})
 		host := c.Hosts[0]
@@ -53,7 +53,7 @@
 	// Guards against requests that get no answer, an answer that is wrong about whether they
 	// ran, or a part of an event, and against a process that does not end by itself.
 	It("answers each of them truly and ends by itself", func() {
-		c, host, caller := start(1)
+		c, host, caller := start(1, shutdownLimit)
 		setServiceFaults(c, cluster.Change{"late": 2, "lateMillis": 10_000})
 		stalled := sendPartOfBody(host, caller)
 		pending := make(map[string]chan *cluster.Response)
@@ -98,10 +98,42 @@
 		Expect(c.Runs("once")).To(Equal(1))
 	})
 
+	// Guards against a host that is drained by an operator and takes the first signal for the
+	// second, which ends its shutdown early, and against a second one without answers.
+	It("ends early only at a second signal", func() {
+		_, host, caller := start(0, 5*shutdownLimit)
+		answered := make(chan *cluster.Response, 1)
+		send := func(tokens int) {
+			go func() {
+				answered <- caller.Complete(host, cluster.CompletionRequest{Model: cluster.Model, Prompt: unique("signals"), MaxTokens: tokens})
+			}()
+		}
+		send(200)
+		send(6)
+		time.Sleep(100 * time.Millisecond)
+		ctx, admin := host.Admin()
+		for range 2 {
+			_, err := admin.DrainHost(ctx, &apiv1.DrainHostRequest{Name: host.Name})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		host.Terminate()
+		Eventually(host.Log).Should(ContainSubstring("already leaving"))
+		var short, long *cluster.Response
+		Eventually(answered, "5s").Should(Receive(&short))
+		Expect(short.OK()).To(BeTrue(), short.Body)
+		signalled := time.Now()
+		host.Terminate()
+		Eventually(answered, "5s").Should(Receive(&long))
+		Expect(describeEnd(long)).To(Equal("502, answer_cut, ran"))
+		Eventually(host.Exited(), "5s").Should(BeClosed())
+		Expect(time.Since(signalled)).To(BeNumerically("<", settings.ShutdownEnd))
+		Expect(host.ExitCode()).To(BeZero())
+	})
+
 	// Guards against records that are lost, or an end that is delayed, when the platform is
 	// slow or gone at the end of the shutdown.
 	DescribeTable("ends in time", func(platform cluster.Change, want claims.State) {
-		c, host, caller := start(1)
+		c, host, caller := start(1, shutdownLimit)
 		setServiceFaults(c, cluster.Change{"late": 1, "lateMillis": 10_000})
 		answered := make(chan *cluster.Response, 1)
 		go func() { answered <- caller.RequestCertificate(host, "once", "once") }()
