--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,7 +18,8 @@
 )
 
 // Run runs a host until a signal or an operator requests shutdown, and then
-// shuts it down gracefully. A second signal ends the graceful shutdown early.
+// shuts it down gracefully. A second signal ends the graceful shutdown early;
+// requests that still run are then answered as at its limit.
 func Run(s *settings.Settings) error {
 	if err := setUpLog(s.Log); err != nil {
 		return err
@@ -63,10 +64,12 @@
 	defer cancel()
 	ended := h.tree.ServeBackground(ctx)
 	h.logStart()
+	signalled := false
 	select {
 	case err := <-ended:
 		return errors.Wrap(err, "supervisor tree ended")
 	case received := <-signals:
+		signalled = true
 		logrus.WithField("signal", received.String()).Info("leaving")
 	case operator := <-h.shutdownRequested:
 		logrus.WithField("operator", operator).Info("leaving")
@@ -74,13 +77,16 @@
 	shutdownCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	go func() {
+		if !signalled { // by an operator: what stops the process sends its first signal
+			logrus.WithField("signal", (<-signals).String()).Info("already leaving")
+		}
 		received := <-signals
 		logrus.WithField("signal", received.String()).Warn("second signal; ending the graceful shutdown early")
 		stop()
 	}()
 	h.shutdown(shutdownCtx)
 	cancel()
-	<-ended
+	awaitExit(ended)
 	logrus.Info("stopped")
 	return nil
 }
