Play slow links between callers and hosts in the relay

A link may pass one piece per delay each way, with small socket buffers, so that an answer waits in the host's socket while its connection closes and a reset destroys what was not delivered.

go test -race ./internal/standin/relay: passes; of 100,000 bytes that a server sends before it resets, less than half arrive, and all before an orderly close.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -1,13 +1,16 @@
 // Package relay implements a TCP proxy for tests that simulates network
 // failures: connection resets, connections that drop all data while they stay
-// open, and partitions.
+// open, partitions, and slow links.
 package relay
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -35,6 +38,9 @@
 	stalled chan struct{}
 	// accepted counts the connections that were accepted.
 	accepted int
+	// delay and pieceBytes are those of Slow; zero without it.
+	delay      time.Duration
+	pieceBytes int
 }
 
 // New starts a relay to the target, a host:port address, on a free port of
@@ -60,6 +66,15 @@
 // URL returns the base URL of the relay, for use in place of the target's.
 func (r *Relay) URL() string { return "http://" + r.Addr() }
 
+// Slow makes connections that are accepted later slow: each direction passes one piece of
+// at most that many bytes per delay, and the sockets have small buffers. What is on the way
+// then waits in the sender's socket, where a reset destroys it.
+func (r *Relay) Slow(delay time.Duration, pieceBytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay, r.pieceBytes = delay, pieceBytes
+}
+
 // SetTarget sets the host:port address that new connections are forwarded to.
 func (r *Relay) SetTarget(target string) {
 	r.mu.Lock()
@@ -221,7 +236,18 @@
 		discard(client)
 		return
 	}
-	upstream, err := net.Dial("tcp", target)
+	dialer := net.Dialer{}
+	if open.pieceBytes > 0 {
+		_ = client.SetReadBuffer(open.pieceBytes)
+		_ = client.SetWriteBuffer(open.pieceBytes)
+		dialer.Control = func(_, _ string, conn syscall.RawConn) error {
+			// Before the connection opens, since a window that was announced never shrinks.
+			return conn.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, open.pieceBytes)
+			})
+		}
+	}
+	upstream, err := dialer.Dial("tcp", target)
 	if err != nil || !open.join(upstream.(*net.TCPConn)) {
 		r.drop(open)
 		open.reset()
@@ -241,6 +267,7 @@
 		return "", false
 	}
 	open.blackholed.Store(r.blocked != nil && r.blocked(open.client.RemoteAddr()))
+	open.delay, open.pieceBytes = r.delay, r.pieceBytes
 	r.links[open] = struct{}{}
 	return r.target, true
 }
@@ -254,9 +281,10 @@
 // forward copies one direction of a link until a read fails. A blackholed link
 // stays registered afterwards.
 func (r *Relay) forward(open *link, from, to *net.TCPConn) {
-	buffer := make([]byte, bufferBytes)
+	buffer := make([]byte, cmp.Or(open.pieceBytes, bufferBytes))
 	for {
 		n, err := from.Read(buffer)
+		time.Sleep(open.delay)
 		r.awaitResume()
 		if open.blackholed.Load() {
 			return // the sender blocks once the kernel's buffers are full
@@ -297,6 +325,8 @@
 	client           *net.TCPConn
 	blackholed       atomic.Bool
 	closedDirections atomic.Int32
+	delay            time.Duration
+	pieceBytes       int
 
 	mu       sync.Mutex
 	upstream *net.TCPConn
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -152,4 +152,54 @@
 		expectEcho(second)
 		expectEcho(dial(proxy.Addr()))
 	})
+
+	DescribeTable("a slow link", func(linger int, whole bool) {
+		const size = 100_000
+		text, err := io.ReadAll(dial(slowLink(size, linger)))
+		if whole {
+			Expect(err).NotTo(HaveOccurred())
+			Expect(text).To(HaveLen(size))
+			return
+		}
+		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "read %d bytes, then %v", len(text), err)
+		Expect(len(text)).To(BeNumerically("<", size/2))
+	},
+		// Guards against losses of the relay's own.
+		Entry("delivers all that was sent before an orderly close", -1, true),
+		// Guards against specs whose link takes all data at once, so that no reset destroys any.
+		Entry("doesn't deliver what was on the way when the sender reset the connection", 0, false),
+	)
+
+	// Guards against a link that is slow in one direction only.
+	It("delays both directions of a slow link", func() {
+		const delay = 50 * time.Millisecond
+		proxy.Slow(delay, 512)
+		conn, started := dial(proxy.Addr()), time.Now()
+		expectEcho(conn)
+		Expect(time.Since(started)).To(BeNumerically(">=", 2*delay))
+	})
 })
+
+// slowLink returns the address of a slow relay to a server that sends size bytes, and closes
+// the connection after 50 ms with that linger time.
+func slowLink(size, linger int) string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write(make([]byte, size))
+		time.Sleep(50 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(linger)
+		_ = conn.Close()
+	}()
+	link, err := relay.New(listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(link.Close)
+	link.Slow(5*time.Millisecond, 2048)
+	return link.Addr()
+}
