--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -94,22 +94,7 @@
 
 	// Guards against hiding a reset from the client as an orderly close.
 	It("propagates a reset of the target as a reset", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(listener.Close)
-		go func() {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Write([]byte("part"))
-			time.Sleep(50 * time.Millisecond)
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-		}()
-		between, err := relay.New(listener.Addr().String())
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(between.Close)
+		between := relayToServer(0, []byte("part"))
 		text, err := io.ReadAll(dial(between.Addr()))
 		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "read %q, then %v", text, err)
 	})
@@ -155,7 +140,9 @@
 
 	DescribeTable("a slow link", func(linger int, whole bool) {
 		const size = 100_000
-		text, err := io.ReadAll(dial(slowLink(size, linger)))
+		link := relayToServer(linger, make([]byte, size))
+		link.Slow(5*time.Millisecond, 2048)
+		text, err := io.ReadAll(dial(link.Addr()))
 		if whole {
 			Expect(err).NotTo(HaveOccurred())
 			Expect(text).To(HaveLen(size))
@@ -180,9 +167,9 @@
 	})
 })
 
-// slowLink returns the address of a slow relay to a server that sends size bytes, and closes
-// the connection after 50 ms with that linger time.
-func slowLink(size, linger int) string {
+// relayToServer returns a relay to a server that sends data to its first connection, and
+// closes that one after 50 ms with a linger time in seconds.
+func relayToServer(linger int, data []byte) *relay.Relay {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -192,14 +179,13 @@
 		if err != nil {
 			return
 		}
-		_, _ = conn.Write(make([]byte, size))
+		_, _ = conn.Write(data)
 		time.Sleep(50 * time.Millisecond)
 		_ = conn.(*net.TCPConn).SetLinger(linger)
 		_ = conn.Close()
 	}()
-	link, err := relay.New(listener.Addr().String())
+	proxy, err := relay.New(listener.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(link.Close)
-	link.Slow(5*time.Millisecond, 2048)
-	return link.Addr()
+	DeferCleanup(proxy.Close)
+	return proxy
 }
