--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -94,22 +94,7 @@
 
 	// Guards against hiding a reset from the client as an orderly close.
 	It("propagates a reset of the target as a reset", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(listener.Close)
-		go func() {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Write([]byte("part"))
-			time.Sleep(50 * time.Millisecond)
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-		}()
-		between, err := relay.New(listener.Addr().String())
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(between.Close)
+		between := relayToServer(0, []byte("part"))
 		text, err := io.ReadAll(dial(between.Addr()))
 		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "read %q, then %v", text, err)
 	})
@@ -152,4 +137,55 @@
 		expectEcho(second)
 		expectEcho(dial(proxy.Addr()))
 	})
+
+	DescribeTable("a slow link", func(linger int, whole bool) {
+		const size = 100_000
+		link := relayToServer(linger, make([]byte, size))
+		link.Slow(5*time.Millisecond, 2048)
+		text, err := io.ReadAll(dial(link.Addr()))
+		if whole {
+			Expect(err).NotTo(HaveOccurred())
+			Expect(text).To(HaveLen(size))
+			return
+		}
+		Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "read %d bytes, then %v", len(text), err)
+		Expect(len(text)).To(BeNumerically("<", size/2))
+	},
+		// Guards against losses of the relay's own.
+		Entry("delivers all that was sent before an orderly close", -1, true),
+		// Guards against specs whose link takes all data at once, so that no reset destroys any.
+		Entry("doesn't deliver what was on the way when the sender reset the connection", 0, false),
+	)
+
+	// Guards against a link that is slow in one direction only.
+	It("delays both directions of a slow link", func() {
+		const delay = 50 * time.Millisecond
+		proxy.Slow(delay, 512)
+		conn, started := dial(proxy.Addr()), time.Now()
+		expectEcho(conn)
+		Expect(time.Since(started)).To(BeNumerically(">=", 2*delay))
+	})
 })
+
+// relayToServer returns a relay to a server that sends data to its first connection, and
+// closes that one after 50 ms with a linger time in seconds.
+func relayToServer(linger int, data []byte) *relay.Relay {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write(data)
+		time.Sleep(50 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(linger)
+		_ = conn.Close()
+	}()
+	proxy, err := relay.New(listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(proxy.Close)
+	return proxy
+}
