Keep hosts running beside odd objects of another writer

Cause: a response was decoded as one document, and a listing was given up at its first item that could not be decoded.

Change: the client splits responses before it decodes them (internal/rawjson) and leaves the value to its reader. Each is logged once for each change of it, as "entry ignored". A host whose entry is odd stays listed by its name, since hosts that the list omits lose their shares.

--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -104,8 +104,10 @@
 // added one first, it then deletes the expired claims of the next prefixes.
 func (s *Store) sweep(ctx context.Context, read objectstore.Object) error {
 	var state sweepState
-	if err := json.Unmarshal(read.Value, &state); err != nil {
-		return errors.Wrapf(err, "decoding %s %q; delete the object", read.Kind, read.Name)
+	if err := json.Unmarshal(read.Value, &state); err != nil || state.Next < 0 || state.Next >= sweepPrefixes {
+		logrus.WithError(err).WithFields(logrus.Fields{"kind": read.Kind, "name": read.Name, "version": read.Version}).
+			Warn("sweep state can't be used; beginning a new one")
+		state = sweepState{}
 	}
 	next := state.withMark(read.Version)
 	value, err := json.Marshal(next)
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -91,6 +91,8 @@
 	// provenAt is when the read was sent that proved the revision to be the
 	// latest. Zero means never.
 	provenAt time.Time
+	// ignored logs the objects that can't be used.
+	ignored objectstore.IgnoredLog
 	// snapshotDue wakes the snapshot loop.
 	snapshotDue chan struct{}
 }
--- a/internal/config/snapshots.go
+++ b/internal/config/snapshots.go
@@ -143,17 +143,24 @@
 	if err != nil {
 		return nil, err
 	}
-	manifests := make([]manifest, len(listing.Items))
-	for i, item := range listing.Items {
-		if err := json.Unmarshal(item.Value, &manifests[i]); err != nil {
-			return nil, errors.Wrapf(err, "decoding snapshot manifest %q; delete the object", item.Name)
+	manifests := make([]manifest, 0, len(listing.Items))
+	for _, item := range listing.Items {
+		var m manifest
+		err := json.Unmarshal(item.Value, &m)
+		if err == nil && (m.Revision <= 0 || m.Chunks <= 0 || m.ChunkPrefix == "") {
+			err = errors.New("the manifest names no snapshot")
+		}
+		if err != nil {
+			l.ignore(item, err)
+			continue
 		}
+		manifests = append(manifests, m)
 	}
 	return manifests, nil
 }
 
-// loadSnapshot reads the newest stored snapshot and installs it if it is later
-// than the one in force.
+// loadSnapshot reads the newest stored snapshot that can be read whole and installs it if it
+// is later than the one in force.
 func (l *Log) loadSnapshot(ctx context.Context) error {
 	manifests, err := l.listManifests(ctx)
 	if err != nil {
@@ -162,7 +169,17 @@
 	if len(manifests) == 0 {
 		return errors.New("the configuration log begins late and there is no snapshot; restore the snapshot objects")
 	}
-	m := manifests[len(manifests)-1]
+	for i := len(manifests) - 1; i >= 0; i-- {
+		if err = l.readSnapshot(ctx, manifests[i]); err == nil {
+			return nil
+		}
+		logrus.WithError(err).WithField("revision", manifests[i].Revision).Warn("configuration snapshot can't be read; trying the one before")
+	}
+	return err
+}
+
+// readSnapshot reads a stored snapshot and installs it if it is later than the one in force.
+func (l *Log) readSnapshot(ctx context.Context, m manifest) error {
 	listing, err := l.config.Store.List(ctx, objectstore.KindConfigSnapshot, m.ChunkPrefix)
 	if err != nil {
 		return err
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -63,7 +63,8 @@
 		}
 		change, err := decodeChange(ev.Object)
 		if err != nil {
-			return err
+			l.ignore(ev.Object, err)
+			continue
 		}
 		l.addChanges(change)
 	}
@@ -79,11 +80,7 @@
 	if err != nil {
 		return 0, err
 	}
-	changes, err := decodeChanges(listing)
-	if err != nil {
-		return 0, err
-	}
-	changes = contiguousSuffix(changes)
+	changes := contiguousSuffix(l.decodeChanges(listing))
 	if l.needsSnapshot(changes) {
 		if err := l.loadSnapshot(ctx); err != nil {
 			return 0, err
@@ -101,16 +98,26 @@
 	return listing.Version, nil
 }
 
-func decodeChanges(listing objectstore.Listing) ([]*apiv1.Change, error) {
+// decodeChanges returns the changes of a listing. An object that holds no change is logged
+// and left out; one in the place of a change leaves a gap.
+func (l *Log) decodeChanges(listing objectstore.Listing) []*apiv1.Change {
 	changes := make([]*apiv1.Change, 0, len(listing.Items))
 	for _, item := range listing.Items {
 		change, err := decodeChange(item)
 		if err != nil {
-			return nil, err
+			l.ignore(item, err)
+			continue
 		}
 		changes = append(changes, change)
 	}
-	return changes, nil
+	return changes
+}
+
+// ignore logs an object that can't be used, once for each version of it.
+func (l *Log) ignore(object objectstore.Object, cause error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ignored.Add(object, cause)
 }
 
 // contiguousSuffix returns the longest run of contiguous revisions that ends at
--- a/internal/decisions/recorder.go
+++ b/internal/decisions/recorder.go
@@ -79,6 +79,8 @@
 	pending []*apiv1.Decision
 	// lastFlush is the time of the last segment write; zero before the first.
 	lastFlush time.Time
+	// ignored logs the segments that can't be decoded.
+	ignored objectstore.IgnoredLog
 
 	sweep sweepState
 }
--- a/internal/decisions/segments.go
+++ b/internal/decisions/segments.go
@@ -179,7 +179,10 @@
 	for _, obj := range listing.Items {
 		decisions, err := decodeSegment(obj.Value)
 		if err != nil {
-			return errors.Wrapf(err, "segment %s", obj.Name)
+			r.mu.Lock()
+			r.ignored.Add(obj, err)
+			r.mu.Unlock()
+			continue
 		}
 		for _, decision := range decisions {
 			if matches(req, decision) {
--- a/internal/objectstore/call.go
+++ b/internal/objectstore/call.go
@@ -135,7 +135,7 @@
 		return &UnavailableError{Outcome: outcomeOf(&connected), Cause: err}
 	}
 	defer closeBody(resp)
-	err = decodeResponse(resp, cl, result)
+	err = c.decodeResponse(resp, cl, result)
 	if ctx.Err() != nil {
 		c.transport.CloseIdleConnections()
 	}
@@ -190,17 +190,17 @@
 
 // decodeResponse decodes a successful response into result and returns an error
 // that describes any other.
-func decodeResponse(resp *http.Response, cl call, result any) error {
+func (c *Client) decodeResponse(resp *http.Response, cl call, result any) error {
 	switch {
 	case resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusOK && result == nil:
 		return nil
 	case resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated:
-		return decodeBody(resp, result)
+		return c.decodeBody(resp, cl.kind, result)
 	case resp.StatusCode == http.StatusNotFound:
 		return &NotFoundError{Kind: cl.kind, Name: cl.object}
 	case resp.StatusCode == http.StatusPreconditionFailed:
 		var current Object
-		if err := decodeBody(resp, &current); err != nil {
+		if err := c.decodeBody(resp, cl.kind, &current); err != nil {
 			return err
 		}
 		return &ConflictError{Current: current}
@@ -211,8 +211,11 @@
 	}
 }
 
-func decodeBody(resp *http.Response, result any) error {
-	err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(result)
+func (c *Client) decodeBody(resp *http.Response, kind Kind, result any) error {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err == nil {
+		err = c.decodeText(text, kind, result)
+	}
 	if err != nil {
 		return &UnavailableError{Outcome: OutcomeUnknown, Cause: errors.Wrap(err, "decoding the platform's answer")}
 	}
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,10 @@
 	// lastResponse is when the platform last responded. Nil means never.
 	lastResponse atomic.Pointer[time.Time]
 	metrics      *Metrics
+
+	ignoredMu sync.Mutex
+	// ignored logs the entries that can't be decoded, by kind.
+	ignored map[Kind]*IgnoredLog
 }
 
 var (
@@ -163,11 +168,9 @@
 
 // Hosts implements HostLister.
 func (c *Client) Hosts(ctx context.Context) ([]ListedHost, error) {
-	var response struct {
-		Hosts []ListedHost `json:"hosts"`
-	}
-	err := c.do(ctx, call{name: callHosts, method: http.MethodGet, path: "/v1/hosts"}, &response)
-	return response.Hosts, err
+	var hosts []ListedHost
+	err := c.do(ctx, call{name: callHosts, method: http.MethodGet, path: "/v1/hosts"}, &hosts)
+	return hosts, err
 }
 
 // ClientState is a Client's section of the state dump.
--- a/internal/objectstore/watch.go
+++ b/internal/objectstore/watch.go
@@ -85,7 +85,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		return fail(watchError(resp, kind))
+		return fail(c.watchError(resp, kind))
 	}
 	w := &clientWatch{
 		kind: kind, events: make(chan Event, watchBuffer), ctx: ctx, cancel: cancel,
@@ -97,9 +97,9 @@
 }
 
 // watchError returns the error for a response other than 200 to a watch.
-func watchError(resp *http.Response, kind Kind) error {
+func (c *Client) watchError(resp *http.Response, kind Kind) error {
 	if resp.StatusCode != http.StatusGone {
-		err := decodeResponse(resp, call{kind: kind}, &struct{}{})
+		err := c.decodeResponse(resp, call{kind: kind}, &struct{}{})
 		if err == nil {
 			err = &RejectedError{Status: resp.StatusCode, Message: "unexpected response status to a watch"}
 		}
@@ -108,7 +108,7 @@
 	var body struct {
 		Oldest Version `json:"oldest"`
 	}
-	if err := decodeBody(resp, &body); err != nil {
+	if err := c.decodeBody(resp, kind, &body); err != nil {
 		return err
 	}
 	return &CompactedError{Oldest: body.Oldest}
--- a/internal/placement/owner/intents.go
+++ b/internal/placement/owner/intents.go
@@ -72,14 +72,39 @@
 		v.cached = cached
 		switch {
 		case !o.claimed(cached):
-			group.Go(func() error { return o.claim(ctx, cached) })
+			group.Go(func() error { return o.ignoreUnreadable(cached, o.claim(ctx, cached)) })
 		case o.recheckDue(cached):
-			group.Go(func() error { return o.read(ctx, cached) })
+			group.Go(func() error { return o.ignoreUnreadable(cached, o.read(ctx, cached)) })
 		}
 	}
 	return group.Wait()
 }
 
+// unreadableIntentsError reports an object that another writer has overwritten.
+type unreadableIntentsError struct {
+	object objectstore.Object
+	cause  error
+}
+
+// Error implements error.
+func (e *unreadableIntentsError) Error() string {
+	return fmt.Sprintf("intents of %s can't be decoded (%v); delete the object once its endpoint has no order in progress", e.object.Name, e.cause)
+}
+
+// ignoreUnreadable logs intents that can't be decoded and returns any other error. Their
+// endpoint gets no orders: what it was ordered before is not known.
+func (o *Owner) ignoreUnreadable(cached *cachedIntents, err error) error {
+	var unreadable *unreadableIntentsError
+	if !errors.As(err, &unreadable) {
+		return err
+	}
+	cached.valid = false
+	o.ignoredMu.Lock()
+	defer o.ignoredMu.Unlock()
+	o.ignored.Add(unreadable.object, err)
+	return nil
+}
+
 // recheckDue reports whether the object has to be read again because another
 // sender may have marked its order as ended since the last read.
 func (o *Owner) recheckDue(cached *cachedIntents) bool {
@@ -123,7 +148,7 @@
 func (o *Owner) updateCache(cached *cachedIntents, obj objectstore.Object) error {
 	var intents placement.Intents
 	if err := json.Unmarshal(obj.Value, &intents); err != nil {
-		return errors.Wrapf(err, "decode intents of %s", cached.name)
+		return &unreadableIntentsError{object: obj, cause: err}
 	}
 	if intents.Term > o.term {
 		return &deposedError{owner: intents.Owner, term: intents.Term}
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -164,6 +164,10 @@
 	cycleMu     sync.Mutex
 	term        int64
 	deposedTerm int64
+
+	ignoredMu sync.Mutex
+	// ignored logs the intents that can't be decoded.
+	ignored     objectstore.IgnoredLog
 	intentCache map[string]*cachedIntents
 	budget      loadBudget
 	demand      movingAverage
