Refuse what arrives after the limit of bilberryslipd's shutdown

"refuses what can't end before the limit" failed since the gateway names a later time for the notice of the balancer: a request after the limit counted as one before that notice, and was admitted. That time is now the limit at the latest, and aborted requests are refused before anything is estimated. go test -race ./internal/gateway: 2 specs failed before, none now.

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -17,7 +17,11 @@
 	if !ok {
 		limit = now.Add(maxTimeout)
 	}
-	g.shutdown.Begin(now, now.Add(balancerDelay+arrivalGrace), limit)
+	balanced := now.Add(balancerDelay + arrivalGrace)
+	if balanced.After(limit) {
+		balanced = limit
+	}
+	g.shutdown.Begin(now, balanced, limit)
 	g.running.startDrain()
 }
 
@@ -72,6 +76,9 @@
 // checkShutdown returns an error if this host is expected to end before a request does
 // that is about to start.
 func (g *Gateway) checkShutdown(ctx context.Context, size drain.Request) *Error {
+	if isAborted(ctx) {
+		return errStopping()
+	}
 	now := g.config.Clock()
 	deadline, ok := ctx.Deadline()
 	if !ok {
