Adopt the level and use of an older host after a start beside it

The cause is twofold. A process that starts into a running fleet began with 0.02 of the level and refilled it at the mean rate, whatever its peers knew. And it charged what processes younger than the window had taken on top of an older host's sum, which contains it; used rose to 1.4 times the limit.

A host now reports the level, and the part of its sum that young processes have taken, while its limit is undivided and all reachable hosts have reported lately. Reports of older builds lack the two fields and count as before. A process that has just started takes both over from one that is older than the window, the level once it reaches all listed hosts; further reports of older ones only lower the level and raise the sum. The wire has two new fields, since the use in the window doesn't tell how late in it the use lies. If no host is older than the window, the same is granted as before (spec, 30 schedules with equal grants).

The specs fail before: a request of a tenth of the limit is refused by a host that has started beside five older ones at half of the limit; 140 and 157 of 9,000 requests at three quarters of the limit are refused, 90 are the bound.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -61,6 +61,14 @@
 	// ownGrants are this host's grants within the last report interval, oldest
 	// first.
 	ownGrants []ownGrant
+	// adoptedUse and adoptedLevel are set once the report of a process older than the window
+	// has replaced the assumed use and level.
+	adoptedUse, adoptedLevel bool
+	// covered is the part of the adopted use that processes have taken whose own reports are
+	// still to come.
+	covered float64
+	// earlier is the charged use of other processes from before this one started.
+	earlier float64
 }
 
 // Usage is a host's use of one organisation's limit, in tokens.
@@ -69,6 +77,12 @@
 	Taken float64
 	// Used is the use of all hosts in the window, according to this host.
 	Used float64
+	// Level may be used at once, according to this host. It is nil unless the host
+	// has recent reports of all others and the limit is not divided.
+	Level *float64
+	// Recent is the part of Used that running processes of other hosts have taken
+	// that started less than a window ago. It is set with Level.
+	Recent float64
 }
 
 // Limiter decides which requests one host may admit. It is not safe for
@@ -81,6 +95,8 @@
 	// firstStart means that the whole fleet starts for the first time, so that
 	// nothing was used before.
 	firstStart bool
+	// started is when the first policies were set; zero before.
+	started time.Time
 	// reachableFraction is the fraction of the hosts that are reachable,
 	// reachable are their names; both include this host.
 	reachableFraction float64
@@ -114,6 +130,9 @@
 // limit. An organisation that is new to a process that started into a running
 // fleet begins with an assumed use.
 func (l *Limiter) SetPolicies(now time.Time, policies map[string]Policy) {
+	if l.started.IsZero() {
+		l.started = now
+	}
 	for name := range l.accounts {
 		if _, ok := policies[name]; !ok {
 			delete(l.accounts, name)
@@ -376,8 +395,18 @@
 // other hosts.
 func (l *Limiter) Usage(now time.Time) map[string]Usage {
 	usage := make(map[string]Usage, len(l.accounts))
+	young, informed := l.youngProcesses(now)
 	for name, a := range l.accounts {
-		usage[name] = Usage{Taken: a.taken, Used: l.used(now, a)}
+		u := Usage{Taken: a.taken, Used: l.used(now, a)}
+		if informed && l.limitFraction(name) == 1 {
+			l.advance(now, a)
+			level := a.level
+			u.Level = &level
+			for _, p := range young {
+				u.Recent += p.taken[name]
+			}
+		}
+		usage[name] = u
 	}
 	return usage
 }
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -58,7 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, u := range s.limiter.Usage(clock.Boot()) {
-		report.Usage = append(report.Usage, &fleetv1.Usage{Organisation: name, Tokens: u.Taken, Used: u.Used})
+		report.Usage = append(report.Usage, &fleetv1.Usage{Organisation: name, Tokens: u.Taken, Used: u.Used, Level: u.Level, Recent: u.Recent})
 	}
 }
 
@@ -66,7 +66,7 @@
 func (s *Service) HandleReport(report *fleetv1.Report, joining bool) {
 	usage := make(map[string]Usage, len(report.GetUsage()))
 	for _, u := range report.GetUsage() {
-		usage[u.GetOrganisation()] = Usage{Taken: u.GetTokens(), Used: u.GetUsed()}
+		usage[u.GetOrganisation()] = Usage{Taken: u.GetTokens(), Used: u.GetUsed(), Level: u.Level, Recent: u.GetRecent()}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
