Leave a request unread that crosses the close of a connection

A connection that lingers after its close read and dropped whatever arrived. A request that crosses the close was thus read and never answered, while its caller may send one that is not idempotent again only if it was not read.

Between requests, a lingering connection now reads nothing for 100 ms after something has arrived, in which a caller that sees the end closes.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -107,6 +107,10 @@
 	// untakenReported is set once it is reported that the caller has not taken the answer.
 	untakenReported atomic.Bool
 
+	// lingersSince is when the connection began to wait for its caller. It is set before the
+	// connection is added to the lingerers.
+	lingersSince time.Time
+
 	// reading is held by Read, and once the connection is closed by linger.
 	reading sync.Mutex
 }
--- a/internal/httpserver/linger.go
+++ b/internal/httpserver/linger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	// maxLingerers limits these connections, each of which holds a descriptor: an eighth of
 	// the 4,100 connections that a host may have. Beyond it, connections close at once.
 	maxLingerers = 512
+	// crossingTime is how long after the answer was taken a request may still arrive that the
+	// caller sent before it saw the end of the connection.
+	crossingTime = 100 * time.Millisecond
 	// discardBufferBytes is the length of the buffer for what arrives meanwhile.
 	discardBufferBytes = 2 << 10
 )
@@ -40,6 +44,7 @@
 	if l.conns == nil {
 		l.conns = make(map[*trackedConn]struct{})
 	}
+	c.lingersSince = time.Now()
 	l.conns[c] = struct{}{}
 	return true
 }
@@ -82,24 +87,70 @@
 func (c *trackedConn) untaken() int { return c.queue(unix.SIOCOUTQ) }
 
 // linger drops what arrives until the caller closes the connection, up to lingerTimeout, and
-// closes it. The sending half has been shut down.
+// closes it. The sending half has been shut down. A further request stays unread for
+// crossingTime: callers may send a request again that was not read. After that, a reset for
+// unread bytes would cost callers behind slow links their answers.
 func (c *trackedConn) linger() {
 	defer c.server.lingerers.remove(c)
 	c.reading.Lock() // until the last Read has returned
 	defer c.reading.Unlock()
 	_ = c.tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
-	var buffer [discardBufferBytes]byte
-	for {
-		if _, err := c.tcp.Read(buffer[:]); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				c.reportUntaken()
+	c.mu.Lock()
+	between := !c.opaque.Load() && !c.framing.lost && c.framing.begun == c.framing.whole
+	c.mu.Unlock()
+	if !between || !c.closesUnread() {
+		var buffer [discardBufferBytes]byte
+		for {
+			if _, err := c.tcp.Read(buffer[:]); err != nil {
+				if errors.Is(err, os.ErrDeadlineExceeded) {
+					c.reportUntaken()
+				}
+				break
 			}
-			break
 		}
 	}
 	_ = c.Conn.Close()
 }
 
+// closesUnread waits until something arrives, and then for crossingTime until the caller closes.
+// It reads nothing, and returns whether the caller has closed.
+func (c *trackedConn) closesUnread() bool {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var arrived int
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		var peeked error
+		arrived, _, peeked = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK)
+		return !errors.Is(peeked, unix.EAGAIN) && !errors.Is(peeked, unix.EINTR)
+	})
+	if err != nil || arrived <= 0 {
+		return false // Read tells why
+	}
+	for since := time.Now(); time.Since(since) < crossingTime; time.Sleep(idlePollInterval) {
+		closed := false
+		err = raw.Control(func(fd uintptr) {
+			events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+			n, err := unix.Poll(events, 0)
+			closed = n > 0 && err == nil
+		})
+		if closed || err != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// lingering returns the connections whose callers have not taken the answer, or may have sent
+// a request that crosses the close.
+func (s *Server) lingering() []*trackedConn {
+	return slices.DeleteFunc(s.lingerers.all(), func(c *trackedConn) bool {
+		return c.untaken() == 0 && time.Since(c.lingersSince) >= crossingTime
+	})
+}
+
 // awaitLingerers waits until all connections have closed or ctx is done.
 func (s *Server) awaitLingerers(ctx context.Context) {
 	for {
