Follow folded fields in the framing of requests

After a request with a folded field that has nothing to do with its framing, the tracker was lost for good: answers in a shutdown never said that the connection closes, and an idle connection held the stop up to its limit. Only lines that continue Content-Length or Transfer-Encoding make it lost now.

--- a/internal/httpserver/framing.go
+++ b/internal/httpserver/framing.go
@@ -36,8 +36,10 @@
 	lineCut    bool
 	// What the head says so far.
 	afterPost, post, http10, chunked, hasLength bool
-	length                                      int64
-	breaks                                      int
+	// afterFraming is set if the last field says how the request is framed.
+	afterFraming bool
+	length       int64
+	breaks       int
 	// State of a chunk's size line.
 	chunkSize   int64
 	chunkDigits int
@@ -160,7 +162,7 @@
 		return
 	}
 	f.http10 = line[len(line)-1] == '0'
-	f.part = partFields
+	f.part, f.afterFraming = partFields, true // a line that continues none is malformed
 }
 
 var (
@@ -168,23 +170,26 @@
 	encodingName = []byte("Transfer-Encoding")
 )
 
-// addField follows a field of the head. It is lost on a field that net/http may join with
-// the one before it, and on any framing that net/http refuses.
+// addField follows a field of the head. It is lost on a line that net/http joins with a field
+// that says how the request is framed, and on any framing that net/http refuses.
 func (f *framing) addField(line []byte, cut bool) {
 	switch line[0] {
 	case 'C', 'c', 'T', 't':
 	case ' ', '\t':
-		f.lost = true
+		f.lost = f.afterFraming
 		return
 	default:
+		f.afterFraming = false
 		return
 	}
+	f.afterFraming = false
 	name, value, _ := bytes.Cut(line, []byte{':'})
 	exact := bytes.TrimSpace(name)
 	isLength, isEncoding := bytes.EqualFold(exact, lengthName), bytes.EqualFold(exact, encodingName)
 	if !isLength && !isEncoding {
 		return
 	}
+	f.afterFraming = true
 	if cut || len(exact) != len(name) {
 		f.lost = true
 		return
