--- a/internal/drain/estimate.go
+++ b/internal/drain/estimate.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"math"
 	"math/bits"
 	"sync"
 	"time"
@@ -88,7 +89,7 @@
 	}
 	for smaller := class - 1; smaller > 0; smaller-- {
 		if expected, ok := valueAt(classes[smaller], percentile); ok {
-			return expected << (class - smaller), true
+			return time.Duration(min(float64(expected)*math.Exp2(float64(class-smaller)), float64(maxDuration))), true
 		}
 	}
 	return 0, false
