--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -67,7 +67,7 @@
 		FirstByteTimeout:        h.settings.Endpoints.FirstByteTimeout.Std(),
 		ProgressTimeout:         h.settings.Endpoints.ProgressTimeout.Std(),
 		ServiceFirstByteTimeout: h.settings.Endpoints.FirstByteTimeout.Std(),
-		StopAccepting:           func(ctx context.Context) { h.callers.StopAccepting(ctx) },
+		Stop:                    h.stop,
 	})
 }
 
@@ -84,6 +84,7 @@
 		{"demand", h.demand},
 		{"endpoints", h.endpoints},
 		{"gateway", h.gateway},
+		{"stop", dumpFunc(func() any { return h.stop.DumpState() })},
 		{"decisions", h.recorder},
 	}}
 }
@@ -118,9 +119,9 @@
 }
 
 // tlsServer returns a supervised HTTP server that uses TLS if the settings name
-// a certificate.
-func (h *host) tlsServer(name string, listener net.Listener, handler http.Handler) *httpserver.Server {
-	config := httpserver.Config{Name: name, Listener: listener, Handler: handler}
+// a certificate, and takes part in the shutdown unless that is nil.
+func (h *host) tlsServer(name string, listener net.Listener, handler http.Handler, shutdown httpserver.Shutdown) *httpserver.Server {
+	config := httpserver.Config{Name: name, Listener: listener, Handler: handler, Shutdown: shutdown}
 	if files := h.settings.TLS; files.CertificateFile != "" {
 		config.TLS = &httpserver.Certificate{CertificateFile: files.CertificateFile, KeyFile: files.KeyFile}
 	}
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -14,9 +14,11 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admin"
 	"bilberryslip.example/bilberryslip/internal/claims"
+	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/config"
 	"bilberryslip.example/bilberryslip/internal/decisions"
 	"bilberryslip.example/bilberryslip/internal/demand"
+	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/gateway"
 	"bilberryslip.example/bilberryslip/internal/httpserver"
@@ -53,6 +55,7 @@
 	demand     *demand.Tracker
 	gateway    *gateway.Gateway
 	callers    *httpserver.Server
+	stop       *drain.Stop
 
 	ready *readiness
 	dump  *stateDump
@@ -61,7 +64,10 @@
 
 // newHost builds all components of a host without starting them.
 func newHost(s *settings.Settings, sockets *listeners) (*host, error) {
-	h := &host{settings: s, sockets: sockets, incarnation: newIncarnation(), shutdownTrigger: newShutdownTrigger()}
+	h := &host{
+		settings: s, sockets: sockets, incarnation: newIncarnation(), shutdownTrigger: newShutdownTrigger(),
+		stop: drain.New(drain.Config{Clock: clock.Boot}),
+	}
 	if err := h.buildPlatform(); err != nil {
 		return nil, err
 	}
@@ -72,7 +78,7 @@
 	h.buildEndpoints()
 	h.buildLimits()
 	h.buildGateway()
-	h.ready = newReadiness(h.log.Ready)
+	h.ready = newReadiness(h.log.Ready, h.stop.Ready)
 	h.dump = h.newDump()
 	if err := h.buildTree(); err != nil {
 		return nil, err
@@ -184,7 +190,7 @@
 	if err != nil {
 		return err
 	}
-	h.callers = h.tlsServer("callers", h.sockets.callers, ensureFreshConfig(h.log, h.gateway.Handler()))
+	h.callers = h.tlsServer("callers", h.sockets.callers, ensureFreshConfig(h.log, h.gateway.Handler()), h.stop)
 	control := &selfControl{dump: h.dump, requestShutdown: h.requestShutdown}
 	h.tree = supervise.NewTree("bilberryslipd", []supervise.Branch{
 		{Name: "platform", Services: []suture.Service{h.log}},
@@ -193,7 +199,7 @@
 		{Name: "placement", Services: []suture.Service{h.lease, h.owner, h.recorder}},
 		{Name: "limits", Services: []suture.Service{h.shares, h.claimStore}},
 		{Name: "gateway", Services: []suture.Service{h.gateway, h.callers}},
-		{Name: "admin", Services: []suture.Service{h.tlsServer("operators", h.sockets.operators, h.adminHandler(control))}},
+		{Name: "admin", Services: []suture.Service{h.tlsServer("operators", h.sockets.operators, h.adminHandler(control), nil)}},
 		{Name: "debug", Services: []suture.Service{h.server("debug", h.sockets.debug, newDebugHandler(h.ready, h.metrics(), h.dump))}},
 	}, h.ready.onEvent)
 	return nil
@@ -231,6 +237,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(invariant.Collector(), netmeter.Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registry.MustRegister(httpserver.Collectors()...)
+	registry.MustRegister(h.stop)
 	for _, component := range []interface{ Collectors() []prometheus.Collector }{
 		h.platform, h.log, h.recorder, h.endpoints, h.owner, h.shares, h.claimStore, h.gateway,
 	} {
--- a/internal/daemon/readiness.go
+++ b/internal/daemon/readiness.go
@@ -14,10 +14,10 @@
 type readiness struct {
 	mu sync.Mutex
 	// failing maps the names of branches in backoff to the start of the backoff.
-	failing  map[string]time.Time
-	draining bool
-	// configured reports whether a configuration is in force.
-	configured func() bool
+	failing map[string]time.Time
+	// configured reports whether a configuration is in force, serving whether no shutdown
+	// has begun.
+	configured, serving func() bool
 }
 
 // readinessState is the readiness section of the state dump and the body of
@@ -27,15 +27,8 @@
 	Reasons []string `json:"reasons"`
 }
 
-func newReadiness(configured func() bool) *readiness {
-	return &readiness{failing: make(map[string]time.Time), configured: configured}
-}
-
-// setDraining makes the host not ready until the process ends.
-func (r *readiness) setDraining() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.draining = true
+func newReadiness(configured, serving func() bool) *readiness {
+	return &readiness{failing: make(map[string]time.Time), configured: configured, serving: serving}
 }
 
 // state returns whether the host is ready, and the reasons if not.
@@ -43,7 +36,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var reasons []string
-	if r.draining {
+	if !r.serving() {
 		reasons = append(reasons, "leaving")
 	}
 	if !r.configured() {
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/gateway"
 	"bilberryslip.example/bilberryslip/internal/invariant"
 	"bilberryslip.example/bilberryslip/internal/settings"
@@ -19,6 +20,7 @@
 const (
 	closeTimeout        = 100 * time.Millisecond
 	shutdownStepTimeout = 3 * time.Second
+	callersTimeout      = 2 * time.Second
 	exitTimeout         = settings.ShutdownEnd - gateway.AbortTimeout - closeTimeout - shutdownStepTimeout
 )
 
@@ -27,17 +29,13 @@
 // the rate shares and flushes claims and decisions. It aborts the requests that
 // still run when ctx ends, or when settings.ShutdownEnd of the shutdown limit is left.
 func (h *host) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, h.settings.Shutdown.Limit.Std()-settings.ShutdownEnd)
-	defer cancel()
-	h.ready.setDraining()
-	h.callers.Drain()
+	limit := h.settings.Shutdown.Limit.Std() - settings.ShutdownEnd
+	h.stop.Begin(drain.Timing{
+		Announced: min(h.settings.Shutdown.BalancerDelay.Std()+arrivalGrace, limit), Limit: limit, Answers: gateway.AbortTimeout, Close: closeTimeout,
+	})
 	h.members.SetDraining()
-	h.members.Round(ctx)
-	aborted := h.gateway.Drain(ctx, h.settings.Shutdown.BalancerDelay.Std())
-	invariant.Assert(len(aborted) == 0 || ctx.Err() != nil, invariant.ShutdownCutsNothing, logrus.Fields{"cut": len(aborted)})
-	if ctx.Err() != nil {
-		h.callers.Close(closeTimeout)
-	}
+	go h.members.Round(ctx)
+	h.stop.Run(ctx, h.work, func(phase drain.Phase) { h.enterPhase(ctx, phase) })
 	var steps sync.WaitGroup
 	steps.Go(func() { h.runShutdownStep(ctx, "shares", h.shares.Leave) })
 	steps.Go(func() { h.runShutdownStep(ctx, "claims", h.flushClaims) })
@@ -45,6 +43,31 @@
 	steps.Wait()
 }
 
+// arrivalGrace is how long after the balancer has noticed a shutdown requests may still
+// come that it sent before, or leave the queue.
+const arrivalGrace = time.Second
+
+// work returns what this host still has to do before its final steps.
+func (h *host) work() drain.Work {
+	return drain.Work{Requests: h.gateway.Running(), Arriving: h.callers.Arriving(), Connections: h.callers.Connections()}
+}
+
+// enterPhase does what belongs to the start of a phase of the shutdown. All else asks
+// h.stop.
+func (h *host) enterPhase(ctx context.Context, phase drain.Phase) {
+	switch phase {
+	case drain.Draining:
+		h.callers.CloseQuiet()
+	case drain.Ending:
+		aborted := h.gateway.Abort()
+		remaining, _ := h.stop.Remaining()
+		invariant.Assert(len(aborted) == 0 || ctx.Err() != nil || remaining <= 0, invariant.ShutdownCutsNothing, logrus.Fields{"cut": len(aborted)})
+	case drain.Closing:
+		go h.callers.Close(callersTimeout)
+	case drain.Serving, drain.Announced, drain.Ended:
+	}
+}
+
 // awaitExit waits until the components have ended, for exitTimeout at most.
 func awaitExit(ended <-chan error) {
 	select {
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/reach"
 )
 
@@ -43,6 +44,7 @@
 // relayingHost is a peer that relays connections to one endpoint, "e" of service "app".
 type relayingHost struct {
 	server   *Server
+	stop     *drain.Stop
 	paths    *reach.Monitor
 	address  string
 	mu       sync.Mutex
@@ -68,7 +70,7 @@
 }
 
 func newRelayingHost(endpointAddress string) *relayingHost {
-	h := &relayingHost{endpoint: Endpoint{Address: endpointAddress, Service: "app"}}
+	h := &relayingHost{stop: drain.New(drain.Config{}), endpoint: Endpoint{Address: endpointAddress, Service: "app"}}
 	h.paths = reach.New(reach.Config{
 		Targets: func(string) []reach.Target { return []reach.Target{{ID: "e", Address: endpointAddress}} },
 		Ping: func(ctx context.Context, address string) error {
@@ -79,7 +81,7 @@
 			return err
 		},
 	})
-	h.server = NewServer(ServerConfig{Resolve: h.resolve, Paths: h.paths})
+	h.server = NewServer(ServerConfig{Resolve: h.resolve, Paths: h.paths, Accepts: h.stop.RelaysForPeers})
 	mux := http.NewServeMux()
 	mux.Handle(Path, h.server)
 	server := httptest.NewServer(mux)
@@ -249,7 +251,7 @@
 	It("is refused at once if no peer relays it", func() {
 		old := httptest.NewServer(http.NotFoundHandler())
 		DeferCleanup(old.Close)
-		peer.server.Stop(context.Background())
+		peer.stop.Begin(drain.Timing{})
 		client = clientOf(Peer{Name: "old", Address: old.Listener.Addr().String()}, Peer{Name: "stopping", Address: peer.address})
 		began := time.Now()
 		_, err := client.Dial(context.Background(), to)
@@ -264,23 +266,19 @@
 	// Guards against a planned stop that cuts off requests of other hosts.
 	It("lives on while the peer stops", func() {
 		near, far := dial()
-		stopped := make(chan struct{})
-		go func() {
-			defer close(stopped)
-			peer.server.Stop(context.Background())
-		}()
-		Consistently(stopped, "100ms").ShouldNot(BeClosed())
+		peer.stop.Begin(drain.Timing{})
+		Consistently(peer.server.Relaying, "100ms").Should(Equal(1))
 		_, err := io.WriteString(far, "late")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(far.Close()).To(Succeed())
 		Expect(io.ReadAll(near)).To(BeEquivalentTo("late"))
 		Expect(near.Close()).To(Succeed())
-		Eventually(stopped).Should(BeClosed())
+		Eventually(peer.server.Relaying).Should(BeZero())
 	})
 
 	// Guards against a relayed request that is taken late in a stop and cut with the process.
 	It("is not made by a peer that has begun to stop", func() {
-		peer.server.Refuse()
+		peer.stop.Begin(drain.Timing{})
 		_, err := client.Dial(context.Background(), to)
 		var noPeer *NoPeerError
 		Expect(errors.As(err, &noPeer)).To(BeTrue(), "%v", err)
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -15,7 +15,6 @@
 	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/reach"
-	"bilberryslip.example/bilberryslip/internal/retry"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
 
@@ -24,8 +23,6 @@
 	// two descriptors and two buffers of relayBuffer bytes.
 	maxRelayed  = 512
 	relayBuffer = 8 << 10
-	// waitPollInterval is how often a host that stops looks whether it still relays.
-	waitPollInterval = 20 * time.Millisecond
 )
 
 // Endpoint is an endpoint that a connection may be relayed to.
@@ -58,6 +55,8 @@
 	Resolve func(endpoint string, startedMillis int64) (Endpoint, error)
 	// Paths are this host's own paths to the endpoints of services.
 	Paths *reach.Monitor
+	// Accepts reports whether further connections are relayed. Nil means always.
+	Accepts func() bool
 }
 
 // Server relays connections of peers to endpoints. It implements http.Handler for Path and
@@ -68,7 +67,6 @@
 
 	mu       sync.Mutex
 	relaying int
-	stopping bool
 }
 
 // NewServer returns a server.
@@ -84,21 +82,6 @@
 	return s.relaying
 }
 
-// Refuse makes the server refuse further connections.
-func (s *Server) Refuse() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopping = true
-}
-
-// Stop makes the server refuse further connections and waits until those that it relays
-// have ended, or ctx has.
-func (s *Server) Stop(ctx context.Context) {
-	s.Refuse()
-	for s.Relaying() > 0 && retry.Sleep(ctx, waitPollInterval) {
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Upgrade") != upgradeProtocol {
@@ -163,7 +146,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.stopping:
+	case s.config.Accepts != nil && !s.config.Accepts():
 		return reasonStopping
 	case s.relaying >= maxRelayed:
 		return reasonLimit
--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -13,12 +13,6 @@
 	percentileAlone = 90
 )
 
-// Admission decides whether a request may start while its host shuts down.
-type Admission struct {
-	Window    *Window
-	Estimator *Estimator
-}
-
 // Basis is what an admission or a refusal rests on.
 type Basis string
 
@@ -42,30 +36,38 @@
 	Left, Expected time.Duration
 }
 
-// Decide decides whether a request that starts now and must have ended by deadline ends
-// before the host's process does. Without a shutdown all are admitted. Once the balancer has
-// noticed, only the deadline counts: how long earlier requests took does not bound how long
-// the next one takes. Until then an estimate does as well, since many requests arrive.
-func (a Admission) Decide(now, deadline time.Time, r Request) Decision {
-	left, draining := a.Window.Left(now)
-	if !draining {
+// Decide decides whether a request that has the time left until its deadline, and starts now,
+// ends before the host's process does. Without a shutdown all are admitted. Once the balancer
+// has noticed, only the deadline counts: how long earlier requests took does not bound how
+// long the next one takes. Until then an estimate does as well, since many requests arrive.
+func (s *Stop) Decide(left time.Duration, r Request) Decision {
+	elapsed, timing, stopping := s.progress()
+	if !stopping {
 		return Decision{Admitted: true, Basis: BasisNone}
 	}
-	d := Decision{Basis: BasisDeadline, Left: left}
-	if d.Admitted = deadline.Sub(now) <= left; d.Admitted || a.Window.Balanced(now) {
+	d := s.decide(left, timing.Limit-elapsed, elapsed < timing.Announced, r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decisions[decisionKey{d.Admitted, d.Basis}]++
+	return d
+}
+
+func (s *Stop) decide(left, remaining time.Duration, estimates bool, r Request) Decision {
+	d := Decision{Basis: BasisDeadline, Left: remaining}
+	if d.Admitted = left <= remaining; d.Admitted || !estimates || remaining <= 0 {
 		return d
 	}
 	percentile, headroom := float64(percentileAlone), 0.0
-	othersServe := a.Window.OthersServe != nil && a.Window.OthersServe()
+	othersServe := s.config.OthersServe != nil && s.config.OthersServe()
 	if othersServe {
 		percentile, headroom = percentileWithOthers, headroomWithOthers
 	}
-	expected, known := a.Estimator.Estimate(r, percentile)
+	expected, known := s.estimator.Estimate(r, percentile)
 	if !known {
 		d.Basis, d.Admitted = BasisUnknown, !othersServe
 		return d
 	}
 	d.Expected = expected + time.Duration(headroom*float64(expected))
-	d.Admitted, d.Basis = d.Expected <= left, BasisEstimate
+	d.Admitted, d.Basis = d.Expected <= remaining, BasisEstimate
 	return d
 }
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -18,24 +18,25 @@
 var _ = Describe("The admission of requests while a host shuts down", func() {
 	const tokens = 100
 	var (
-		now     time.Time
-		window  *drain.Window
-		samples *drain.Estimator
+		began, now time.Time
+		stop       *drain.Stop
+		others     bool
 	)
 	stream := drain.Request{Service: "llm", OutputTokens: tokens}
 	plain := drain.Request{Service: "app"}
 	BeforeEach(func() {
-		now = time.Now()
-		window = &drain.Window{}
-		samples = drain.NewEstimator(func() time.Time { return now })
+		now, others = time.Now(), false
+		stop = drain.New(drain.Config{OthersServe: func() bool { return others }, Clock: func() time.Time { return now }})
 	})
-	begin := func() { window.Begin(now, now.Add(2*time.Second), now.Add(8*time.Second)) }
-	othersServe := func(serve bool) { window.OthersServe = func() bool { return serve } }
-	decide := func(after, deadline time.Duration, r drain.Request) drain.Decision {
-		admission := drain.Admission{Window: window, Estimator: samples}
-		return admission.Decide(now.Add(after), now.Add(after+deadline), r)
+	begin := func() {
+		began = now
+		Expect(stop.Begin(drain.Timing{Announced: 2 * time.Second, Limit: 8 * time.Second})).To(BeTrue())
 	}
-	admits := func(after, deadline time.Duration, r drain.Request) bool { return decide(after, deadline, r).Admitted }
+	decide := func(after, left time.Duration, r drain.Request) drain.Decision {
+		now = began.Add(after)
+		return stop.Decide(left, r)
+	}
+	admits := func(after, left time.Duration, r drain.Request) bool { return decide(after, left, r).Admitted }
 
 	// Guards against refusals while nothing shuts down.
 	It("admits all requests before the shutdown", func() {
@@ -46,8 +47,8 @@
 	// against estimates that do not go by the size of a request.
 	It("refuses what is expected to outlast the process, by its size, until the balancer has noticed", func() {
 		for range 100 {
-			samples.Record(drain.Request{Service: "llm", OutputTokens: tokens / 4}, time.Second)
-			samples.Record(stream, 6100*time.Millisecond)
+			stop.Record(drain.Request{Service: "llm", OutputTokens: tokens / 4}, time.Second)
+			stop.Record(stream, 6100*time.Millisecond)
 		}
 		begin()
 		Expect(admits(1500*time.Millisecond, 15*time.Second, stream)).To(BeTrue())
@@ -59,12 +60,12 @@
 	// say nothing certain of the next one, whose endpoint may have become slower.
 	It("goes by the deadline alone once the balancer has noticed", func() {
 		for range 100 {
-			samples.Record(plain, 50*time.Millisecond)
-			samples.Record(stream, 800*time.Millisecond)
+			stop.Record(plain, 50*time.Millisecond)
+			stop.Record(stream, 800*time.Millisecond)
 		}
 		begin()
 		for _, serve := range []bool{false, true} {
-			othersServe(serve)
+			others = serve
 			for _, r := range []drain.Request{plain, stream} {
 				Expect(decide(2*time.Second, 6*time.Second, r)).To(Equal(drain.Decision{Admitted: true, Basis: drain.BasisDeadline, Left: 6 * time.Second}))
 				Expect(admits(2*time.Second, 6001*time.Millisecond, r)).To(BeFalse())
@@ -77,12 +78,12 @@
 	// against refusals where it finds no other host.
 	DescribeTable("goes by the slowest of the recent requests, and half as much again, if other hosts serve",
 		func(serve bool, slowest, after time.Duration, admitted bool) {
-			othersServe(serve)
+			others = serve
 			for range 95 {
-				samples.Record(plain, 50*time.Millisecond)
+				stop.Record(plain, 50*time.Millisecond)
 			}
 			for range 5 {
-				samples.Record(plain, slowest)
+				stop.Record(plain, slowest)
 			}
 			begin()
 			Expect(admits(after, 15*time.Second, plain)).To(Equal(admitted))
@@ -97,7 +98,7 @@
 	It("goes by the deadline where nothing is known and other hosts serve", func() {
 		begin()
 		Expect(decide(0, 15*time.Second, stream)).To(Equal(drain.Decision{Admitted: true, Basis: drain.BasisUnknown, Left: 8 * time.Second}))
-		othersServe(true)
+		others = true
 		Expect(admits(0, 15*time.Second, stream)).To(BeFalse())
 		Expect(admits(0, 7*time.Second, stream)).To(BeTrue())
 		Expect(admits(3*time.Second, 4*time.Second, plain)).To(BeTrue())
@@ -107,9 +108,9 @@
 
 	// Guards against estimates that outlive the load that they rest on.
 	It("forgets requests after half a minute", func() {
-		samples.Record(stream, 20*time.Second)
+		stop.Record(stream, 20*time.Second)
 		now = now.Add(31 * time.Second)
-		samples.Record(stream, time.Second)
+		stop.Record(stream, time.Second)
 		begin()
 		Expect(admits(1900*time.Millisecond, 15*time.Second, stream)).To(BeTrue())
 	})
--- a/internal/edge/detours.go
+++ b/internal/edge/detours.go
@@ -26,7 +26,7 @@
 func newDetours(h *host) *detours {
 	d := &detours{host: h}
 	d.Client = detour.NewClient(detour.ClientConfig{Host: h.settings.Host.Name, Zone: h.settings.Host.Zone, Peers: d.peers})
-	d.server = detour.NewServer(detour.ServerConfig{Resolve: d.resolve, Paths: h.paths})
+	d.server = detour.NewServer(detour.ServerConfig{Resolve: d.resolve, Paths: h.paths, Accepts: h.stop.RelaysForPeers})
 	h.exchange.SetRelayedHandler(d.handleRelayed)
 	return d
 }
@@ -89,7 +89,7 @@
 
 // FillReport implements exchange.Participant.
 func (d *detours) FillReport(report *fleetv1.Report) {
-	report.Relays = !d.host.draining.Load()
+	report.Relays = d.host.stop.RelaysForPeers()
 	report.Relaying = int32(d.server.Relaying())
 	report.UnreachedServices = d.host.paths.NotDirect()
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -118,8 +117,7 @@
 	bodies     *membudget.Budget
 	callers    *httpserver.Server
 	tree       *suture.Supervisor
-	draining   atomic.Bool
-	stopping   drain.Window
+	stop       *drain.Stop
 }
 
 // Run runs a host until SIGINT or SIGTERM, and then shuts it down gracefully.
@@ -146,6 +144,7 @@
 // build creates all components and opens the listeners. It starts no component.
 func (h *host) build() error {
 	s := h.settings
+	h.stop = drain.New(drain.Config{OthersServe: h.othersServe, Clock: clock.Boot})
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	h.quarantine = quarantine.New(time.Now)
 	var evacuated func(zone string) bool
@@ -185,12 +184,11 @@
 	})
 	h.detours = newDetours(h)
 	h.exchange.AddParticipant(h.detours)
-	h.stopping.OthersServe = h.othersServe
 	h.buildOrders(pool)
 	h.forwarder = forward.New(forward.Config{
 		Source: source, Endpoints: h.endpoints, Upstream: pool, Codec: h.adapter.Codec(),
 		Quota: h.quota, Holdings: h.orders, Retry: retries.budgets, Quarantine: h.quarantine, Origins: h.origins, Paths: h.paths, Detours: h.detours,
-		Shutdown:    &h.stopping,
+		Stop:        h.stop,
 		BufferBytes: int64(bufferFraction * float64(s.MemoryMB) * (1 << 20)),
 	})
 	h.bodies = membudget.New(int64(bodyFraction * float64(s.MemoryMB) * (1 << 20)))
@@ -281,7 +279,7 @@
 	h.orders = orders.New(orders.Config{
 		Host: s.Host.Name, Registry: h.endpoints, Source: h.source, Engines: h.adapter.Engines(pool),
 		Lease: h.lease, Peers: h.exchange, LeaseTime: duration,
-		LoadWindow: s.Bounds.LoadWindow.Std(), LoadOverage: s.Bounds.LoadOverage, Stopping: h.draining.Load,
+		LoadWindow: s.Bounds.LoadWindow.Std(), LoadOverage: s.Bounds.LoadOverage, MayStart: h.stop.StartsModelChanges,
 		FirstStart: s.FirstStart,
 	})
 	h.exchange.AddParticipant(h.orders)
@@ -291,12 +289,8 @@
 // leads reports whether this host holds the placement lease.
 func (h *host) leads() bool { return h.lease.Status().Held }
 
-// mayPlace reports whether this host may hold the placement lease. A host that stops
-// releases it once its changes of models have ended, for another host to go on with the
-// placement while this one still serves requests.
-func (h *host) mayPlace() bool {
-	return h.reachesEngines() && !(h.draining.Load() && h.orders.Idle())
-}
+// mayPlace reports whether this host may hold the placement lease.
+func (h *host) mayPlace() bool { return h.reachesEngines() && h.stop.MayHoldLease(!h.orders.Idle()) }
 
 // reachesEngines reports whether this host can order engines: no peer reaches engines of a
 // service that it does not reach itself.
@@ -330,7 +324,11 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s for %s; free the address or change the settings", l.address, l.name)
 		}
-		server := httpserver.New(httpserver.Config{Name: l.name, Listener: listener, Handler: l.handler, Idle: l.idle})
+		config := httpserver.Config{Name: l.name, Listener: listener, Handler: l.handler, Idle: l.idle}
+		if l.name == "callers" {
+			config.Shutdown = h.stop
+		}
+		server := httpserver.New(config)
 		if l.name == "callers" {
 			h.callers = server
 		}
@@ -357,7 +355,7 @@
 }
 
 // ready reports whether the load balancer should send requests to this host.
-func (h *host) ready() bool { return !h.draining.Load() && h.source.Current() != nil }
+func (h *host) ready() bool { return h.stop.Ready() && h.source.Current() != nil }
 
 // othersServe reports whether all reachable peers of the availability zone serve callers, so
 // that the balancer sends there whom this host refuses.
@@ -379,6 +377,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), h.logs.Collector())
 	registry.MustRegister(httpserver.Collectors()...)
 	registry.MustRegister(h.adapter.Collectors()...)
+	registry.MustRegister(h.stop)
 	registry.MustRegister(h.forwarder.Collectors()...)
 	registry.MustRegister(h.bodies.Collectors()...)
 	registry.MustRegister(h.endpoints.Collectors()...)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -24,6 +24,8 @@
 			"orders":    h.orders.DumpState(),
 			"paths":     h.paths.DumpState(),
 			"software":  h.origins.DumpState(),
+			"stop":      h.stop.DumpState(),
+			"requests":  h.forwarder.DumpState(),
 		}
 		if h.evacuation != nil {
 			state["evacuation"] = h.evacuation.DumpState()
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/settings"
 )
 
@@ -25,33 +26,40 @@
 		"host": h.settings.Host.Name, "zone": h.settings.Host.Zone, "callers": h.settings.Listen.Callers,
 		"first_start": h.settings.FirstStart,
 	}).Info("serving")
+	var stopped chan struct{}
 	for {
 		select {
 		case err := <-ended:
 			return errors.Wrap(err, "supervisor tree ended")
-		case received := <-signals:
-			if received == syscall.SIGHUP {
-				h.reload()
-				continue
-			}
-			logrus.WithField("signal", received.String()).Info("stopping")
-			h.shutdown(ctx)
+		case <-stopped:
 			cancel()
 			h.awaitEnd(ended)
 			logrus.Info("stopped")
 			return nil
+		case received := <-signals:
+			switch {
+			case received == syscall.SIGHUP:
+				h.reload()
+			case h.stop.Begin(h.stopTiming()):
+				logrus.WithField("signal", received.String()).Info("stopping")
+				stopped = make(chan struct{})
+				go func() {
+					defer close(stopped)
+					h.stop.Run(ctx, h.work, h.enterPhase)
+				}()
+			default:
+				logrus.WithField("signal", received.String()).Info("already stopping; the signal changes nothing")
+			}
 		}
 	}
 }
 
-// awaitEnd waits until the components have ended, up to shortly before the grace period
-// does.
+// awaitEnd waits until the components have ended, for a limited time.
 func (h *host) awaitEnd(ended <-chan error) {
-	left, _ := h.stopping.Left(time.Now())
 	select {
 	case <-ended:
-	case <-time.After(max(left, 0) + exitTimeout):
-		logrus.Warn("components still running at the end of the grace period")
+	case <-time.After(componentsTimeout):
+		logrus.Warn("components still running at the end of the shutdown")
 	}
 }
 
@@ -67,39 +75,40 @@
 	logrus.WithField("log_level", loaded.Log.Level).Info("settings reloaded")
 }
 
-const (
-	// balancerDelay is how long new requests still arrive after the host
-	// reports not ready: two readiness checks at an interval of one second,
-	// and their latency.
-	balancerDelay = 2500 * time.Millisecond
-	// stopMargin is the part of the grace period that is left for the process to
-	// exit by itself.
-	stopMargin = 400 * time.Millisecond
-	// abortTimeout bounds the time in which requests that are aborted at the end of the
-	// grace period are answered, and exitTimeout that in which all else ends.
-	abortTimeout = 150 * time.Millisecond
-	exitTimeout  = 100 * time.Millisecond
-)
+// closeTimeout bounds the end of the callers' server; the phase ends before if need be.
+const closeTimeout = 2 * time.Second
 
-// shutdown drains the host without interrupting requests: first the readiness
-// check fails, then the listener closes, and in-flight requests complete.
-func (h *host) shutdown(ctx context.Context) {
-	limit := h.settings.Bounds.Grace.Std() - stopMargin
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	now := time.Now()
-	h.stopping.Begin(now, now.Add(balancerDelay), now.Add(limit))
-	h.draining.Store(true)
-	h.callers.Drain()
-	h.detours.server.Refuse()
-	select {
-	case <-ctx.Done():
-	case <-time.After(balancerDelay):
+// componentsTimeout bounds the end of the components after the last caller was served. It is
+// less than the time that a shutdown leaves for the process to exit.
+const componentsTimeout = 100 * time.Millisecond
+
+// stopTiming returns the bounds of a shutdown, which were checked when the settings were read.
+func (h *host) stopTiming() drain.Timing {
+	timing, err := h.settings.Bounds.StopTiming()
+	if err != nil {
+		logrus.WithError(err).Error("shutdown without time for requests")
+	}
+	return timing
+}
+
+// work returns what this host still has to do before its process may end.
+func (h *host) work() drain.Work {
+	return drain.Work{
+		Requests: h.forwarder.Running(), Arriving: h.callers.Arriving(), Relays: h.detours.server.Relaying(),
+		Connections: h.callers.Connections(),
 	}
-	h.callers.StopAccepting(ctx)
-	h.detours.server.Stop(ctx)
-	if ctx.Err() != nil {
+}
+
+// enterPhase does what belongs to the start of a phase of the shutdown. All else asks
+// h.stop.
+func (h *host) enterPhase(phase drain.Phase) {
+	switch phase {
+	case drain.Draining:
+		h.callers.CloseQuiet()
+	case drain.Ending:
 		h.forwarder.Abort()
-		h.callers.Close(abortTimeout)
+	case drain.Closing:
+		go h.callers.Close(closeTimeout)
+	case drain.Serving, drain.Announced, drain.Ended:
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -151,8 +151,8 @@
 	// BufferBytes bounds the responses that are held at the same time because they are
 	// read completely before they are relayed. Zero means 32 MiB.
 	BufferBytes int64
-	// Shutdown is the time in which the host shuts down. Nil means that it never does.
-	Shutdown *drain.Window
+	// Stop is the shutdown of the host. Nil means that it never shuts down.
+	Stop *drain.Stop
 	// Clock defaults to time.Now.
 	Clock func() time.Time
 }
@@ -163,12 +163,10 @@
 	metrics *metrics
 	buffers bufferBudget
 	running runningCalls
-	// durations predicts how long calls take.
-	durations *drain.Estimator
 }
 
 // New returns a forwarder. A nil cfg.Clock, cfg.Quarantine, cfg.Origins, cfg.Paths,
-// cfg.Detours or cfg.Shutdown is replaced by its default.
+// cfg.Detours or cfg.Stop is replaced by its default.
 func New(cfg Config) *Forwarder {
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
@@ -182,15 +180,14 @@
 	if cfg.Paths == nil {
 		cfg.Paths = reach.New(reach.Config{Targets: func(string) []reach.Target { return nil }})
 	}
-	if cfg.Shutdown == nil {
-		cfg.Shutdown = &drain.Window{}
+	if cfg.Stop == nil {
+		cfg.Stop = drain.New(drain.Config{})
 	}
 	if cfg.Detours == nil {
 		cfg.Detours = noDetours{}
 	}
 	return &Forwarder{
 		config: cfg, metrics: newMetrics(), buffers: bufferBudget{limit: cmp.Or(cfg.BufferBytes, defaultBufferBudget)},
-		durations: drain.NewEstimator(cfg.Clock),
 	}
 }
 
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -119,7 +119,7 @@
 	default:
 		fields["status"] = x.status
 	}
-	if _, draining := x.forwarder.config.Shutdown.Left(x.started); draining {
+	if _, stopping := x.forwarder.config.Stop.Elapsed(); stopping {
 		maps.Copy(fields, x.arrivalFields())
 	}
 	fields["outcome"] = outcome
--- a/internal/forward/running.go
+++ b/internal/forward/running.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +64,36 @@
 	return list
 }
 
+// RunningCall is a call that is being served, in the state dump.
+type RunningCall struct {
+	Request  string `json:"request"`
+	Service  string `json:"service"`
+	Endpoint string `json:"endpoint"`
+	// AgeMS and DeadlineInMS are the times since the call began and until its caller stops
+	// waiting, in ms.
+	AgeMS        int64 `json:"ageMS"`
+	DeadlineInMS int64 `json:"deadlineInMS"`
+	Events       int64 `json:"events"`
+}
+
+// DumpState returns the calls that are being served for the state dump, the oldest first.
+func (f *Forwarder) DumpState() []RunningCall {
+	now := f.config.Clock()
+	list := []RunningCall{}
+	for _, x := range f.running.list() {
+		c := RunningCall{
+			Request: x.call.ID, Service: x.service, AgeMS: now.Sub(x.started).Milliseconds(),
+			DeadlineInMS: x.deadline.Sub(now).Milliseconds(), Events: x.progress.events.Load(),
+		}
+		if endpoint := x.progress.endpoint.Load(); endpoint != nil {
+			c.Endpoint = *endpoint
+		}
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b RunningCall) int { return cmp.Compare(b.AgeMS, a.AgeMS) })
+	return list
+}
+
 // Running returns the number of calls that are being served.
 func (f *Forwarder) Running() int { return len(f.running.list()) }
 
@@ -97,9 +129,10 @@
 		"connection_age_ms": a.ConnectionAge.Milliseconds(), "earlier_requests": a.EarlierRequests,
 		"body_ms": a.BodyAt.Sub(a.HeadAt).Milliseconds(),
 	}
-	if elapsed, draining := x.forwarder.config.Shutdown.Elapsed(a.HeadAt); draining {
-		fields["head_after_stop_ms"] = elapsed.Milliseconds()
-		fields["body_after_stop_ms"] = (elapsed + a.BodyAt.Sub(a.HeadAt)).Milliseconds()
+	if elapsed, stopping := x.forwarder.config.Stop.Elapsed(); stopping {
+		now := x.forwarder.config.Clock()
+		fields["head_after_stop_ms"] = (elapsed - now.Sub(a.HeadAt)).Milliseconds()
+		fields["body_after_stop_ms"] = (elapsed - now.Sub(a.BodyAt)).Milliseconds()
 	}
 	if d := x.progress.admission.Load(); d != nil {
 		fields["admission"], fields["left_ms"], fields["expected_ms"] = d.Basis, d.Left.Milliseconds(), d.Expected.Milliseconds()
--- a/internal/forward/running_test.go
+++ b/internal/forward/running_test.go
@@ -17,9 +17,12 @@
 	// Guards against a cut of which the log says nothing.
 	It("is logged with its arrival on the connection and relative to the shutdown", func() {
 		began := time.Now()
-		shutdown := &drain.Window{}
-		shutdown.Begin(began, began, began.Add(time.Second))
-		f := New(Config{Shutdown: shutdown, Endpoints: fleet.NewRegistry(fleet.Config{})})
+		now := began
+		clock := func() time.Time { return now }
+		stop := drain.New(drain.Config{Clock: clock})
+		Expect(stop.Begin(drain.Timing{})).To(BeTrue())
+		now = began.Add(time.Second)
+		f := New(Config{Stop: stop, Clock: clock, Endpoints: fleet.NewRegistry(fleet.Config{})})
 		f.running.add(&inflightCall{forwarder: f, service: "llm", started: began, call: &Call{
 			Request: traffic.Request{ID: "late"},
 			Arrival: Arrival{ConnectionAge: 3 * time.Second, HeadAt: began.Add(200 * time.Millisecond), BodyAt: began.Add(700 * time.Millisecond)},
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -9,34 +9,20 @@
 	"bilberryslip.example/bilberryslip/internal/drain"
 )
 
-// otherHostRetryAfter is when to retry on another host: at once.
-const otherHostRetryAfter = 10 * time.Millisecond
-
-// stoppingRetryAfter returns when to retry if this host shuts down: at once if the balancer
-// sends the caller to another host, else once it has noticed.
-func (f *Forwarder) stoppingRetryAfter() time.Duration {
-	window := f.config.Shutdown
-	if window.OthersServe == nil || window.OthersServe() {
-		return otherHostRetryAfter
-	}
-	return max(window.UntilBalanced(f.config.Clock()), otherHostRetryAfter)
-}
-
 // errStopped is the cancellation cause of calls that still run at the end of a shutdown.
 var errStopped = errors.New("this host has shut down")
 
 // checkShutdown returns a refusal if this host is expected to end before the call does.
 func (x *inflightCall) checkShutdown() *Failure {
 	f := x.forwarder
-	admission := drain.Admission{Window: f.config.Shutdown, Estimator: f.durations}
-	decision := admission.Decide(f.config.Clock(), x.deadline.Add(responseGrace), x.size())
+	decision := f.config.Stop.Decide(x.deadline.Add(responseGrace).Sub(f.config.Clock()), x.size())
 	if decision.Basis != drain.BasisNone {
 		x.progress.admission.Store(&decision)
 	}
 	if decision.Admitted {
 		return nil
 	}
-	return newRefusal(ReasonStopping, f.stoppingRetryAfter())
+	return newRefusal(ReasonStopping, f.config.Stop.RetryAfter())
 }
 
 // size returns what the duration of the call depends on.
@@ -50,7 +36,7 @@
 	var failure *Failure
 	timedOut := errors.As(err, &failure) && failure.Reason == ReasonTimeout && x.mayHaveRun || x.status == http.StatusGatewayTimeout
 	if err == nil && x.status < http.StatusMultipleChoices || timedOut {
-		x.forwarder.durations.Record(x.size(), elapsed)
+		x.forwarder.config.Stop.Record(x.size(), elapsed)
 	}
 }
 
@@ -58,7 +44,7 @@
 func (x *inflightCall) stoppedFailure(cause error) *Failure {
 	failure := &Failure{Reason: ReasonStopping, NotRun: !x.mayHaveRun, Cause: cause}
 	if failure.NotRun {
-		failure.RetryAfter = x.forwarder.stoppingRetryAfter()
+		failure.RetryAfter = x.forwarder.config.Stop.RetryAfter()
 	}
 	return failure
 }
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -32,7 +32,7 @@
 // DumpState returns the running and waiting requests, for the state dump.
 func (g *Gateway) DumpState() any {
 	now := g.config.Clock()
-	dump := Dump{Draining: g.running.draining(), Waiting: g.scheduler.waitingByResource()}
+	dump := Dump{Draining: !g.config.Stop.Ready(), Waiting: g.scheduler.waitingByResource()}
 	for _, r := range g.running.list() {
 		dump.Running = append(dump.Running, r.dump(now))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,8 @@
 	Policy    routing.Policy
 	Admission admission.Config
 	Retry     repeat.BudgetConfig
+	// Stop is the shutdown of the host. Nil means that it never shuts down.
+	Stop *drain.Stop
 	// Clock defaults to time.Now.
 	Clock func() time.Time
 	// Seed seeds the random numbers of the routing policy.
@@ -73,10 +75,6 @@
 	// MaxAttempts is the maximum number of attempts for a request. It defaults
 	// to 3.
 	MaxAttempts int
-	// StopAccepting closes the callers' listener during a drain, after the
-	// delay for the load balancer, and waits for the requests in flight. If it
-	// is nil, the listener stays open.
-	StopAccepting func(ctx context.Context)
 }
 
 func (c Config) withDefaults() Config {
@@ -98,6 +96,9 @@
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
+	if c.Stop == nil {
+		c.Stop = drain.New(drain.Config{Clock: c.Clock})
+	}
 	return c
 }
 
@@ -109,8 +110,6 @@
 	metrics   *metrics
 	demand    *demand
 	running   tracker
-	shutdown  drain.Window
-	durations *drain.Estimator
 	retries   *repeat.Budgets
 }
 
@@ -121,7 +120,6 @@
 		config:    cfg,
 		scheduler: newScheduler(cfg),
 		metrics:   newMetrics(),
-		durations: drain.NewEstimator(cfg.Clock),
 		demand:    newDemand(),
 		running:   tracker{requests: make(map[*request]struct{})},
 		retries:   repeat.NewBudgets(cfg.Retry, cfg.Clock),
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -91,9 +91,6 @@
 		g.running.add(r)
 		defer g.running.remove(r)
 		c.Response().Header().Set(HeaderRequestID, r.id)
-		if g.running.draining() {
-			c.Response().Header().Set("Connection", "close")
-		}
 		err := handle(r)
 		r.finish(err)
 		return nil
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -5,31 +5,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 
 	"bilberryslip.example/bilberryslip/internal/drain"
 )
 
-// beginShutdown starts the shutdown, in which requests may run until ctx is done.
-func (g *Gateway) beginShutdown(ctx context.Context, balancerDelay time.Duration) {
-	now := g.config.Clock()
-	limit, ok := ctx.Deadline()
-	if !ok {
-		limit = now.Add(maxTimeout)
-	}
-	balanced := now.Add(balancerDelay + arrivalGrace)
-	if balanced.After(limit) {
-		balanced = limit
-	}
-	g.shutdown.Begin(now, balanced, limit)
-	g.running.startDrain()
-}
-
-// arrivalGrace is how long after the balancer has noticed a shutdown requests may still
-// come that it sent before, on connections that were just accepted, or leave the queue. It
-// equals the time for which the callers' server waits for them.
-const arrivalGrace = time.Second
-
 const (
 	// AbortTimeout bounds the time in which requests that are aborted at the limit of a
 	// shutdown are answered.
@@ -51,16 +30,6 @@
 // shutdown.
 func isAborted(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errAborted) }
 
-// abort aborts all requests and waits for their ends, for AbortTimeout at most.
-func (g *Gateway) abort() {
-	g.running.abort()
-	select {
-	case <-g.running.awaitIdle():
-	case <-time.After(AbortTimeout):
-		logrus.WithField("requests", len(g.running.list())).Warn("aborted requests not answered in time")
-	}
-}
-
 // abortError returns the error response to a request that was aborted.
 func abortError(run RunState) *Error {
 	switch run {
@@ -79,13 +48,11 @@
 	if isAborted(ctx) {
 		return errStopping()
 	}
-	now := g.config.Clock()
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = now.Add(maxTimeout)
+	left := maxTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		left = deadline.Sub(g.config.Clock())
 	}
-	admission := drain.Admission{Window: &g.shutdown, Estimator: g.durations}
-	if admission.Decide(now, deadline, size).Admitted {
+	if g.config.Stop.Decide(left, size).Admitted {
 		return nil
 	}
 	return errStopping()
@@ -101,5 +68,5 @@
 
 // recordDuration records the duration of a request that was served.
 func (r *request) recordDuration(size drain.Request) {
-	r.gateway.durations.Record(size, r.gateway.config.Clock().Sub(r.started))
+	r.gateway.config.Stop.Record(size, r.gateway.config.Clock().Sub(r.started))
 }
--- a/internal/gateway/stopping_abort_test.go
+++ b/internal/gateway/stopping_abort_test.go
@@ -45,7 +45,7 @@
 		Consistently(answered, "100ms").ShouldNot(Receive())
 		ctx, stop := context.WithCancel(context.Background())
 		stop()
-		Expect(f.gateway.Drain(ctx, 0)).To(HaveLen(1))
+		Expect(f.drain(ctx, 0)).To(HaveLen(1))
 		var got reply
 		Eventually(answered, "100ms").Should(Receive(&got))
 		Expect(got.status).To(Equal(http.StatusServiceUnavailable), got.body)
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -23,7 +23,7 @@
 		drained := make(chan struct{})
 		go func() {
 			defer close(drained)
-			f.gateway.Drain(ctx, 0)
+			f.drain(ctx, 0)
 		}()
 		<-drained
 		Eventually(ctx.Done()).Should(BeClosed())
--- a/internal/gateway/suite_test.go
+++ b/internal/gateway/suite_test.go
@@ -21,6 +21,7 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/claims"
 	"bilberryslip.example/bilberryslip/internal/config"
+	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/gateway"
@@ -168,6 +169,7 @@
 	recorder *fakeRecorder
 	registry *endpoint.Registry
 	gateway  *gateway.Gateway
+	stop     *drain.Stop
 	engines  []*engineserver.Server
 	services []*serviceserver.Server
 	url      string
@@ -253,11 +255,29 @@
 	f.source.set(f.objects)
 	f.registry = endpoint.NewRegistry(endpoint.Config{Source: f.source, Zone: "qce-1", PollInterval: 20 * time.Millisecond})
 	cfg.Endpoints = f.registry
+	f.stop = drain.New(drain.Config{})
+	cfg.Stop = f.stop
 	f.gateway = gateway.New(cfg)
 	f.serve()
 	return f
 }
 
+// drain shuts the gateway down as the daemon does, with requests aborted once ctx is done, and
+// returns those that were.
+func (f *fixture) drain(ctx context.Context, announced time.Duration) (unfinished []gateway.UnfinishedRequest) {
+	limit := time.Hour
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = time.Until(deadline)
+	}
+	f.stop.Begin(drain.Timing{Announced: announced, Limit: limit, Answers: gateway.AbortTimeout})
+	f.stop.Run(ctx, func() drain.Work { return drain.Work{Requests: f.gateway.Running()} }, func(phase drain.Phase) {
+		if phase == drain.Ending {
+			unfinished = f.gateway.Abort()
+		}
+	})
+	return unfinished
+}
+
 func (f *fixture) addEndpoints(engine engineserver.Options) {
 	for _, name := range []string{"worker-1", "worker-2"} {
 		server := engineserver.New(engine)
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -10,13 +9,10 @@
 
 // tracker tracks the running requests. It is safe for concurrent use.
 type tracker struct {
-	mu           sync.Mutex
-	requests     map[*request]struct{}
-	drainStarted bool
+	mu       sync.Mutex
+	requests map[*request]struct{}
 	// aborted is set once all requests are aborted, later ones included.
 	aborted bool
-	// idle is closed when the last request ends. It is nil if nobody waits.
-	idle chan struct{}
 }
 
 func (t *tracker) add(r *request) {
@@ -42,37 +38,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.requests, r)
-	if len(t.requests) == 0 && t.idle != nil {
-		close(t.idle)
-		t.idle = nil
-	}
-}
-
-func (t *tracker) draining() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.drainStarted
-}
-
-func (t *tracker) startDrain() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.drainStarted = true
-}
-
-// awaitIdle returns a channel that is closed once no request is running.
-func (t *tracker) awaitIdle() <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.idle == nil {
-		t.idle = make(chan struct{})
-	}
-	idle := t.idle
-	if len(t.requests) == 0 {
-		close(t.idle)
-		t.idle = nil
-	}
-	return idle
 }
 
 func (t *tracker) list() []*request {
@@ -87,11 +52,11 @@
 
 // Ready reports whether the load balancer should send requests to this host.
 func (g *Gateway) Ready() bool {
-	return !g.running.draining() && g.config.Source.Current().Revision() > 0
+	return g.config.Stop.Ready() && g.config.Source.Current().Revision() > 0
 }
 
 // UnfinishedRequest describes a running request, in particular one that is
-// still running at the time limit of a drain.
+// still running at the time limit of a shutdown.
 type UnfinishedRequest struct {
 	RequestID    string        `json:"requestId"`
 	Organisation string        `json:"organisation"`
@@ -100,28 +65,15 @@
 	Age          time.Duration `json:"ageNanos"`
 }
 
-// Drain makes the gateway not ready, continues to accept requests for
-// balancerDelay, then stops accepting and waits until no request is running. Those
-// that still run when ctx is done are returned; they are aborted, and answered within
-// AbortTimeout.
-func (g *Gateway) Drain(ctx context.Context, balancerDelay time.Duration) []UnfinishedRequest {
-	g.beginShutdown(ctx, balancerDelay)
-	logrus.WithField("balancer_delay_ms", balancerDelay.Milliseconds()).Info("gateway is draining")
-	select {
-	case <-ctx.Done():
-	case <-time.After(balancerDelay):
-	}
-	if g.config.StopAccepting != nil {
-		g.config.StopAccepting(ctx)
-	}
-	select {
-	case <-g.running.awaitIdle():
-		return nil
-	case <-ctx.Done():
-		unfinished := g.unfinishedRequests()
-		g.abort()
-		return unfinished
-	}
+// Running returns the number of requests that are running.
+func (g *Gateway) Running() int { return len(g.running.list()) }
+
+// Abort logs, aborts and returns the requests that still run at the limit of a shutdown.
+// They are answered within AbortTimeout, as are those that come later.
+func (g *Gateway) Abort() []UnfinishedRequest {
+	unfinished := g.unfinishedRequests()
+	g.running.abort()
+	return unfinished
 }
 
 // unfinishedRequests logs and returns the requests that are still running.
--- a/internal/httpserver/accept_test.go
+++ b/internal/httpserver/accept_test.go
@@ -51,7 +51,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		server.StopAccepting(ctx)
+		server.stop(ctx)
 	}()
 	for _, conn := range conns {
 		expectBodies(t, conn, "whole")
--- a/internal/httpserver/close_header_test.go
+++ b/internal/httpserver/close_header_test.go
@@ -48,7 +48,7 @@
 			write(t, conn, c.before)
 			waitFor(t, "the first request is handled", func() bool { return handled.Load() == 1 })
 			time.Sleep(20 * time.Millisecond) // until what follows was received
-			server.Drain()
+			server.ending.Store(true)
 			close(begin)
 			reader := bufio.NewReader(conn)
 			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
--- a/internal/httpserver/crossing_test.go
+++ b/internal/httpserver/crossing_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -26,8 +27,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var shutdown announcedShutdown
 	server := New(Config{
-		Name: t.Name(), Listener: listener, Idle: func() time.Duration { return time.Minute },
+		Shutdown: &shutdown,
+		Name:     t.Name(), Listener: listener, Idle: func() time.Duration { return time.Minute },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			handled.Store(r.URL.Path, true)
 			time.Sleep(rand.N(pause))
@@ -90,12 +93,12 @@
 		})
 	}
 	time.Sleep(20 * pause)
-	server.Drain()
+	shutdown.lastAnswers.Store(true)
 	time.Sleep(pause / 2)
 	mu.Lock()
 	closing = time.Now()
 	mu.Unlock()
-	server.StopAccepting(ctx)
+	server.stop(ctx)
 	group.Wait()
 	lost := 0
 	handled.Range(func(path, _ any) bool {
@@ -108,3 +111,11 @@
 		t.Errorf("%d requests were handled and not answered; not served: %d, %.5v", lost, len(unserved), unserved)
 	}
 }
+
+// announcedShutdown is a shutdown in which responses say that their connection closes once
+// lastAnswers is set.
+type announcedShutdown struct{ lastAnswers atomic.Bool }
+
+func (s *announcedShutdown) LastAnswers() bool              { return s.lastAnswers.Load() }
+func (s *announcedShutdown) ClosesQuiet() bool              { return false }
+func (s *announcedShutdown) Elapsed() (time.Duration, bool) { return 0, s.LastAnswers() }
--- a/internal/httpserver/framing_test.go
+++ b/internal/httpserver/framing_test.go
@@ -43,6 +43,7 @@
 		{"unequal lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxG", 1, 0, true},
 		{"length too large", "POST / HTTP/1.1\r\nContent-Length: 9223372036854775808\r\n\r\nxG", 1, 0, true},
 		{"unknown encoding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\nxG", 1, 0, true},
+		{"folded field", "POST / HTTP/1.1\r\nX-Note: a\r\n b\r\nContent-Length: 1\r\n\r\nxG", 2, 1, false},
 		{"joined field", "POST / HTTP/1.1\r\nTransfer-Encoding:\r\n chunked\r\n\r\nxG", 1, 0, true},
 		{"padded length", "POST / HTTP/1.1\r\nContent-Length: " + strings.Repeat(" ", 20) + "1\r\n\r\nxG", 2, 1, false},
 		{"HTTP/2", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 1, 0, true},
--- a/internal/httpserver/idle_test.go
+++ b/internal/httpserver/idle_test.go
@@ -41,11 +41,9 @@
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	go server.StopAccepting(ctx)
+	go server.stop(ctx)
 	waitFor(t, "the server is stopping", func() bool {
-		server.mu.Lock()
-		defer server.mu.Unlock()
-		return server.stopping
+		return server.ending.Load()
 	})
 	close(finishResponse)
 	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "begin" {
@@ -96,7 +94,7 @@
 	serverConn, clientConn := net.Pipe()
 	defer clientConn.Close()
 	server.idle[serverConn] = nil
-	server.closeIdleConns()
+	server.CloseQuiet()
 	request, err := http.NewRequestWithContext(context.WithValue(context.Background(), connKey{}, &connection{Conn: serverConn}), http.MethodPost, "/", nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/httpserver/linger_test.go
+++ b/internal/httpserver/linger_test.go
@@ -30,7 +30,7 @@
 		{name: "bytes behind the last request", sent: "GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n" + strings.Repeat("y", 20<<10), handler: answer},
 		{name: "request that crosses the close", sent: "GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n", sentLater: plainGet, handler: answer},
 		{name: "request that crosses the idle timeout", sent: plainGet, sentLater: plainGet, handler: answer, idle: 10 * time.Millisecond},
-		{name: "request that crosses the stop", sent: plainGet, sentLater: plainGet, handler: answer, during: func(server *Server) { go server.StopAccepting(context.Background()) }},
+		{name: "request that crosses the stop", sent: plainGet, sentLater: plainGet, handler: answer, during: func(server *Server) { go server.stop(context.Background()) }},
 		{
 			name: "rest of a body", sent: "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("y", 20<<10),
 			sentLater: strings.Repeat("y", 20<<10), handler: func(w http.ResponseWriter, r *http.Request) {
@@ -146,7 +146,7 @@
 			began := time.Now()
 			ctx, cancel := context.WithTimeout(context.Background(), c.limit)
 			defer cancel()
-			server.StopAccepting(ctx)
+			server.stop(ctx)
 			if took := time.Since(began); took < c.min || took > c.max {
 				t.Errorf("the stop took %v, want %v to %v", took, c.min, c.max)
 			}
@@ -210,3 +210,52 @@
 		}
 	}
 }
+
+// TestLingerLeavesFurtherRequestUnread guards against a request that crosses the close of an
+// idle connection, and is read and dropped: its caller may send one that is not idempotent
+// again only if it was not read.
+func TestLingerLeavesFurtherRequestUnread(t *testing.T) {
+	answer := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }
+	server, conn := start(t, answer, func() time.Duration { return time.Minute })
+	write(t, conn, plainGet)
+	expectBodies(t, conn, "whole")
+	go server.stop(context.Background())
+	waitFor(t, "the connection lingers", func() bool { return len(server.lingerers.all()) == 1 })
+	lingering := server.lingerers.all()[0]
+	write(t, conn, post) // as one that left its caller before the close arrived
+	time.Sleep(crossingTime / 2)
+	if got := lingering.unread(); got != len(post) {
+		t.Errorf("%d of %d bytes of the request are unread, want all", got, len(post))
+	}
+}
+
+// TestStopIsNotHeldUpByFewBytes guards against a stop that lasts to its limit for an idle
+// connection that carries no request.
+func TestStopIsNotHeldUpByFewBytes(t *testing.T) {
+	for _, c := range []struct{ name, request, after string }{
+		{"line break behind an answered GET", plainGet, "\r\n"},
+		{"one byte behind an answered POST", post, "G"},
+		{"folded field in an answered request", "GET / HTTP/1.1\r\nHost: test\r\nX-Note: a\r\n b\r\n\r\n", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			server, conn := start(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(w, "whole")
+			}, func() time.Duration { return time.Minute })
+			write(t, conn, c.request)
+			expectBodies(t, conn, "whole")
+			write(t, conn, c.after)
+			time.Sleep(50 * time.Millisecond)
+			_ = conn.SetReadDeadline(time.Time{})
+			go func() { _, _ = io.Copy(io.Discard, conn); _ = conn.Close() }()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			began := time.Now()
+			server.stop(ctx)
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("the stop took %v", took)
+			}
+		})
+	}
+}
--- a/internal/httpserver/metrics.go
+++ b/internal/httpserver/metrics.go
@@ -112,8 +112,11 @@
 // it began to.
 func (s *Server) logEntry() *logrus.Entry {
 	entry := logrus.WithField("server", s.config.Name)
-	if began := s.stopBegan.Load(); began != 0 {
-		entry = entry.WithField("since_stop_ms", time.Since(time.Unix(0, began)).Milliseconds())
+	if s.config.Shutdown == nil {
+		return entry
+	}
+	if elapsed, stopping := s.config.Shutdown.Elapsed(); stopping {
+		entry = entry.WithField("since_stop_ms", elapsed.Milliseconds())
 	}
 	return entry
 }
--- a/internal/httpserver/quiet_test.go
+++ b/internal/httpserver/quiet_test.go
@@ -14,7 +14,7 @@
 // unused, while the head of a request arrives: net/http calls them idle, or new, until it has
 // read the whole head.
 func TestArrivingRequestIsNotIdle(t *testing.T) {
-	stop := func(server *Server) { go server.StopAccepting(context.Background()) }
+	stop := func(server *Server) { go server.stop(context.Background()) }
 	for _, c := range []struct {
 		name string
 		// idle is the idle timeout, or 0 for none that expires.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -58,6 +58,20 @@
 	// Idle returns how long an idle connection is kept open. It is called each
 	// time a connection becomes idle. Nil means 2 min.
 	Idle func() time.Duration
+	// Shutdown is the shutdown of the process. Nil means that the server does not take part
+	// in it.
+	Shutdown Shutdown
+}
+
+// Shutdown tells what the shutdown of the process means for connections.
+type Shutdown interface {
+	// LastAnswers reports whether responses say that their connection closes, so that
+	// callers don't send a request on a connection that is about to be closed.
+	LastAnswers() bool
+	// ClosesQuiet reports whether connections close once they are idle.
+	ClosesQuiet() bool
+	// Elapsed returns the time since the shutdown began. It returns false if none has.
+	Elapsed() (time.Duration, bool)
 }
 
 // Server serves HTTP requests on one address. It implements suture.Service and
@@ -69,10 +83,8 @@
 	// address is set at the first start, for restarts.
 	address string
 
-	// draining is set by Drain: connections close after their next response.
-	draining atomic.Bool
-	// stopBegan is when Drain was first called, in nanoseconds since 1970, or 0.
-	stopBegan atomic.Int64
+	// ending is set once the server itself ends: its connections close as in a shutdown.
+	ending atomic.Bool
 	// logs limits the log lines about connections.
 	logs *rate.Limiter
 
@@ -81,8 +93,6 @@
 	server *http.Server
 	// activeListener is the listener that server accepts connections from.
 	activeListener net.Listener
-	// stopping is set once idle connections must be closed immediately.
-	stopping bool
 	// closed holds the connections that this server closed while they were
 	// idle.
 	closed map[net.Conn]bool
@@ -148,26 +158,29 @@
 				s.awaitLingerers(stopCtx)
 			}
 		} else {
-			stopped = s.stop(stopCtx, 0)
+			stopped = s.stop(stopCtx)
 		}
 		if !stopped {
 			s.reportOpen()
 		}
 	}()
 	err := s.serve(server)
-	if s.draining.Load() || errors.Is(err, http.ErrServerClosed) {
+	if s.ending.Load() || errors.Is(err, http.ErrServerClosed) {
 		<-stopped
 		return ctx.Err()
 	}
 	return errors.Wrapf(err, "serve %s", s.config.Name)
 }
 
-// Drain makes each connection close after its next response behind which no further
-// request is arriving, so that clients don't send a request on a connection that is about
-// to be closed.
-func (s *Server) Drain() {
-	s.stopBegan.CompareAndSwap(0, time.Now().UnixNano())
-	s.draining.Store(true)
+// lastAnswers reports whether each connection closes after its next response behind which
+// no further request is arriving.
+func (s *Server) lastAnswers() bool {
+	return s.ending.Load() || s.config.Shutdown != nil && s.config.Shutdown.LastAnswers()
+}
+
+// closesQuiet reports whether idle connections close after idleLinger.
+func (s *Server) closesQuiet() bool {
+	return s.ending.Load() || s.config.Shutdown != nil && s.config.Shutdown.ClosesQuiet()
 }
 
 // Connection describes the connection of a request.
@@ -207,7 +220,7 @@
 func (s *Server) withConnectionClose(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		closing := &closingWriter{
-			ResponseWriter: w, draining: &s.draining,
+			ResponseWriter: w, lastAnswers: s.lastAnswers,
 			mayEndByClose: !r.ProtoAtLeast(1, 1) && r.Method != http.MethodHead,
 		}
 		if conn, ok := r.Context().Value(connKey{}).(*connection); ok {
@@ -235,7 +248,8 @@
 // connection after the response and drops what it has read by then.
 type closingWriter struct {
 	http.ResponseWriter
-	draining *atomic.Bool
+	// lastAnswers reports whether responses say that their connection closes.
+	lastAnswers func() bool
 	// tracked is the connection, or nil if the server did not accept it.
 	tracked *trackedConn
 	began   bool
@@ -276,7 +290,7 @@
 	}
 	w.began = true
 	header := w.Header()
-	if w.draining.Load() && (w.tracked == nil || !w.tracked.furtherBegun()) {
+	if w.lastAnswers() && (w.tracked == nil || !w.tracked.furtherBegun()) {
 		header.Set("Connection", "close")
 	}
 	if w.tracked == nil {
@@ -324,7 +338,8 @@
 }
 
 // closeIdle closes an idle connection. If a request is arriving on it, the connection stays
-// open for readHeaderTimeout at most. It must be called with the mutex held.
+// open for readHeaderTimeout at most, or newConnGrace in a shutdown, which a few stray bytes
+// must not hold up. It must be called with the mutex held.
 func (s *Server) closeIdle(conn net.Conn) {
 	if timer := s.idle[conn]; timer != nil {
 		timer.Stop()
@@ -337,7 +352,7 @@
 	switch {
 	case !waiting:
 		s.arriving[conn] = time.Now()
-	case time.Since(since) > readHeaderTimeout:
+	case time.Since(since) > readHeaderTimeout, s.closesQuiet() && time.Since(since) > newConnGrace:
 		s.closeNow(conn)
 		return
 	}
@@ -381,36 +396,56 @@
 	}
 	s.idle[conn] = nil
 	switch {
-	case s.stopping:
+	case s.closesQuiet():
 		s.idle[conn] = time.AfterFunc(idleLinger, func() { s.closeIfIdle(conn) })
 	case s.config.Idle != nil:
 		s.idle[conn] = time.AfterFunc(s.config.Idle(), func() { s.closeIfIdle(conn) })
 	}
 }
 
-// closeIdleConns closes all idle connections on which no request is arriving, and makes each
-// connection that becomes idle later close after idleLinger.
-func (s *Server) closeIdleConns() {
+// CloseQuiet closes all idle connections on which no request is arriving.
+func (s *Server) CloseQuiet() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
 	for conn := range s.idle {
 		s.closeIdle(conn)
 	}
 }
 
-// StopAccepting drains the server: it closes the listener and waits until no
-// connection carries a request and the callers have taken their answers, up to lingerTimeout,
-// or ctx is done. Meanwhile, requests are served that
-// arrive on connections that were accepted before.
-func (s *Server) StopAccepting(ctx context.Context) { s.stop(ctx, newConnGrace) }
+// Arriving returns the number of connections that carry a request, on which one is arriving,
+// or that were accepted so recently that their first one may be on its way.
+func (s *Server) Arriving() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.countArriving()
+}
+
+// countArriving is Arriving for callers that hold the mutex.
+func (s *Server) countArriving() int {
+	arriving := len(s.idle) // closed soon unless a request is arriving
+	for conn, state := range s.busy {
+		c := tracked(conn)
+		if state == http.StateActive || c != nil && (c.hasReceived() || time.Since(c.acceptedAt) < newConnGrace) {
+			arriving++
+		}
+	}
+	return arriving
+}
+
+// Connections returns the number of open connections, with those that wait for their callers
+// to take the answer and for what may cross the close.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.idle) + len(s.busy) + len(s.lingering())
+}
 
-// Close closes the listener, waits for the requests in flight up to the timeout and closes
-// all connections.
+// Close closes the listener, waits up to the timeout for the requests in flight and for
+// callers to close their connections, and closes all connections.
 func (s *Server) Close(timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if s.stop(ctx, 0) {
+	if s.stop(ctx) {
 		return
 	}
 	s.reportOpen()
@@ -420,10 +455,11 @@
 	_ = server.Close()
 }
 
-// stop is StopAccepting with the time for which it waits for the first requests of accepted
-// connections. It returns false if ctx was done before.
-func (s *Server) stop(ctx context.Context, newConnGrace time.Duration) bool {
-	s.Drain()
+// stop closes the listener and waits until no connection carries a request and the callers
+// have taken their answers, up to lingerTimeout. Meanwhile, requests are served that arrive on
+// connections that were accepted before. It returns false if ctx was done before.
+func (s *Server) stop(ctx context.Context) bool {
+	s.ending.Store(true)
 	s.mu.Lock()
 	server, listener, acceptEnded := s.server, s.activeListener, s.acceptEnded
 	s.mu.Unlock()
@@ -436,9 +472,8 @@
 	case <-acceptEnded:
 	case <-ctx.Done():
 	}
-	s.closeIdleConns()
-	newConnDeadline := time.Now().Add(newConnGrace)
-	for !s.closeIfDrained(time.Now().Before(newConnDeadline)) {
+	s.CloseQuiet()
+	for !s.closeIfDrained() {
 		if !retry.Sleep(ctx, idlePollInterval) {
 			return false
 		}
@@ -462,17 +497,11 @@
 }
 
 // closeIfDrained closes the connections on which nothing was received once no connection
-// carries a request, and returns whether all are closed. If awaitNew is set, those that were
-// just accepted count as carrying one.
-func (s *Server) closeIfDrained(awaitNew bool) bool {
+// carries a request and none is expected, and returns whether all are closed.
+func (s *Server) closeIfDrained() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for conn, state := range s.busy {
-		if c := tracked(conn); state == http.StateActive || awaitNew || c != nil && c.hasReceived() {
-			return false
-		}
-	}
-	if len(s.idle) > 0 {
+	if s.countArriving() > 0 {
 		return false
 	}
 	for conn := range s.busy {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -44,7 +44,7 @@
 		t.Fatal(err)
 	}
 	waitFor(t, "the connection is accepted", func() bool { return server.acceptedAny() })
-	go server.StopAccepting(ctx)
+	go server.stop(ctx)
 	waitFor(t, "the listener is closed", func() bool {
 		other, err := net.Dial("tcp", address)
 		if err == nil {
@@ -101,9 +101,7 @@
 		_, _ = io.WriteString(w, r.URL.Path)
 	}, "GET /first HTTP/1.1\r\nHost: test\r\n\r\nGET /second HTTP/1.1\r\nHost: test\r\n\r\n")
 	waitFor(t, "idle connections are closed", func() bool {
-		server.mu.Lock()
-		defer server.mu.Unlock()
-		return server.stopping
+		return server.ending.Load()
 	})
 	close(proceed)
 	expectBodies(t, conn, "/first", "/second")
@@ -125,7 +123,7 @@
 }
 
 // startStopping starts a server, opens a connection to it, writes text, and begins to stop
-// the server. stopped is closed once StopAccepting has returned.
+// the server. stopped is closed once the server has stopped.
 func startStopping(t *testing.T, handler http.HandlerFunc, text string) (server *Server, conn net.Conn, stopped chan struct{}) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -148,7 +146,7 @@
 	stopped = make(chan struct{})
 	go func() {
 		defer close(stopped)
-		server.StopAccepting(ctx)
+		server.stop(ctx)
 	}()
 	return server, conn, stopped
 }
--- a/internal/httpserver/tls_test.go
+++ b/internal/httpserver/tls_test.go
@@ -94,7 +94,7 @@
 	began := time.Now()
 	go func() {
 		defer close(stopped)
-		server.StopAccepting(t.Context())
+		server.stop(t.Context())
 	}()
 	select {
 	case <-stopped:
--- a/internal/orders/models.go
+++ b/internal/orders/models.go
@@ -162,7 +162,7 @@
 // may not start now, because the engine is already changing or the weight
 // store's rate limit is reached.
 func (s *Service) start(ctx context.Context, service *traffic.Service, c change) bool {
-	if s.stopping() {
+	if s.config.MayStart != nil && !s.config.MayStart() {
 		return false
 	}
 	s.mu.Lock()
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -74,15 +74,10 @@
 	// FirstStart reports that the whole system starts for the first time, so that no
 	// engine got an order before.
 	FirstStart bool
-	// Stopping reports whether this host shuts down. It then starts no change of models,
-	// which it may not finish: an engine would be left without the model that it had and
-	// the one that it was to have. Nil means that it never does.
-	Stopping func() bool
+	// MayStart reports whether changes of models may start. Nil means always.
+	MayStart func() bool
 }
 
-// stopping reports whether this host shuts down.
-func (s *Service) stopping() bool { return s.config.Stopping != nil && s.config.Stopping() }
-
 // Idle reports whether no change of models is in progress.
 func (s *Service) Idle() bool { return s.changesInProgress() == 0 }
 
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -297,7 +297,7 @@
 	// Guards against an engine that is left with neither the model that it had nor the one
 	// that it was to have, since its holder ended between the unload and the load.
 	It("start no change of models while the host shuts down", func() {
-		service.config.Stopping = func() bool { return true }
+		service.config.MayStart = func() bool { return false }
 		service.RecordDemand("llm", "n", "", 12_500)
 		service.plan(context.Background())
 		Expect(service.Idle()).To(BeTrue())
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"bilberryslip.example/bilberryslip/internal/drain"
 )
 
 // Edge is the settings file of a bilberryslip-edge process.
@@ -64,6 +66,15 @@
 	Evacuation Duration `json:"evacuation"`
 }
 
+// balancerDelay is how long requests still arrive after a host reports not ready: two
+// readiness checks at an interval of one second, and their latency.
+const balancerDelay = 2500 * time.Millisecond
+
+// StopTiming returns the timing of a shutdown within the grace period.
+func (b *Bounds) StopTiming() (drain.Timing, error) {
+	return drain.TimingWithin(b.Grace.Std(), balancerDelay)
+}
+
 // LoadEdge reads and validates a settings file. Any error is an *InvalidError.
 func LoadEdge(path string) (Edge, error) { return load(path, ParseEdge) }
 
@@ -119,6 +130,11 @@
 			c.fault(d.path, "not positive", `write a duration such as "3s"`)
 		}
 	}
+	if b.Grace > 0 {
+		if _, err := b.StopTiming(); err != nil {
+			c.fault("bounds.grace", err.Error(), "have the platform wait longer between the stop signal and the kill")
+		}
+	}
 	if b.Evacuation < 0 {
 		c.fault("bounds.evacuation", "negative", `write a duration such as "5s", or leave it out if zones are never evacuated`)
 	}
