--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -34,6 +34,7 @@
 	Decisions *decisionsCommand `arg:"subcommand:decisions" help:"query the record of decisions"`
 	State     *stateCommand     `arg:"subcommand:state" help:"dump the state of a host"`
 	Status    *statusCommand    `arg:"subcommand:status" help:"show which revision is in force on which host"`
+	Stop      *stopCommand      `arg:"subcommand:stop" help:"show how far the shutdowns of hosts have come, and what runs there"`
 	Version   *versionCommand   `arg:"subcommand:version" help:"show the version of this tool"`
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -27,6 +29,11 @@
 	objects []*apiv1.Object
 	applied []*apiv1.ApplyRequest
 	failure error
+	state   string
+}
+
+func (f *fakeAdmin) State(context.Context, *apiv1.StateRequest) (*apiv1.StateResponse, error) {
+	return &apiv1.StateResponse{Json: f.state}, nil
 }
 
 func (f *fakeAdmin) List(context.Context, *apiv1.ListRequest) (*apiv1.ListResponse, error) {
@@ -73,6 +80,36 @@
 		Expect(out.String()).To(And(ContainSubstring("accepted as revision 7"), ContainSubstring("h2")))
 	})
 
+	// Guards against an operator who goes on with the next host while this one still stops.
+	It("shows the phase of hosts that stop and what runs there", func() {
+		dump := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/debug/state" {
+				w.WriteHeader(http.StatusNotFound)
+				return
+			}
+			_, _ = io.WriteString(w, `{"stop": {"phase": "draining", "elapsedMS": 2600, "remainingMS": 5200, "decisions": {"admitted": 3, "refused": 7}},
+				"requests": [{"request": "r-1", "service": "llm", "endpoint": "e-1", "ageMS": 1500, "deadlineInMS": 2500}]}`)
+		}))
+		DeferCleanup(dump.Close)
+		fake.state = `{"stop": {"phase": "serving"}, "gateway": {"running": [{"requestId": "r-2", "model": "m", "endpoint": "e-2", "ageMillis": 10}]}}`
+		Expect(run("", "stop", "h1", "--dump", dump.URL+"/debug/state")).To(Equal(0), errOut.String())
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		for i, want := range []string{
+			"HOST PHASE SINCE SIGNAL ENDS WITHIN RUNNING ADMITTED REFUSED", "h1 serving - - 1 0 0",
+			strings.TrimPrefix(dump.URL, "http://") + " draining 2.6s 5.2s 1 3 7", "", "HOST REQUEST SERVICE ENDPOINT AGE DEADLINE IN",
+			"h1 r-2 m e-2 10ms -", strings.TrimPrefix(dump.URL, "http://") + " r-1 llm e-1 1.5s 2.5s",
+		} {
+			Expect(strings.Join(strings.Fields(lines[i]), " ")).To(Equal(want))
+		}
+		for argument, want := range map[string]string{dump.URL + "/other": "404", "no address": "is no URL"} {
+			Expect(run("", "stop", "--dump", argument)).NotTo(Equal(0))
+			Expect(errOut.String()).To(ContainSubstring(want))
+		}
+		fake.state = `{"gateway": {}}`
+		Expect(run("", "stop")).NotTo(Equal(0))
+		Expect(errOut.String()).To(ContainSubstring("older version"))
+	})
+
 	DescribeTable("maps failures to exit codes", func(failure error, code int, text string) {
 		fake.failure = failure
 		Expect(run(manifest, "apply", "-f", "-")).To(Equal(code))
