--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -21,7 +21,7 @@
 	BasisNone Basis = "none"
 	// BasisDeadline means that the request's deadline lies within the time left.
 	BasisDeadline Basis = "deadline"
-	// BasisEstimate means that requests like it told how long it takes.
+	// BasisEstimate means that an estimate decides, from requests like it.
 	BasisEstimate Basis = "estimate"
 	// BasisUnknown means that no request like it was served.
 	BasisUnknown Basis = "unknown"
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -54,11 +54,13 @@
 	}
 }
 
-// awaitEnd waits until the components have ended, for a limited time.
+// awaitEnd waits until the components have ended, up to the limit of the shutdown and for
+// componentsTimeout at least.
 func (h *host) awaitEnd(ended <-chan error) {
+	left, _ := h.stop.Remaining()
 	select {
 	case <-ended:
-	case <-time.After(componentsTimeout):
+	case <-time.After(max(left, componentsTimeout)):
 		logrus.Warn("components still running at the end of the shutdown")
 	}
 }
@@ -78,8 +80,8 @@
 // closeTimeout bounds the end of the callers' server; the phase ends before if need be.
 const closeTimeout = 2 * time.Second
 
-// componentsTimeout bounds the end of the components after the last caller was served. It is
-// less than the time that a shutdown leaves for the process to exit.
+// componentsTimeout is the time for the components to end after the limit of the shutdown. It
+// is less than the time that is left for the process to exit.
 const componentsTimeout = 100 * time.Millisecond
 
 // stopTiming returns the bounds of a shutdown, which were checked when the settings were read.
--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -62,7 +62,7 @@
 func (e *IncompleteResponseError) Unwrap() error { return e.Cause }
 
 // NotResumedError reports a response to a resume that begins before the event at which it
-// was to begin, as that of a generation which was started anew.
+// was to begin, as that of a generation that was restarted.
 type NotResumedError struct {
 	Endpoint string
 	Attempt  string
--- a/internal/forward/received.go
+++ b/internal/forward/received.go
@@ -31,7 +31,7 @@
 }
 
 // maxKnownIDs bounds the identifiers that are remembered for a stream: 4 KiB. The first ones
-// are kept, since an endpoint that starts a stream anew repeats them first.
+// are kept, since an endpoint that restarts a stream repeats them first.
 const maxKnownIDs = 512
 
 // Reasons why an answer does not go on with a stream.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -213,7 +213,7 @@
 }
 
 // follow adds what was read. net/http's timeout for the first head runs from the time the
-// connection was accepted, which may be long before; it is set anew when the head begins. It
+// connection was accepted, which may be long before; it is set again when the head begins. It
 // must be called with the mutex held.
 func (c *trackedConn) follow(data []byte) {
 	if c.opaque.Load() {
