--- a/internal/forward/cut_answer_test.go
+++ b/internal/forward/cut_answer_test.go
@@ -17,7 +17,7 @@
 	// endpoint that closes its connection in the middle of its answer.
 	DescribeTable("does not reach the caller as a whole one",
 		func(framing upstream.Framing, mediaType, body string) {
-			head := "HTTP/1.1 200 OK\r\nContent-Type: " + mediaType + "\r\nRequest-Id: id\r\nServer-Stamp: e1.id\r\n"
+			head := "HTTP/1.1 200 OK\r\nContent-Type: " + mediaType + "\r\nX-Request: id\r\nX-Signature: e1.id\r\n"
 			switch framing {
 			case upstream.FramingLength:
 				head += fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
--- a/internal/httpserver/framing_test.go
+++ b/internal/httpserver/framing_test.go
@@ -109,8 +109,8 @@
 
 // BenchmarkFraming measures one request of the usual size that arrives in one read.
 func BenchmarkFraming(b *testing.B) {
-	data := []byte("POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: 9c41d07be2a35f68\r\nModel: daka510000\r\nToken-Usage: 1460,80\r\n" +
-		"X-Segments: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nDeadline-Ms: 5000\r\nKey: i9n73hh2b9wu3fexd9dn\r\nContent-Length: 2048\r\n\r\n" + fmt.Sprintf("%2048d", 0))
+	data := []byte("POST /service/path HTTP/1.1\r\nHost: service.example\r\nX-Request: 9c41d07be2a35f68\r\nX-Model: model-1\r\n" +
+		"X-Segments: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nX-Deadline: 5000\r\nX-Key: i9n73hh2b9wu3fexd9dn\r\nContent-Length: 2048\r\n\r\n" + fmt.Sprintf("%2048d", 0))
 	var f framing
 	b.ReportAllocs()
 	for b.Loop() {
