Close bilberryslipd's listener once the balancer has noticed

Since one component owns the shutdown, the listener of bilberryslipd stayed open to its limit. It closes at the start of draining again, and estimates count for the second in which what was accepted before still arrives.

--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -31,7 +31,7 @@
 func (h *host) shutdown(ctx context.Context) {
 	limit := h.settings.Shutdown.Limit.Std() - settings.ShutdownEnd
 	h.stop.Begin(drain.Timing{
-		Announced: min(h.settings.Shutdown.BalancerDelay.Std()+arrivalGrace, limit), Limit: limit, Answers: gateway.AbortTimeout, Close: closeTimeout,
+		Announced: h.settings.Shutdown.BalancerDelay.Std(), Arrival: arrivalGrace, Limit: limit, Answers: gateway.AbortTimeout, Close: closeTimeout,
 	})
 	h.members.SetDraining()
 	go h.members.Round(ctx)
@@ -57,13 +57,15 @@
 func (h *host) enterPhase(ctx context.Context, phase drain.Phase) {
 	switch phase {
 	case drain.Draining:
+		// The limit may be minutes away, and most callers name no deadline before it: a port that
+		// is closed sends them to another host sooner than refusals until then.
+		h.callers.StopListening(context.WithoutCancel(ctx))
 		h.callers.CloseQuiet()
 	case drain.Ending:
 		aborted := h.gateway.Abort()
 		remaining, _ := h.stop.Remaining()
 		invariant.Assert(len(aborted) == 0 || ctx.Err() != nil || remaining <= 0, invariant.ShutdownCutsNothing, logrus.Fields{"cut": len(aborted)})
 	case drain.Closing:
-		h.callers.StopListening(context.WithoutCancel(ctx))
 		go h.callers.Close(callersTimeout)
 	case drain.Serving, drain.Announced, drain.Ended:
 	}
--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -45,7 +45,7 @@
 	if !stopping {
 		return Decision{Admitted: true, Basis: BasisNone}
 	}
-	d := s.decide(left, timing.Limit-elapsed, elapsed < timing.Announced, r)
+	d := s.decide(left, timing.Limit-elapsed, elapsed < timing.Announced+timing.Arrival, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.decisions[decisionKey{d.Admitted, d.Basis}]++
--- a/internal/drain/stop.go
+++ b/internal/drain/stop.go
@@ -40,6 +40,9 @@
 type Timing struct {
 	// Announced is how long the balancer may take to notice that the host is not ready.
 	Announced time.Duration
+	// Arrival is how long after that requests may still arrive that were sent before, or leave
+	// a queue.
+	Arrival time.Duration
 	// Limit is the time from the stop signal for which requests may run.
 	Limit time.Duration
 	// Answers is how long requests that are ended at the limit may take to be answered, and
