Log where the time of a request goes that outlasts its caller

The record of the operators can't tell whether a request that reached its endpoint 1.5 s after its caller's deadline lay unread before the host, waited within it, or lay between the host and the endpoint. No log line told either.

The kernel knows when it received a request (TCP_INFO, the time since the last data) and what of a sent one is not acknowledged (SIOCOUTQ). 'request ended' now has unread_ms, written_ms and unacked_bytes where a caller left, a deadline passed, the host stops, or a request lay unread for 100 ms; bilberryslip_http_unread_seconds has all requests. The socket's state is read in one package, internal/socket. No decision changes.

--- a/internal/detour/client.go
+++ b/internal/detour/client.go
@@ -188,6 +188,9 @@
 // order.
 func (c *Conn) Read(p []byte) (int, error) { return c.chunks.Read(p) }
 
+// NetConn returns the connection to the peer.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.release()
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -88,6 +88,9 @@
 	events int
 	// framing is the framing of the last response whose body was read.
 	framing upstream.Framing
+	// unacknowledged is how much of the last attempt's request its endpoint's host had not
+	// acknowledged when the attempt ended without a response, in bytes; -1 if unknown.
+	unacknowledged int
 	// status is the status of the relayed response.
 	status int
 	// firstByte is the time from started to the response header; zero before it.
@@ -271,8 +274,12 @@
 	codec := x.forwarder.config.Codec
 	message := upstream.Message{
 		Method: x.call.Method, Target: x.call.Target, Host: cmp.Or(x.call.Authority, x.call.Host), ID: x.call.ID,
-		EncodeHeader: func() http.Header { return codec.Encode(x.call, x.attemptParams(attempt)) },
-		Body:         x.call.Body, Dedicated: !x.route.MayRepeat() || x.call.ID == "", // nothing tells the response from others
+		EncodeHeader: func() http.Header {
+			writtenAt := x.forwarder.config.Clock()
+			x.progress.writtenAt.Store(&writtenAt)
+			return codec.Encode(x.call, x.attemptParams(attempt))
+		},
+		Body: x.call.Body, Dedicated: !x.route.MayRepeat() || x.call.ID == "", // nothing tells the response from others
 	}
 	message.Check = func() error { return x.checkZone(attempt) }
 	x.chooseWay(attempt, &message)
@@ -313,6 +320,7 @@
 	if !wasNotSent {
 		x.attempts.Sent++
 		x.mayHaveRun = true
+		x.recordUnacknowledged(err)
 	}
 	if x.ctx.Err() != nil {
 		attempt.Finish(endpoint.OutcomeCancelled)
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -12,6 +13,7 @@
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/traffic"
+	"bilberryslip.example/bilberryslip/internal/upstream"
 )
 
 // shouldRetry reports whether the request is to be sent again after an attempt
@@ -78,6 +80,31 @@
 	return strings.Join(ids, ",")
 }
 
+// notableUnread is how long a request may lie unread before its end is logged with its
+// arrival. A process with enough processor time reads it within a few milliseconds.
+const notableUnread = 100 * time.Millisecond
+
+// logsArrival reports whether the request's arrival is logged with its outcome: it may explain
+// requests that a shutdown cut or that outlasted their callers.
+func (x *inflightCall) logsArrival(outcome string) bool {
+	switch Reason(outcome) {
+	case ReasonCallerGone, ReasonTimeout:
+		return true
+	}
+	_, stopping := x.forwarder.config.Stop.Elapsed()
+	a := x.call.Arrival
+	return stopping || a.HeadAt.Sub(a.ReceivedAt) >= notableUnread
+}
+
+// recordUnacknowledged records how much of a request was not acknowledged when an attempt
+// ended without a response.
+func (x *inflightCall) recordUnacknowledged(err error) {
+	var noResponse *upstream.NoResponseError
+	if errors.As(err, &noResponse) {
+		x.unacknowledged = noResponse.Unacknowledged
+	}
+}
+
 // finish logs the outcome of the call and counts it in the metrics.
 func (x *inflightCall) finish(err error) {
 	elapsed := x.forwarder.config.Clock().Sub(x.started)
@@ -119,9 +146,12 @@
 	default:
 		fields["status"] = x.status
 	}
-	if _, stopping := x.forwarder.config.Stop.Elapsed(); stopping {
+	if x.logsArrival(outcome) {
 		maps.Copy(fields, x.arrivalFields())
 	}
+	if x.mayHaveRun && (outcome == string(ReasonCallerGone) || outcome == string(ReasonTimeout)) {
+		fields["unacked_bytes"] = x.unacknowledged
+	}
 	fields["outcome"] = outcome
 	x.forwarder.metrics.recordRequest(x.service, outcome, elapsed, x.firstByte)
 	x.recordDuration(err, elapsed)
--- a/internal/forward/running.go
+++ b/internal/forward/running.go
@@ -18,16 +18,19 @@
 	// been read, and EarlierRequests the number of requests on it before.
 	ConnectionAge   time.Duration
 	EarlierRequests int
-	// HeadAt and BodyAt are when the head and the whole body had been read.
-	HeadAt, BodyAt time.Time
+	// ReceivedAt is when the kernel had received the first bytes of the request, HeadAt and
+	// BodyAt are when the head and the whole body had been read.
+	ReceivedAt, HeadAt, BodyAt time.Time
 }
 
 // progress is how far a call has come. It is read while the call is served.
 type progress struct {
 	// endpoint is the identifier of the last attempt's endpoint; nil before the first.
 	endpoint atomic.Pointer[string]
-	sentAt   atomic.Pointer[time.Time]
-	events   atomic.Int64
+	// sentAt is when the last attempt began, writtenAt when its connection stood and the
+	// request was about to be written; nil before.
+	sentAt, writtenAt atomic.Pointer[time.Time]
+	events            atomic.Int64
 	// admission is the last decision whether this host ends too soon for the call; nil
 	// if no shutdown has begun.
 	admission atomic.Pointer[drain.Decision]
@@ -127,7 +130,10 @@
 	a := x.call.Arrival
 	fields := logrus.Fields{
 		"connection_age_ms": a.ConnectionAge.Milliseconds(), "earlier_requests": a.EarlierRequests,
-		"body_ms": a.BodyAt.Sub(a.HeadAt).Milliseconds(),
+		"body_ms": a.BodyAt.Sub(a.HeadAt).Milliseconds(), "unread_ms": a.HeadAt.Sub(a.ReceivedAt).Milliseconds(),
+	}
+	if writtenAt := x.progress.writtenAt.Load(); writtenAt != nil {
+		fields["written_ms"] = writtenAt.Sub(a.HeadAt).Milliseconds()
 	}
 	if elapsed, stopping := x.forwarder.config.Stop.Elapsed(); stopping {
 		now := x.forwarder.config.Clock()
--- a/internal/httpserver/closing_writer.go
+++ b/internal/httpserver/closing_writer.go
@@ -57,7 +57,7 @@
 		w.tracked.endsByClose.Store(false)
 		w.tracked.answered.Add(1)
 	}
-	w.tracked.ended.Add(1)
+	w.tracked.endRequest()
 }
 
 // Unwrap returns the underlying writer for http.ResponseController.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 // trackingListener accepts connections as trackedConns.
@@ -84,6 +86,9 @@
 	mu sync.Mutex
 	// framing is that of what net/http has read.
 	framing framing
+	// receivedAt holds, for each request that has begun and not ended, when the kernel had
+	// received its first bytes; zero if that isn't known.
+	receivedAt []time.Time
 	// readDeadline is the last that net/http has set.
 	readDeadline time.Time
 	// closing is set once reads end because the connection is quiet.
@@ -118,30 +123,16 @@
 func newTrackedConn(server *Server, accepted net.Conn) *trackedConn {
 	c := &trackedConn{Conn: accepted, server: server, acceptedAt: time.Now()}
 	c.opaque.Store(server.config.TLS != nil)
-	c.tcp, _ = innermost(accepted).(*net.TCPConn)
+	c.tcp, _ = socket.Innermost(accepted).(*net.TCPConn)
 	return c
 }
 
-// netConner is implemented by connections that wrap another, as tls.Conn.
-type netConner interface{ NetConn() net.Conn }
-
-// innermost returns the connection that all others wrap.
-func innermost(conn net.Conn) net.Conn {
-	for {
-		wrapper, ok := conn.(netConner)
-		if !ok {
-			return conn
-		}
-		conn = wrapper.NetConn()
-	}
-}
-
 // tracked returns the trackedConn of a connection, or nil if the server did not accept it.
 func tracked(conn net.Conn) *trackedConn {
 	if c, ok := conn.(*trackedConn); ok {
 		return c
 	}
-	if wrapper, ok := conn.(netConner); ok {
+	if wrapper, ok := conn.(socket.Wrapper); ok {
 		c, _ := wrapper.NetConn().(*trackedConn)
 		return c
 	}
@@ -219,13 +210,51 @@
 	if c.opaque.Load() {
 		return
 	}
-	first := c.framing.begun == 0
+	before := c.framing.begun
+	first := before == 0
 	c.framing.add(data)
+	if begun := c.framing.begun - before; begun > 0 {
+		c.recordReceived(begun)
+	}
 	if first && c.framing.whole == 0 {
 		c.awaitHead()
 	}
 }
 
+// recordReceived records when the kernel received requests that have just begun to be read. It
+// received the first bytes of each no later than the last data that it has. It must be called
+// with the mutex held.
+func (c *trackedConn) recordReceived(requests int) {
+	var at time.Time
+	if state, ok := socket.StateOf(c.Conn); ok {
+		at = time.Now().Add(-state.SinceReceived)
+		unreadSeconds.WithLabelValues(c.server.config.Name).Observe(state.SinceReceived.Seconds())
+	}
+	for range requests {
+		c.receivedAt = append(c.receivedAt, at)
+	}
+}
+
+// requestReceivedAt returns when the kernel received the request that is handled, or zero.
+func (c *trackedConn) requestReceivedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.receivedAt) == 0 {
+		return time.Time{}
+	}
+	return c.receivedAt[0]
+}
+
+// endRequest records that the handler of a request has ended.
+func (c *trackedConn) endRequest() {
+	c.ended.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.receivedAt) > 0 {
+		c.receivedAt = c.receivedAt[1:]
+	}
+}
+
 // awaitHead gives the head of a request that has begun to arrive readHeaderTimeout. It must be
 // called with the mutex held.
 func (c *trackedConn) awaitHead() {
@@ -375,25 +404,4 @@
 }
 
 // unread returns the number of received bytes that were not read, or -1 if it isn't known.
-func (c *trackedConn) unread() int { return c.queue(unix.SIOCINQ) }
-
-// queue returns the length of a queue of the socket, or -1 if it isn't known.
-func (c *trackedConn) queue(request uint) int {
-	if c.tcp == nil {
-		return -1
-	}
-	raw, err := c.tcp.SyscallConn()
-	if err != nil {
-		return -1
-	}
-	length := -1
-	err = raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
-			length = n
-		}
-	})
-	if err != nil {
-		return -1
-	}
-	return length
-}
+func (c *trackedConn) unread() int { return socket.Unread(c.Conn) }
--- a/internal/httpserver/linger.go
+++ b/internal/httpserver/linger.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"bilberryslip.example/bilberryslip/internal/retry"
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 const (
@@ -84,7 +85,7 @@
 
 // untaken returns the number of sent bytes that the caller's kernel has not acknowledged, or -1
 // if it isn't known.
-func (c *trackedConn) untaken() int { return c.queue(unix.SIOCOUTQ) }
+func (c *trackedConn) untaken() int { return socket.Unacknowledged(c.Conn) }
 
 // linger drops what arrives until the caller closes the connection, up to lingerTimeout, and
 // closes it. The sending half has been shut down. A further request stays unread for
--- a/internal/httpserver/metrics.go
+++ b/internal/httpserver/metrics.go
@@ -34,6 +34,11 @@
 		Name: "bilberryslip_http_unanswered_total",
 		Help: "Connections that were closed although a received request had no whole answer, by server and cause.",
 	}, []string{"server", "cause"})
+	unreadSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "bilberryslip_http_unread_seconds",
+		Help:    "Time for which requests lay in the kernel before the process read them, by server.",
+		Buckets: prometheus.ExponentialBuckets(0.004, 4, 7),
+	}, []string{"server"})
 	untakenTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "bilberryslip_http_untaken_total",
 		Help: "Closed connections whose callers had not taken the whole answer within the time for it, by server.",
@@ -46,7 +51,7 @@
 
 // Collectors returns the metrics of all servers of the process.
 func Collectors() []prometheus.Collector {
-	return []prometheus.Collector{unansweredTotal, untakenTotal, openAtLimitTotal}
+	return []prometheus.Collector{unansweredTotal, untakenTotal, openAtLimitTotal, unreadSeconds}
 }
 
 func newLogLimiter() *rate.Limiter { return rate.NewLimiter(logsPerSecond, logBurst) }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -186,6 +186,9 @@
 	AcceptedAt time.Time
 	// EarlierRequests is the number of requests on the connection that have ended.
 	EarlierRequests int
+	// ReceivedAt is when the kernel had received the first bytes of the request, which may be
+	// long before the process read them. Zero if that isn't known, as over TLS.
+	ReceivedAt time.Time
 }
 
 // ConnectionOf returns the connection of a request by its context. It returns false for
@@ -195,7 +198,11 @@
 	if !ok {
 		return Connection{}, false
 	}
-	return Connection{AcceptedAt: conn.acceptedAt, EarlierRequests: int(conn.requests.Load())}, true
+	c := Connection{AcceptedAt: conn.acceptedAt, EarlierRequests: int(conn.requests.Load())}
+	if conn.tracked != nil {
+		c.ReceivedAt = conn.tracked.requestReceivedAt()
+	}
+	return c, true
 }
 
 // connKey is the context key of a request's *connection.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,9 +14,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 const (
@@ -87,7 +90,10 @@
 // was received, so that the endpoint may have run the request.
 type NoResponseError struct {
 	Address string
-	Cause   error
+	// Unacknowledged is the number of bytes of the request that the endpoint's host had not
+	// acknowledged when the connection was closed; -1 if it isn't known.
+	Unacknowledged int
+	Cause          error
 }
 
 // Error implements error.
@@ -113,6 +119,9 @@
 	stop      func() bool
 	written   chan error
 	bodyRead  bool
+	// unacknowledged is the number of bytes of the request that were not acknowledged when
+	// the connection was closed because the context had ended.
+	unacknowledged atomic.Int64
 }
 
 // Send sends a message and waits for the response header. belongs reports whether
@@ -141,15 +150,29 @@
 	}
 	c.recordRequest(m.ID)
 	x := &Exchange{pool: p, address: address, conn: c, dedicated: m.dedicated(), Reused: reused, written: make(chan error, 1)}
-	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.unacknowledged.Store(int64(unknownQueue))
+	x.stop = context.AfterFunc(ctx, x.onContextEnd)
 	x.write(m)
 	if err := x.readHeader(&http.Request{Method: m.Method}, belongs); err != nil {
+		unacknowledged := socket.Unacknowledged(c.Conn)
+		if unacknowledged == unknownQueue {
+			unacknowledged = int(x.unacknowledged.Load())
+		}
 		x.Abort()
-		return nil, &NoResponseError{Address: address, Cause: errors.CombineErrors(context.Cause(ctx), err)}
+		return nil, &NoResponseError{Address: address, Unacknowledged: unacknowledged, Cause: errors.CombineErrors(context.Cause(ctx), err)}
 	}
 	return x, nil
 }
 
+// unknownQueue is the length of a queue of a closed connection.
+const unknownQueue = -1
+
+// onContextEnd closes the connection.
+func (x *Exchange) onContextEnd() {
+	x.unacknowledged.Store(int64(socket.Unacknowledged(x.conn.Conn)))
+	_ = x.conn.Close()
+}
+
 func (p *Pool) connect(ctx context.Context, address string, m Message) (*conn, bool, error) {
 	if !m.dedicated() {
 		if c := p.takeIdle(address, m.ID); c != nil {
