Drop what is not acknowledged of a request when its connection closes

Callers saw nothing; endpoints ran requests up to 3.1 s (the unacked timeout) after their callers had left. The end of an attempt closed its connection in order, and the kernel goes on delivering what was written after such a close, also after the process was killed.

--- a/internal/detour/pipe.go
+++ b/internal/detour/pipe.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bilberryslip.example/bilberryslip/internal/reach"
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 // pipe relays between the connection of a peer and that to an endpoint.
@@ -60,7 +61,7 @@
 	}
 	half, ok := p.near.(interface{ CloseWrite() error })
 	if err != nil || !ok || half.CloseWrite() != nil {
-		reset(p.near)
+		_ = socket.Reset(p.near)
 	}
 }
 
@@ -120,11 +121,3 @@
 		}
 	}
 }
-
-// reset closes a connection so that the other side sees that it failed.
-func reset(conn net.Conn) {
-	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok { // also if a server wraps it
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
--- /dev/null
+++ b/internal/socket/drop.go
@@ -0,0 +1,46 @@
+package socket
+
+import (
+	"context"
+	"net"
+)
+
+// DialFunc opens a connection, like DialContext of http.Transport.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DropUnacknowledged returns a DialFunc for connections that carry requests. If one of its TCP
+// connections is closed, or the process is killed, while written bytes are not acknowledged,
+// the kernel drops them and resets the connection. After an orderly close it would go on
+// delivering them for as long as the path stalls, and the other side would run a request that
+// was given up.
+func DropUnacknowledged(next DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := next(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			return conn, nil
+		}
+		if err := tcp.SetLinger(0); err != nil {
+			_ = tcp.Close()
+			return nil, err
+		}
+		return requestConn{tcp}, nil
+	}
+}
+
+// requestConn is a connection of DropUnacknowledged. Unless Close reverts it, its end is a reset.
+type requestConn struct{ *net.TCPConn }
+
+// Close implements net.Conn.
+func (c requestConn) Close() error {
+	if Unacknowledged(c.TCPConn) == 0 {
+		_ = c.SetLinger(-1) // nothing to drop; fails only if the connection is closed
+	}
+	return c.TCPConn.Close()
+}
+
+// NetConn returns the TCP connection.
+func (c requestConn) NetConn() net.Conn { return c.TCPConn }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -81,3 +81,14 @@
 	}
 	_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // fails only if the connection is closed
 }
+
+// Reset closes a connection so that the kernel drops what is not acknowledged, and the other
+// side sees that it failed.
+func Reset(conn net.Conn) error {
+	tcp, ok := Innermost(conn).(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return conn.Close()
+	}
+	_ = tcp.SetLinger(0) // fails only if the connection is closed
+	return Innermost(conn).Close()
+}
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -1,7 +1,9 @@
 package socket
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -57,6 +59,18 @@
 	}
 }
 
+// TestResetOfWrappedConnection guards against a connection that ends like one that was closed
+// in order. The servers of package httpserver wrap the connections they accept.
+func TestResetOfWrappedConnection(t *testing.T) {
+	near, far := pair(t)
+	if err := Reset(struct{ *net.TCPConn }{near.(*net.TCPConn)}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := far.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("read: %v; want a reset", err)
+	}
+}
+
 func waitFor(t *testing.T, what string, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(2 * time.Second); !condition(); time.Sleep(time.Millisecond) {
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 const (
@@ -55,7 +57,7 @@
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error { return SetUnackedTimeout(raw, unacked) },
 	}
-	return dialer.DialContext(ctx, network, address)
+	return socket.DropUnacknowledged(dialer.DialContext)(ctx, network, address)
 }
 
 // SetUnackedTimeout limits how long sent data may stay unacknowledged or unread before
@@ -85,7 +87,7 @@
 
 // openAndIdle reports whether a connection is still open and has nothing to read.
 func openAndIdle(conn net.Conn) bool {
-	tcp, ok := conn.(syscall.Conn)
+	tcp, ok := socket.Innermost(conn).(syscall.Conn)
 	if !ok {
 		return false
 	}
