Send nothing whose context has ended while the connection was chosen

Nothing looked at the context between connecting and writing. A kept connection is there at once whatever the context, so that a request whose caller had left was written, and the end of the context closed the connection behind it. The kept connection goes back to the pool.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -87,8 +87,23 @@
 	return nil
 }
 
+// giveBack ends the use of a connection on which nothing was sent. A kept one stays usable as
+// long as before.
+func (p *Pool) giveBack(address string, c *conn, kept bool) {
+	if !kept {
+		_ = c.Close()
+		return
+	}
+	p.keep(address, c)
+}
+
 func (p *Pool) putIdle(address string, c *conn, timeout time.Duration) {
 	c.expires = p.now().Add(timeout)
+	p.keep(address, c)
+}
+
+// keep adds a connection to the idle ones.
+func (p *Pool) keep(address string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[address]) >= maxIdle || len(c.carried) >= maxRequests {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -61,7 +61,7 @@
 	// stands, for fields that depend on the time.
 	EncodeHeader func() http.Header
 	// Check, unless nil, is called once the connection stands, before anything is sent. If
-	// it returns an error, nothing is sent and the connection is closed.
+	// it returns an error, nothing is sent.
 	Check func() error
 	// Dial, unless nil, opens the connection, which is then used for this request alone.
 	Dial func(ctx context.Context) (net.Conn, error)
@@ -136,11 +136,9 @@
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
-	if m.Check != nil {
-		if err := m.Check(); err != nil {
-			_ = c.Close()
-			return nil, &NotSentError{Address: address, Cause: err}
-		}
+	if err := m.checkSend(ctx); err != nil {
+		p.giveBack(address, c, reused)
+		return nil, &NotSentError{Address: address, Cause: err}
 	}
 	if m.EncodeHeader != nil {
 		m.Header = m.EncodeHeader()
@@ -173,6 +171,17 @@
 	_ = x.conn.Close()
 }
 
+// checkSend returns an error if nothing must be sent any more: the connection may have taken a
+// while, and a kept one is there even if the context has ended.
+func (m Message) checkSend(ctx context.Context) error {
+	if m.Check != nil {
+		if err := m.Check(); err != nil {
+			return err
+		}
+	}
+	return context.Cause(ctx)
+}
+
 func (p *Pool) connect(ctx context.Context, address string, m Message) (*conn, bool, error) {
 	if !m.dedicated() {
 		if c := p.takeIdle(address, m.ID); c != nil {
