Pass nothing on that a peer reads together with the end of its host's connection

A host closes its connection to a relaying peer only when it waits no more. A peer that was paused meanwhile read the request, passed it on, and saw the end with the next read.

--- a/internal/detour/pipe.go
+++ b/internal/detour/pipe.go
@@ -32,7 +32,7 @@
 	defer wait.End()
 	peerClosed := make(chan struct{})
 	go func() {
-		sent, _ = copyBytes(p.far, p.near, func() {})
+		sent, _ = copyBytes(p.far, attendedReader{p.near}, func() {})
 		close(peerClosed)
 		_ = p.far.Close() // the peer no longer waits
 	}()
@@ -65,6 +65,22 @@
 	}
 }
 
+// attendedReader reads from a host, as long as that waits for an answer. A host closes its
+// connection only when it does not, so that what it sent before must not reach the endpoint. A
+// peer that was paused may read it together with the end.
+type attendedReader struct{ net.Conn }
+
+var errGivenUp = errors.New("the host has given the request up")
+
+// Read implements io.Reader.
+func (r attendedReader) Read(p []byte) (int, error) {
+	n, err := r.Conn.Read(p)
+	if state, ok := socket.StateOf(r.Conn); n > 0 && ok && state.Ended {
+		return 0, errGivenUp
+	}
+	return n, err
+}
+
 // chunkWriter writes each piece as a chunk, by one write to the connection.
 type chunkWriter struct {
 	chunks io.WriteCloser
