Count a request's time from when the kernel received it

Deadlines counted from when the handler had read the head. A host that had got no processor time for 1.6 s gave endpoints 2899 of 2900 ms again, and took requests for timely whose deadlines had long passed. The kernel knows when it last received data on the connection; the request's deadline and its route's timeout count from there. Over TLS, and where the kernel doesn't tell, they count from the read as before.

The spec 'tells workers the time that is left' fails before, passes now.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -242,9 +242,18 @@
 	if service := config.Service(x.service); service != nil {
 		x.engine = service.Engine != nil
 	}
-	x.deadline = x.started.Add(x.route.Timeout)
+	x.deadline = x.arrivedAt().Add(x.route.Timeout)
 	if !call.Deadline.IsZero() && call.Deadline.Before(x.deadline) {
 		x.deadline = call.Deadline
 	}
 	return x, nil
 }
+
+// arrivedAt returns when this host's kernel received the call, from which its time counts. It
+// may have lain unread for a while.
+func (x *inflightCall) arrivedAt() time.Time {
+	if at := x.call.Arrival.ReceivedAt; !at.IsZero() {
+		return at
+	}
+	return x.started
+}
