Send nothing whose caller has left or whose deadline has passed

A deadline that had passed was passed on as 1 ms.

Before an attempt is written, and before a request is admitted, the kernel is asked whether the caller's connection has ended, and the deadline is compared with the clock.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -39,6 +39,9 @@
 	// with a length, since it can't tell a cut response without one from a whole one.
 	NeedsLength bool
 	Arrival     Arrival
+	// CallerEnded, unless nil, reports whether the caller has closed its connection, also if
+	// the context of the call has not ended yet.
+	CallerEnded func() bool
 }
 
 // AttemptParams holds the values of one attempt that are sent to its endpoint in
--- a/internal/forward/inflight.go
+++ b/internal/forward/inflight.go
@@ -113,6 +113,9 @@
 // serve charges the quota, then attempts the call on endpoints until it succeeds
 // or may not be retried.
 func (x *inflightCall) serve() error {
+	if err := x.checkAwaited(); err != nil {
+		return x.finalError(repeat.CallerGone, err)
+	}
 	if refusal := x.checkShutdown(); refusal != nil {
 		return refusal
 	}
@@ -244,8 +247,23 @@
 // errZoneEvacuated means that an endpoint's zone was evacuated after the endpoint was chosen.
 var errZoneEvacuated = errors.New("the endpoint's availability zone is evacuated")
 
-// checkZone returns errZoneEvacuated if the endpoint of an attempt must get nothing any more.
-func (x *inflightCall) checkZone(attempt *fleet.Attempt) error {
+// checkAwaited returns an error, and ends the call's context with it, if nobody waits for the
+// call any more: its deadline has passed or its caller has left.
+func (x *inflightCall) checkAwaited() error {
+	switch {
+	case !x.forwarder.config.Clock().Before(x.deadline):
+		x.abort(errDeadline)
+	case x.call.CallerEnded != nil && x.call.CallerEnded():
+		x.abort(errCallerGone)
+	}
+	return context.Cause(x.ctx)
+}
+
+// checkSend returns an error if an attempt must send nothing any more.
+func (x *inflightCall) checkSend(attempt *fleet.Attempt) error {
+	if err := x.checkAwaited(); err != nil {
+		return err
+	}
 	if x.forwarder.config.Endpoints.Evacuated(attempt.Endpoint.Zone) {
 		return errZoneEvacuated
 	}
@@ -281,7 +299,7 @@
 		},
 		Body: x.call.Body, Dedicated: !x.route.MayRepeat() || x.call.ID == "", // nothing tells the response from others
 	}
-	message.Check = func() error { return x.checkZone(attempt) }
+	message.Check = func() error { return x.checkSend(attempt) }
 	x.chooseWay(attempt, &message)
 	belongs := func(header http.Header) bool { return codec.Belongs(x.call, header) }
 	sentAt := x.forwarder.config.Clock()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
+
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 // Limits of the HTTP servers. There is no write timeout, since responses may be
@@ -205,6 +207,18 @@
 	return c, true
 }
 
+// CallerEnded reports whether the caller of a request, by its context, has closed its connection
+// or its sending half, or the connection has failed. It asks the kernel: net/http notices that
+// only later, in a goroutine of its own, and not at all behind unread bytes.
+func CallerEnded(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*connection)
+	if !ok {
+		return false
+	}
+	state, ok := socket.StateOf(conn.Conn)
+	return ok && state.Ended
+}
+
 // connKey is the context key of a request's *connection.
 type connKey struct{}
 
