Drop unacknowledged requests of bilberryslipd as well

Its connections to endpoints, the object store and peers were closed in order when a call had ended, so that the kernel went on delivering a request or a write that was given up. They are set up like those of edge hosts now. By reading; the specs are those of internal/socket.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -16,6 +16,7 @@
 	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 const (
@@ -50,7 +51,7 @@
 func newTransport(dialTimeout time.Duration, dedicated bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
 	return &http.Transport{
-		DialContext:            netmeter.Dial(netmeter.Endpoints, dialer.DialContext),
+		DialContext:            netmeter.Dial(netmeter.Endpoints, socket.DropUnacknowledged(dialer.DialContext)),
 		DisableKeepAlives:      dedicated,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -12,6 +12,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 const (
@@ -105,7 +106,7 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            netmeter.Dial(netmeter.Platform, dialer.DialContext),
+		DialContext:            netmeter.Dial(netmeter.Platform, socket.DropUnacknowledged(dialer.DialContext)),
 		MaxIdleConnsPerHost:    maxIdlePerAddress,
 		IdleConnTimeout:        idleTimeout,
 		TLSHandshakeTimeout:    dialTimeout,
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -15,6 +15,7 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 const (
@@ -127,7 +128,7 @@
 		return c
 	}
 	transport := &http.Transport{
-		DialContext:            netmeter.Dial(netmeter.Peers, (&net.Dialer{Timeout: dialTimeout}).DialContext),
+		DialContext:            netmeter.Dial(netmeter.Peers, socket.DropUnacknowledged((&net.Dialer{Timeout: dialTimeout}).DialContext)),
 		TLSClientConfig:        p.config.TLS,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
 		IdleConnTimeout:        idleConnTimeout,
--- a/internal/socket/drop.go
+++ b/internal/socket/drop.go
@@ -6,7 +6,7 @@
 )
 
 // DialFunc opens a connection, like DialContext of http.Transport.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // DropUnacknowledged returns a DialFunc for connections that carry requests. If one of its TCP
 // connections is closed, or the process is killed, while written bytes are not acknowledged,
