Run no request on bilberryslipd whose caller has left or whose time has passed

The request's time counts from when the kernel received it, and the kernel is asked for the caller's end once the request has its slot.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -100,7 +100,7 @@
 		}
 		return nil, failure
 	}
-	if failure := gen.gateway().checkNotWithdrawn(r.caller); failure != nil {
+	if failure := r.checkSend(gen.runState()); failure != nil {
 		gen.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
 		return nil, failure
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -15,6 +15,7 @@
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/admission"
+	"bilberryslip.example/bilberryslip/internal/httpserver"
 	"bilberryslip.example/bilberryslip/internal/invariant"
 )
 
@@ -34,6 +35,7 @@
 	echo    echo.Context
 	http    *http.Request
 	id      string
+	// started is when this host's kernel had received the request, from which its time counts.
 	started time.Time
 	caller  caller
 	class   admission.Class
@@ -55,16 +57,32 @@
 
 func (g *Gateway) newRequest(c echo.Context) *request {
 	ctx, abort := context.WithCancelCause(c.Request().Context())
+	started := g.config.Clock()
+	if conn, ok := httpserver.ConnectionOf(ctx); ok && !conn.ReceivedAt.IsZero() {
+		started = started.Add(-time.Since(conn.ReceivedAt))
+	}
 	return &request{
 		gateway: g,
 		echo:    c,
 		http:    c.Request().WithContext(ctx),
 		id:      uuid.NewString(),
-		started: g.config.Clock(),
+		started: started,
 		abort:   abort,
 	}
 }
 
+// checkSend returns an error if the request must not be sent any more after it has waited
+// for a slot: its caller's key was withdrawn, or the caller has left.
+func (r *request) checkSend(run RunState) *Error {
+	if failure := r.gateway.checkNotWithdrawn(r.caller); failure != nil {
+		return failure.withRun(run)
+	}
+	if httpserver.CallerEnded(r.http.Context()) {
+		return errCallerGone(run)
+	}
+	return nil
+}
+
 // detach returns a copy of the request without the caller's connection, for a
 // call that continues after the caller disconnects. abort cancels the call.
 func (r *request) detach(abort context.CancelCauseFunc) *request {
@@ -271,17 +289,20 @@
 	longest := r.gateway.config.RequestTimeout
 	value := r.http.Header.Get(HeaderRequestTimeout)
 	if value == "" {
-		ctx, cancel := context.WithTimeout(ctx, longest)
+		ctx, cancel := context.WithTimeout(ctx, longest-r.age())
 		return ctx, cancel, nil
 	}
 	millis, err := strconv.ParseInt(value, 10, 64)
 	if err != nil || millis < 1 || millis > maxTimeout.Milliseconds() {
 		return nil, nil, errHeaderInvalid(HeaderRequestTimeout, "send whole milliseconds from 1 to 86400000")
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(longest, time.Duration(millis)*time.Millisecond))
+	ctx, cancel := context.WithTimeout(ctx, min(longest, time.Duration(millis)*time.Millisecond)-r.age())
 	return ctx, cancel, nil
 }
 
+// age returns the time since the request was received.
+func (r *request) age() time.Duration { return r.gateway.config.Clock().Sub(r.started) }
+
 // queueDeadline returns the time until which the request may wait in the queue.
 func (r *request) queueDeadline(ctx context.Context) time.Time {
 	wait := r.gateway.config.MaxInteractiveWait
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -291,9 +291,9 @@
 	if failure := r.admissionError(ctx, refusal, err); failure != nil {
 		return nil, failure
 	}
-	if failure := c.gateway().checkNotWithdrawn(r.caller); failure != nil {
+	if failure := r.checkSend(c.runState()); failure != nil {
 		c.gateway().scheduler.finish(sl, endpoint.OutcomeCancelled, 0)
-		return nil, failure.withRun(c.runState())
+		return nil, failure
 	}
 	if !r.sent {
 		if failure := c.gateway().checkShutdown(ctx, c.size()); failure != nil {
