--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,6 +51,22 @@
 		Expect(err).To(MatchError(ContainSubstring("set the same peer secret")))
 	})
 
+	// Guards against a host that runs out of memory for a response without end.
+	It("gives up a response without end", func() {
+		const due = 64 << 20 // allows for what the sockets hold beyond the bound
+		sent := make(chan int64, 1)
+		endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/protobuf")
+			sent <- writeWithoutEnd(w, 8*due)
+		}))
+		DeferCleanup(endless.Close)
+		pool := peer.NewPool(peer.PoolConfig{Secret: "secret", CallTimeout: 10 * time.Second})
+		DeferCleanup(pool.Close)
+		_, err := pool.Gossip(context.Background(), endless.URL, request)
+		Expect(err).To(HaveOccurred())
+		Expect(<-sent).To(BeNumerically("<", due))
+	})
+
 	It("dials a new connection after one stops responding", func() {
 		relay := newBlackholingRelay(server.Listener.Addr().String())
 		DeferCleanup(relay.listener.Close)
@@ -64,6 +83,18 @@
 	})
 })
 
+// writeWithoutEnd writes blocks of bytes until the other side closes the
+// connection, or most bytes are written. It returns their number.
+func writeWithoutEnd(w io.Writer, most int64) int64 {
+	total := int64(0)
+	for block := strings.Repeat("x", 64<<10); total < most; total += int64(len(block)) {
+		if _, err := io.WriteString(w, block); err != nil {
+			break
+		}
+	}
+	return total
+}
+
 // blackholingRelay forwards TCP. Connections of earlier generations stay open but
 // forward nothing.
 type blackholingRelay struct {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -26,6 +26,8 @@
 	idleConnTimeout    = 30 * time.Second
 	dialTimeout        = time.Second
 	maxIdlePerPeer     = 4
+	// maxResponseBytes bounds a peer's response. The largest ones are state dumps.
+	maxResponseBytes = 16 << 20
 )
 
 // PoolConfig configures a Pool.
@@ -135,7 +137,8 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
 	}
-	authenticated := &http.Client{Transport: &secretTransport{secret: p.config.Secret, next: transport}}
+	bounded := &boundedhttp.Transport{Base: transport, Limit: maxResponseBytes}
+	authenticated := &http.Client{Transport: &secretTransport{secret: p.config.Secret, next: bounded}}
 	c := &client{transport: transport, peer: peerv1.NewPeerProtobufClient(baseURL, authenticated)}
 	p.clients.Add(baseURL, c)
 	return c
