Bound an event of a watch

The decoder of a watch keeps all of an event until its end. An address that sends an event without end was read until the watch timeout: the spec's 512 MiB whole before, 8 MiB now.

--- a/internal/objectstore/client_test.go
+++ b/internal/objectstore/client_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,6 +97,26 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a host that runs out of memory for an event without end.
+	It("ends a watch whose event has no end", func() {
+		const due, most = 32 << 20, 512 << 20 // due allows for what the sockets hold beyond the bound
+		sent := make(chan int, 1)
+		endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			total, err := io.WriteString(w, `{"type": "`)
+			for block := strings.Repeat("x", 64<<10); err == nil && total < most; total += len(block) {
+				_, err = io.WriteString(w, block)
+			}
+			sent <- total
+		}))
+		DeferCleanup(endless.Close)
+		c := objectstore.NewClient(objectstore.ClientConfig{Addresses: []string{endless.URL}, WatchTimeout: 10 * time.Second})
+		watch, err := c.Watch(ctx, objectstore.KindClaim, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(watch.Events(), "8s").Should(BeClosed())
+		Expect(watch.Err()).To(MatchError(ContainSubstring("an event of the watch exceeds")))
+		Expect(<-sent).To(BeNumerically("<", due))
+	})
+
 	DescribeTable("maps response statuses to outcomes",
 		func(status int, header http.Header, outcome objectstore.WriteOutcome, retryAfter time.Duration) {
 			busy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/objectstore/watch.go
+++ b/internal/objectstore/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +17,28 @@
 // watchBuffer is the number of events buffered for a slow consumer.
 const watchBuffer = 256
 
+// maxEventBytes bounds an event of a watch, which holds one object.
+const maxEventBytes = 8 << 20
+
+// eventReader reads the events of a watch. It fails once more than maxEventBytes arrive without
+// a whole event: a decoder keeps all of an event until its end.
+type eventReader struct {
+	io.Reader
+	left int
+}
+
+var errEventTooLarge = errors.Newf("an event of the watch exceeds %d bytes; check what the platform's address answers", maxEventBytes)
+
+// Read implements io.Reader.
+func (r *eventReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errEventTooLarge
+	}
+	n, err := r.Reader.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // WatchTimeoutError reports a watch that was closed because it received neither
 // event nor bookmark within the watch timeout.
 type WatchTimeoutError struct {
@@ -148,9 +171,11 @@
 	defer w.progress.Stop()
 	defer resp.Body.Close()
 	defer w.client.metrics.watches.Dec()
-	decoder := json.NewDecoder(resp.Body)
+	events := &eventReader{Reader: resp.Body}
+	decoder := json.NewDecoder(events)
 	for {
 		var ev Event
+		events.left = maxEventBytes
 		if err := decoder.Decode(&ev); err != nil {
 			w.end(err)
 			return
