Bound the responses of plain services that bilberryslipd holds together

Each was bounded (8 MiB), all together were not, so that endless ones at once took a host over its memory. They share a budget now, 64 MiB by default, with the code that edge hosts had for it (internal/responsebuffer). The peak of a process was not measured.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 	"bilberryslip.example/bilberryslip/internal/quota"
 	"bilberryslip.example/bilberryslip/internal/reach"
 	"bilberryslip.example/bilberryslip/internal/repeat"
+	"bilberryslip.example/bilberryslip/internal/responsebuffer"
 	"bilberryslip.example/bilberryslip/internal/streamorigin"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
@@ -164,7 +165,7 @@
 type Forwarder struct {
 	config  Config
 	metrics *metrics
-	buffers bufferBudget
+	buffers *responsebuffer.Budget
 	running runningCalls
 }
 
@@ -190,7 +191,7 @@
 		cfg.Detours = noDetours{}
 	}
 	return &Forwarder{
-		config: cfg, metrics: newMetrics(), buffers: bufferBudget{limit: cmp.Or(cfg.BufferBytes, defaultBufferBudget)},
+		config: cfg, metrics: newMetrics(), buffers: responsebuffer.New(cmp.Or(cfg.BufferBytes, defaultBufferBudget)),
 	}
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -19,11 +19,21 @@
 // smaller.
 const streamReadSize = 4 << 10
 
+const (
+	// maxBufferedResponse limits the body of a response that is read completely
+	// before it is relayed, in bytes.
+	maxBufferedResponse = 4 << 20
+	// defaultBufferBudget bounds all such bodies together without a setting, in bytes.
+	defaultBufferBudget = 32 << 20
+)
+
+var errBodyTooLarge = &upstream.TooLargeError{Part: upstream.PartBody, Limit: maxBufferedResponse}
+
 // relayBuffered reads the complete response before it writes any of it to the
 // caller, so that the request can still be retried if the response is cut short.
 func (x *inflightCall) relayBuffered(attempt *fleet.Attempt, exchange *upstream.Exchange) (repeat.Outcome, error) {
 	response := exchange.Response
-	body, release, err := x.forwarder.buffers.readBody(response.Body)
+	body, release, err := x.forwarder.buffers.Read(response.Body, maxBufferedResponse, errBodyTooLarge)
 	defer release()
 	if err == nil && isEventStream(response.Header) {
 		err = checkEvents(body, exchange.Framing())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"bilberryslip.example/bilberryslip/internal/drain"
 	"bilberryslip.example/bilberryslip/internal/endpoint"
 	"bilberryslip.example/bilberryslip/internal/repeat"
+	"bilberryslip.example/bilberryslip/internal/responsebuffer"
 	"bilberryslip.example/bilberryslip/internal/routing"
 )
 
@@ -35,6 +36,9 @@
 	Policy    routing.Policy
 	Admission admission.Config
 	Retry     repeat.BudgetConfig
+	// ServiceResponsesBytes bounds the responses of plain services that are held at the same
+	// time. Zero means 64 MiB.
+	ServiceResponsesBytes int64
 	// Stop is the shutdown of the host. Nil means that it never shuts down.
 	Stop *drain.Stop
 	// Clock defaults to time.Now.
@@ -89,6 +93,7 @@
 	c.ProgressTimeout = cmp.Or(c.ProgressTimeout, 3*time.Second)
 	c.ReusedFirstByteTimeout = cmp.Or(c.ReusedFirstByteTimeout, 2*time.Second)
 	c.ServiceFirstByteTimeout = cmp.Or(c.ServiceFirstByteTimeout, 10*time.Second)
+	c.ServiceResponsesBytes = cmp.Or(c.ServiceResponsesBytes, defaultServiceResponsesBytes)
 	c.MaxAttempts = cmp.Or(c.MaxAttempts, 3)
 	if c.Policy == nil {
 		c.Policy = routing.Affinity{}
@@ -111,6 +116,7 @@
 	demand    *demand
 	running   tracker
 	retries   *repeat.Budgets
+	responses *responsebuffer.Budget
 }
 
 // New returns a gateway. Serve must run for queued requests to start.
@@ -120,6 +126,7 @@
 		config:    cfg,
 		scheduler: newScheduler(cfg),
 		metrics:   newMetrics(),
+		responses: responsebuffer.New(cfg.ServiceResponsesBytes),
 		demand:    newDemand(),
 		running:   tracker{requests: make(map[*request]struct{})},
 		retries:   repeat.NewBudgets(cfg.Retry, cfg.Clock),
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -146,7 +146,9 @@
 	detached := c.detach(abort)
 	done := make(chan onceResult, 1)
 	c.gateway().running.add(detached.request)
+	endUse := c.held.use()
 	go func() {
+		defer endUse()
 		defer c.gateway().running.remove(detached.request)
 		defer abort(context.Canceled)
 		done <- detached.execute(ctx, runCtx, sl, cl)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"path"
@@ -27,6 +26,11 @@
 // body, which is buffered.
 const maxServiceResponseBytes = 8 << 20
 
+// defaultServiceResponsesBytes bounds all such bodies that are held at the same time, in bytes.
+const defaultServiceResponsesBytes = 64 << 20
+
+var errServiceResponseTooLarge = errors.Newf("the service's answer is over %d bytes", maxServiceResponseBytes)
+
 // forwardedResponseHeaders are the headers of a plain service's response that
 // are forwarded to the caller.
 var forwardedResponseHeaders = []string{"Content-Type", "Content-Language", "ETag", "Last-Modified", "Location", "Cache-Control"}
@@ -43,6 +47,7 @@
 	body       []byte
 	weight     float64
 	tried      []string
+	held       *heldResponses
 }
 
 // service serves a call to a plain service.
@@ -56,6 +61,7 @@
 		return failure
 	}
 	defer cancel()
+	defer call.held.use()()
 	if failure := g.checkShutdown(ctx, call.size()); failure != nil {
 		return call.replayOrReject(ctx, failure)
 	}
@@ -107,7 +113,7 @@
 		return nil, failure
 	}
 	call := &serviceCall{
-		request: r, service: service, route: route, body: body,
+		request: r, service: service, route: route, body: body, held: &heldResponses{},
 		path: servicePath, query: r.http.URL.RawQuery, emptyQuery: r.http.URL.ForceQuery, weight: principal.organisation.GetWeight(),
 	}
 	return call, call.checkKeyNotExposed(principal)
@@ -347,13 +353,11 @@
 	if !response.Framed {
 		return nil, errors.New("the service's answer has no length, so that it can't be told from a cut one")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxServiceResponseBytes+1))
+	body, release, err := c.gateway().responses.Read(response.Body, maxServiceResponseBytes, errServiceResponseTooLarge)
+	c.held.add(release)
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > maxServiceResponseBytes {
-		return nil, errors.Newf("the service's answer is over %d bytes", maxServiceResponseBytes)
-	}
 	header := make(http.Header)
 	for _, name := range forwardedResponseHeaders {
 		if value := response.Header.Get(name); value != "" {
