Deliver an endpoint's error if the retry for it runs out of time

A request to which an endpoint had answered with an error was sent again; if that attempt had no answer by the deadline, the caller got 504 and the answer in hand was dropped. It is delivered now. Found while the checks before an attempt were read again, which would have made it more likely.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -70,7 +70,7 @@
 	if outcome, err := x.send(attempt); outcome == repeat.Final || x.responseStarted {
 		return outcome, err
 	}
-	if x.ctx.Err() != nil {
+	if x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), errDeadline) { // a caller may still take it
 		return repeat.CallerGone, x.ctx.Err()
 	}
 	return x.writeResponse(failed, response, body), nil
