--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -5,6 +5,7 @@
 package cluster
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
@@ -20,6 +21,9 @@
 // startTimeout is the time within which a process has to write its address file.
 const startTimeout = 20 * time.Second
 
+// pauseTimeout is the time within which a process has to stop running after SIGSTOP.
+const pauseTimeout = 2 * time.Second
+
 // Process is a running program. Its standard output and standard error are
 // appended to LogFile.
 type Process struct {
@@ -54,8 +58,27 @@
 	<-p.exited
 }
 
-// Pause sends SIGSTOP.
-func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+// Pause sends SIGSTOP and waits until all threads have stopped.
+func (p *Process) Pause() {
+	ginkgo.GinkgoHelper()
+	p.signal(syscall.SIGSTOP)
+	gomega.Eventually(p.running, pauseTimeout, "1ms").Should(gomega.BeZero())
+}
+
+// running returns the number of threads that have not stopped.
+func (p *Process) running() int {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	running := 0
+	for _, stat := range stats {
+		// The state follows the name of the program, which is in parentheses.
+		text, err := os.ReadFile(stat)
+		if state := text[bytes.LastIndexByte(text, ')')+1:]; err == nil && !bytes.HasPrefix(state, []byte(" T")) {
+			running++
+		}
+	}
+	return running
+}
 
 // Continue sends SIGCONT to resume a paused process.
 func (p *Process) Continue() { p.signal(syscall.SIGCONT) }
