--- a/internal/detour/abandoned_test.go
+++ b/internal/detour/abandoned_test.go
@@ -10,20 +10,17 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"golang.org/x/sys/unix"
 
 	"bilberryslip.example/bilberryslip/internal/socket"
+	"bilberryslip.example/bilberryslip/internal/standin/stalled"
 )
 
 var _ = Describe("A relayed request that the host has given up", func() {
 	// Guards against requests that reach their endpoint after the host has given them up: they
 	// lay on the way between the peer and an endpoint whose path stalled.
 	It("does not reach an endpoint whose path stalled meanwhile", func() {
-		const window, length = 2 << 10, 256 << 10
-		config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, window) })
-		}}
-		endpoint, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		const length = 256 << 10
+		endpoint, err := stalled.Listen()
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(endpoint.Close)
 		peer := newRelayingHost(endpoint.Addr().String())
--- a/internal/socket/drop_test.go
+++ b/internal/socket/drop_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"bilberryslip.example/bilberryslip/internal/standin/stalled"
 )
 
 const (
@@ -23,14 +23,9 @@
 	requestBytes = 30 << 10
 )
 
-// stalledListener accepts connections that take a few kilobytes until they are read.
 func stalledListener(t *testing.T) net.Listener {
 	t.Helper()
-	const window = 2 << 10
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, window) })
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listener, err := stalled.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -43,7 +43,7 @@
 	return length
 }
 
-// State is what the kernel knows of the other side of a connection.
+// State describes the other side of a connection.
 type State struct {
 	// Ended is set once the other side has closed the connection or its sending half, or the
 	// connection has failed, also if received bytes are still unread.
@@ -61,7 +61,7 @@
 		}
 		ok = true
 		state.SinceReceived = time.Duration(info.Last_data_recv) * time.Millisecond
-		switch info.State { // the kernel's states have names in the package for BPF only
+		switch info.State { // package unix names the kernel's states for BPF only
 		case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_TIME_WAIT:
 			state.Ended = true
 		}
--- a/internal/upstream/abandoned_test.go
+++ b/internal/upstream/abandoned_test.go
@@ -8,14 +8,13 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"golang.org/x/sys/unix"
 
 	"bilberryslip.example/bilberryslip/internal/socket"
+	"bilberryslip.example/bilberryslip/internal/standin/stalled"
 )
 
 // stalledEndpoint takes a few kilobytes of each connection, and reads no more before resume is
@@ -28,11 +27,7 @@
 }
 
 func newStalledEndpoint() *stalledEndpoint {
-	const window = 2 << 10
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, window) })
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listener, err := stalled.Listen()
 	Expect(err).NotTo(HaveOccurred())
 	e := &stalledEndpoint{Listener: listener, resume: make(chan struct{})}
 	DeferCleanup(func() { _ = listener.Close() })
