--- a/review/_src2/stage/stage.go
+++ b/review/_src2/stage/stage.go
@@ -76,6 +76,7 @@
 type Host struct {
 	Name, Callers, Readiness string
 	settings, log            string
+	values                   map[string]any
 	command                  *exec.Cmd
 	done                     chan struct{}
 }
@@ -108,9 +109,8 @@
 			"lease": "3000ms", "load_window": "5s", "load_overage": 1.1,
 		},
 	}
-	raw, err := json.Marshal(settings)
-	Must(err)
-	Must(os.WriteFile(h.settings, raw, 0o600))
+	h.values = settings
+	h.writeSettings()
 	h.Start()
 	hostsMu.Lock()
 	hosts = append(hosts, h)
@@ -118,6 +118,20 @@
 	return h
 }
 
+func (h *Host) writeSettings() {
+	raw, err := json.Marshal(h.values)
+	Must(err)
+	Must(os.WriteFile(h.settings, raw, 0o600))
+}
+
+// StartAgain starts the process again after its end, as the platform does: the settings say that
+// this is not the first start of the whole system.
+func (h *Host) StartAgain() {
+	h.values["first_start"] = false
+	h.writeSettings()
+	h.Start()
+}
+
 // Start starts the process.
 func (h *Host) Start() {
 	log, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
