Give a busy engine no order, whoever gave the one under way

Cause: while the holder of the placement lease changed models on an engine, it took any order under way there for its own. A holder that had been killed and kept its lease knew nothing of a late load of its earlier process, and took the room of that model for free. The drawn schedules found two more orders of events with this cause: a late load that begins once that of the change has ended, and a late load of an earlier holder that is taken for one of the holder's without a response.

Change: a report with an order under way makes the view stale in any case, so that nothing is sent until a later report shows what the engine holds. A change whose load is certainly the one under way waits for it as before; view.incoming says so only if no other order can be it.

--- a/internal/orders/engines.go
+++ b/internal/orders/engines.go
@@ -121,8 +121,8 @@
 	// orders counts the orders that the engine has accepted since it started.
 	orders int64
 	models map[string]fleet.Adapters
-	// incoming is a model whose load the engine has accepted, until a report shows that
-	// the load has ended; empty for none.
+	// incoming is a model that the engine is certainly loading, by its response or its
+	// report, until a report shows that the load has ended; empty for none.
 	incoming string
 	// sent are the orders to load that the engine may still carry out.
 	sent *sentLoads
@@ -132,9 +132,8 @@
 	// order with unknown outcome. The engine's report is read before the next
 	// order.
 	stale bool
-	// reportedBusy is set if the engine last reported that it carries out an order
-	// of another holder, of this host before it restarted, or one of several of this host,
-	// so that what it will hold afterwards isn't known.
+	// reportedBusy is set if the engine last reported that it carries out an order for a
+	// model. It gets no order until a report shows the end.
 	reportedBusy bool
 	// silentSince is when the first of the last requests for a report was sent that
 	// all had no response; zero if the last one had. avoidUntil is until when no change
@@ -182,14 +181,24 @@
 
 // applyReport replaces the view's models and order count by those of a report, unless
 // the report is older than the view. Adapters being loaded are included, since they take
-// up slots and memory.
-func (v *view) applyReport(s State) {
+// up slots and memory. allKnown is set if the engine can't carry out orders of an earlier
+// holder, or of an earlier process of this host, any more.
+//
+// The view of a busy engine is stale, whoever gave the order under way: what the engine holds
+// once it has ended is certain only by a later report.
+func (v *view) applyReport(s State, allKnown bool) {
 	if !s.Started.IsZero() && !s.Started.Equal(v.started) {
 		v.restart(s.Started, nil)
 	}
 	if s.AcceptedOrders < v.orders {
 		return
 	}
+	switch {
+	case !s.Busy:
+		v.incoming = ""
+	case v.incoming == "" || s.AcceptedOrders > v.orders:
+		v.incoming = v.sent.inProgress(s.AcceptedOrders, allKnown)
+	}
 	v.orders, v.models = s.AcceptedOrders, cloneModels(s.Models)
 	for model, adapters := range s.Pending {
 		if v.models[model] == nil {
@@ -197,16 +206,8 @@
 		}
 		maps.Copy(v.models[model], adapters)
 	}
-	ambiguous := false
-	switch {
-	case !s.Busy:
-		v.incoming = ""
-	case v.incoming == "":
-		v.incoming, ambiguous = v.sent.inProgress(s.AcceptedOrders)
-	}
 	v.sent.confirm(s.AcceptedOrders)
-	v.reportedBusy = s.Busy && (!v.busy || ambiguous)
-	v.stale = v.reportedBusy
+	v.reportedBusy, v.stale = s.Busy, s.Busy
 }
 
 func cloneModels(models map[string]fleet.Adapters) map[string]fleet.Adapters {
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -42,9 +42,8 @@
 // errStale reports that the last report read is older than the last order.
 var errStale = errors.New("the engine's report is older than the last order to it; it is read again")
 
-// errBusy reports that an engine carries out an order of which this host doesn't know what
-// it loads.
-var errBusy = errors.New("the engine carries out another order; it gets no further one before its report shows the end")
+// errBusy reports that an engine carries out an order for a model.
+var errBusy = errors.New("the engine carries out an order; it gets no further one before its report shows the end")
 
 // errRestarted reports that an engine has started again while an order was carried out.
 var errRestarted = errors.New("the engine has started again; the next planning cycle decides again")
@@ -59,17 +58,18 @@
 func (s *Service) order(ctx context.Context, v *view, o Order, engine *traffic.Engine) error {
 	o.Holder = s.config.Host
 	for range maxAttempts {
-		if err := s.refreshIfStale(ctx, v); errors.Is(err, errBusy) && o.Adapter == "" {
+		err := s.refreshIfStale(ctx, v)
+		switch {
+		case (err == nil || errors.Is(err, errBusy)) && s.satisfied(v, o):
+			return nil
+		case errors.Is(err, errBusy) && o.Adapter == "":
 			if !retry.Sleep(ctx, maxReportAge) {
 				return ctx.Err()
 			}
 			continue
-		} else if err != nil {
+		case err != nil:
 			return err
 		}
-		if s.satisfied(v, o) {
-			return nil
-		}
 		if !s.mayOrder() {
 			return errNotHolder
 		}
@@ -192,7 +192,7 @@
 }
 
 // refreshIfStale reads the engine's report if the view is stale. It returns errBusy
-// while the engine carries out an order that can't be told.
+// while the engine carries out an order for a model.
 func (s *Service) refreshIfStale(ctx context.Context, v *view) error {
 	if !s.underLock(func() bool { return v.stale }) {
 		return nil
@@ -300,7 +300,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v.applyReport(state)
+	v.applyReport(state, !clock.Boot().Before(s.unknownUntil))
 	if !state.Started.IsZero() {
 		s.starts.observeOne(clock.Boot(), time.Now(), v.id, state.Started)
 	}
--- a/internal/orders/schedule_test.go
+++ b/internal/orders/schedule_test.go
@@ -338,11 +338,9 @@
 		s.await(h)
 	case c.attempts == maxAttempts:
 		s.endChange(h, false)
-	case v.stale:
-		if s.read(h); v.stale {
-			c.attempts++
-			h.freeAt = s.now.Add(maxReportAge)
-		}
+	case v.stale && !s.refresh(h):
+		c.attempts++
+		h.freeAt = s.now.Add(maxReportAge)
 	case s.satisfied(h):
 		s.expect(h)
 	default:
@@ -350,6 +348,12 @@
 	}
 }
 
+// refresh reads the report and returns whether the view is usable, or satisfied anyhow.
+func (s *schedule) refresh(h *simHost) bool {
+	s.read(h)
+	return !h.view.stale || s.satisfied(h)
+}
+
 // satisfied reports what Service.satisfied does.
 func (s *schedule) satisfied(h *simHost) bool {
 	v, o := h.view, h.change.orders[0]
@@ -405,7 +409,7 @@
 	if !s.bornKnown {
 		state.Started = time.Time{}
 	}
-	h.view.applyReport(state)
+	h.view.applyReport(state, !s.now.Before(h.unknownUntil))
 	if !state.Started.IsZero() {
 		h.starts.observeOne(s.now, s.now, "e", state.Started)
 	}
--- a/internal/orders/unsettled.go
+++ b/internal/orders/unsettled.go
@@ -119,19 +119,24 @@
 }
 
 // inProgress returns the model that an engine is loading which is busy after as many
-// accepted orders; empty if no load of a model can be the last of them. It is ambiguous if
-// loads of several models can.
-func (l *sentLoads) inProgress(orders int64) (model string, ambiguous bool) {
+// accepted orders. It is empty if that isn't certain: the last order may be one without a
+// response, of which there are several or others that this host doesn't know of.
+func (l *sentLoads) inProgress(orders int64, allKnown bool) string {
+	found, several := "", false
 	for _, s := range l.list {
-		if s.adapter != "" || s.after != orders-1 {
-			continue
+		switch {
+		case s.adapter != "" || s.after != orders-1:
+		case s.accepted:
+			return s.model
+		default:
+			several = several || found != "" && found != s.model
+			found = s.model
 		}
-		if model != "" && model != s.model {
-			return "", true
-		}
-		model = s.model
 	}
-	return model, false
+	if several || !allKnown {
+		return ""
+	}
+	return found
 }
 
 // possible returns what the engine may hold by the last report and the orders since.
--- a/internal/orders/unsettled_test.go
+++ b/internal/orders/unsettled_test.go
@@ -14,11 +14,12 @@
 
 var _ = Describe("An engine that carries out an order", func() {
 	var (
-		v   *view
-		now time.Time
+		v        *view
+		now      time.Time
+		allKnown bool
 	)
 	report := func(orders int64, busy bool, models ...string) {
-		v.applyReport(State{AcceptedOrders: orders, Busy: busy, Models: contentsOf(models...)})
+		v.applyReport(State{AcceptedOrders: orders, Busy: busy, Models: contentsOf(models...)}, allKnown)
 	}
 	// send sends an order to load a model, which has the given result or no response.
 	send := func(model string, result Result, err error) {
@@ -37,7 +38,7 @@
 
 	BeforeEach(func() {
 		now = time.Unix(1_700_000_000, 0)
-		v = newView(fleet.Endpoint{ID: "e"}, &sentLoads{})
+		v, allKnown = newView(fleet.Endpoint{ID: "e"}, &sentLoads{}), true
 		report(3, false, "m")
 		v.busy = true // this host changes the models there
 	})
@@ -53,6 +54,45 @@
 		report(4, false, "m", "n")
 		expectNoOrder("o")
 	})
+
+	// Guards against a load of an earlier process of the holder that is taken for that of the
+	// change during which a report shows it.
+	It("of which the holder doesn't know gets no further load during a change", func() {
+		send("n", Conflict, nil)
+		report(4, true, "m")
+		expectNoOrder("n")
+		report(4, false, "m", "o")
+		expectNoOrder("n")
+	})
+
+	// Guards against a late load that begins once the load of a change has ended, and is
+	// taken for the latter.
+	It("after that of a change gets no further load", func() {
+		report(4, false, "m")
+		send("p", Refused, noResponse)
+		v.restart(now, contentsOf("m"))
+		report(3, false, "m")
+		send("n", Accepted, nil)
+		report(4, true, "m")
+		report(5, true, "m", "n")
+		expectNoOrder("q")
+		report(5, false, "m", "n", "p")
+		expectNoOrder("q")
+	})
+
+	// Guards against a holder that waits for the end of a load that was never begun.
+	DescribeTable("is known to load a model", func(known bool, result Result, err error, loading string) {
+		allKnown = known
+		send("n", result, err)
+		report(4, true, "m")
+		Expect(v.incoming).To(Equal(loading))
+		report(5, true, "m", "n")
+		Expect(v.incoming).To(BeEmpty(), "another load has begun")
+	},
+		Entry("from its response", false, Accepted, nil, "n"),
+		Entry("if no other order can be the last one", true, Refused, noResponse, "n"),
+		Entry("but not if one of an earlier holder can", false, Refused, noResponse, ""),
+	)
 })
 
 func contentsOf(models ...string) contents {
@@ -107,6 +147,13 @@
 		Expect(accepted).To(BeNumerically(">", 6*lateFactor*count), "loads go on")
 	})
 
+	// Guards against the causes that the other schedules hit seldom.
+	DescribeTable("no longer overload an engine", func(s *schedule) { Expect(s.run(length)).To(BeTrue()) },
+		Entry("seed 15944", newSchedule(15944, false)),
+		Entry("seed 587, most orders late", newLateSchedule(587)),
+		Entry("seed 1235, most orders late", newLateSchedule(1235)),
+	)
+
 	// Guards against schedules that are too tame to find such a fault.
 	It("overload an engine if what may have been carried out is forgotten", func() {
 		broken := 0
