Take no reset during an upload for the end of a response

Cause: the kernel returns the error of a connection once. The write that is under way takes it, and reads end as after an orderly close, which completes a body without a length. So it was at hosts that relay for a peer, and in net/http's clients for the store, peers and endpoints.

Change: connections that carry requests (socket.DialRequests, before DropUnacknowledged) keep the first error of a write, and end with io.EOF only if the connection ended in order. An end in order while the request is still being written, or before a later reset, stays one.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -117,6 +117,29 @@
 		return near, far
 	}
 
+	// Guards against a response without a length that passes for whole, since the write to the
+	// endpoint that is under way at the peer takes the error of the reset.
+	It("does not end in order if the endpoint resets its connection during an upload", func() {
+		for range 20 {
+			near, far := dial()
+			written := make(chan struct{})
+			go func() {
+				defer close(written)
+				_, _ = near.Write(make([]byte, 12<<20)) // more than the connections buffer
+			}()
+			_, err := io.ReadFull(far, make([]byte, 1<<10))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(far, "a part of the response")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(far.SetLinger(0)).To(Succeed())
+			Expect(far.Close()).To(Succeed())
+			_, err = io.ReadAll(near)
+			Expect(err).To(HaveOccurred())
+			_ = near.Close()
+			<-written
+		}
+	})
+
 	It("carries bytes both ways, and an orderly end", func() {
 		near, far := dial()
 		_, err := io.WriteString(near, "request")
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -51,7 +51,7 @@
 func newTransport(dialTimeout time.Duration, dedicated bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
 	return &http.Transport{
-		DialContext:            netmeter.Dial(netmeter.Endpoints, socket.DropUnacknowledged(dialer.DialContext)),
+		DialContext:            netmeter.Dial(netmeter.Endpoints, socket.DialRequests(dialer.DialContext)),
 		DisableKeepAlives:      dedicated,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -106,7 +106,7 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            netmeter.Dial(netmeter.Platform, socket.DropUnacknowledged(dialer.DialContext)),
+		DialContext:            netmeter.Dial(netmeter.Platform, socket.DialRequests(dialer.DialContext)),
 		MaxIdleConnsPerHost:    maxIdlePerAddress,
 		IdleConnTimeout:        idleTimeout,
 		TLSHandshakeTimeout:    dialTimeout,
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -130,7 +130,7 @@
 		return c
 	}
 	transport := &http.Transport{
-		DialContext:            netmeter.Dial(netmeter.Peers, socket.DropUnacknowledged((&net.Dialer{Timeout: dialTimeout}).DialContext)),
+		DialContext:            netmeter.Dial(netmeter.Peers, socket.DialRequests((&net.Dialer{Timeout: dialTimeout}).DialContext)),
 		TLSClientConfig:        p.config.TLS,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
 		IdleConnTimeout:        idleConnTimeout,
--- a/internal/socket/drop.go
+++ b/internal/socket/drop.go
@@ -8,12 +8,16 @@
 // DialFunc opens a connection, like DialContext of http.Transport.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// DropUnacknowledged returns a DialFunc for connections that carry requests. If one of its TCP
-// connections is closed, or the process is killed, while written bytes are not acknowledged,
-// the kernel drops them and resets the connection. After an orderly close it would go on
-// delivering them for as long as the path stalls, and the other side would run a request that
-// was given up.
-func DropUnacknowledged(next DialFunc) DialFunc {
+// DialRequests returns a DialFunc for connections that carry requests.
+//
+// If one of its TCP connections is closed, or the process is killed, while written bytes are
+// not acknowledged, the kernel drops them and resets the connection. After an orderly close it
+// would go on delivering them for as long as the path stalls, and the other side would run a
+// request that was given up.
+//
+// Reads from it end with io.EOF only if the other side ended the connection in order, which
+// may complete a response, and with an EndError otherwise.
+func DialRequests(next DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := next(ctx, network, address)
 		if err != nil {
@@ -27,20 +31,25 @@
 			_ = tcp.Close()
 			return nil, err
 		}
-		return requestConn{tcp}, nil
+		return &requestConn{Conn: tcp, tcp: tcp}, nil
 	}
 }
 
-// requestConn is a connection of DropUnacknowledged. Unless Close reverts it, its end is a reset.
-type requestConn struct{ *net.TCPConn }
+// requestConn is a connection of DialRequests. Unless Close reverts it, its end is a reset.
+// It has no ReadFrom and WriteTo of its own, which would bypass Read and Write.
+type requestConn struct {
+	net.Conn
+	tcp    *net.TCPConn
+	writes writeErrors
+}
 
 // Close implements net.Conn.
-func (c requestConn) Close() error {
-	if Unacknowledged(c.TCPConn) == 0 {
-		_ = c.SetLinger(-1) // nothing to drop; fails only if the connection is closed
+func (c *requestConn) Close() error {
+	if Unacknowledged(c.tcp) == 0 {
+		_ = c.tcp.SetLinger(-1) // nothing to drop; fails only if the connection is closed
 	}
-	return c.TCPConn.Close()
+	return c.tcp.Close()
 }
 
 // NetConn returns the TCP connection.
-func (c requestConn) NetConn() net.Conn { return c.TCPConn }
+func (c *requestConn) NetConn() net.Conn { return c.tcp }
--- a/internal/socket/drop_test.go
+++ b/internal/socket/drop_test.go
@@ -35,7 +35,7 @@
 
 func dialDropping(t *testing.T, address string) net.Conn {
 	t.Helper()
-	conn, err := DropUnacknowledged((&net.Dialer{}).DialContext)(context.Background(), "tcp", address)
+	conn, err := DialRequests((&net.Dialer{}).DialContext)(context.Background(), "tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -57,7 +57,7 @@
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error { return SetUnackedTimeout(raw, unacked) },
 	}
-	return socket.DropUnacknowledged(dialer.DialContext)(ctx, network, address)
+	return socket.DialRequests(dialer.DialContext)(ctx, network, address)
 }
 
 // SetUnackedTimeout limits how long sent data may stay unacknowledged or unread before
--- a/internal/upstream/socket_test.go
+++ b/internal/upstream/socket_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"golang.org/x/sys/unix"
+
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 // keepAlive models the timer of Linux that probes an idle connection.
@@ -36,7 +38,7 @@
 
 func option(conn net.Conn, level, name int) time.Duration {
 	GinkgoHelper()
-	raw, err := conn.(syscall.Conn).SyscallConn()
+	raw, err := socket.Innermost(conn).(syscall.Conn).SyscallConn()
 	Expect(err).NotTo(HaveOccurred())
 	value, optionErr := 0, error(nil)
 	Expect(raw.Control(func(fd uintptr) { value, optionErr = unix.GetsockoptInt(int(fd), level, name) })).To(Succeed())
