Reject malformed heads of responses

Cause: http.ReadResponse passes over what it can't read. It also takes a coding in HTTP/1.0 for none, statuses over 599 and other major versions.

Change: internal/responsehead checks heads as they arrive, on connections to endpoints, in the handshake with a relaying peer, and below net/http's clients for the store, peers and the endpoints of bilberryslipd, on new and kept connections.

--- a/internal/detour/client.go
+++ b/internal/detour/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bilberryslip.example/bilberryslip/internal/responsehead"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
 
@@ -145,8 +146,9 @@
 	if err := request.Write(raw); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(raw)
-	response, err := http.ReadResponse(reader, request)
+	heads := responsehead.NewConn(raw, true)
+	reader := bufio.NewReader(heads)
+	response, err := heads.ReadResponse(reader, request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -16,6 +16,7 @@
 	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/engineapi"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
+	"bilberryslip.example/bilberryslip/internal/responsehead"
 	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
@@ -31,11 +32,11 @@
 	name string
 	url  string
 	// pooled reuses connections; dedicated opens one for each request.
-	pooled    *http.Transport
-	dedicated *http.Transport
+	pooled    *responsehead.Transport
+	dedicated *responsehead.Transport
 	// control carries polls and orders, on connections separate from those of
 	// callers' requests.
-	control *http.Transport
+	control *responsehead.Transport
 }
 
 func newClient(name, url string, dialTimeout time.Duration) *client {
@@ -48,19 +49,19 @@
 	}
 }
 
-func newTransport(dialTimeout time.Duration, dedicated bool) *http.Transport {
+func newTransport(dialTimeout time.Duration, dedicated bool) *responsehead.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
-	return &http.Transport{
+	return responsehead.NewTransport(&http.Transport{
 		DialContext:            netmeter.Dial(netmeter.Endpoints, socket.DialRequests(dialer.DialContext)),
 		DisableKeepAlives:      dedicated,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
-	}
+	})
 }
 
-func (c *client) transport(dedicated bool) *http.Transport {
+func (c *client) transport(dedicated bool) *responsehead.Transport {
 	if dedicated {
 		return c.dedicated
 	}
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -206,6 +206,28 @@
 		Expect(outcomes).To(Equal([]bool{true, false, true}))
 	})
 
+	// Guards against bytes that are no response, or another body than the endpoint's, which
+	// are taken for its response, and an order that such bytes seem to confirm.
+	DescribeTable("takes no response with a malformed head", func(head string) {
+		e := &engine{respond: func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, head+engineapi.HeaderAttempt+": a\r\n\r\n{}")
+				_ = conn.Close()
+			}
+		}}
+		c := newClient("worker-1", e.start(), time.Second)
+		_, err := c.Send(ctx, Call{AttemptID: "a", Method: http.MethodPost, Path: "/"})
+		var incomplete *IncompleteResponseError
+		Expect(errors.As(err, &incomplete)).To(BeTrue(), "error %v", err)
+		_, err = c.order(ctx, engineapi.Order{})
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("status 000", "HTTP/1.1 000 OK\r\n"),
+		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX Oops: 1\r\n"),
+		Entry("blank behind the length", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n"),
+	)
+
 	It("returns NotSentError only if no connection was made", func() {
 		var notSent *NotSentError
 		_, err := newClient("w", "http://127.0.0.1:1", time.Second).Send(ctx, Call{AttemptID: "a", Path: "/"})
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/clock"
 	"bilberryslip.example/bilberryslip/internal/objectstore"
+	"bilberryslip.example/bilberryslip/internal/responsehead"
 	"bilberryslip.example/bilberryslip/internal/retry"
 	"bilberryslip.example/bilberryslip/internal/upstream"
 )
@@ -151,9 +152,9 @@
 
 // New returns a service that sends no reports until Serve is called.
 func New(cfg Config) *Service {
-	transport := &http.Transport{
+	transport := responsehead.NewTransport(&http.Transport{
 		DialContext: upstream.Dial, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
-	}
+	})
 	return &Service{
 		config: cfg, started: time.Now(), bootedAt: clock.Boot(),
 		client:    &http.Client{Transport: &boundedhttp.Transport{Base: transport, Limit: maxPeerResponse}},
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -12,6 +12,7 @@
 
 	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
+	"bilberryslip.example/bilberryslip/internal/responsehead"
 	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
@@ -64,7 +65,7 @@
 	// watches uses a new connection for each watch.
 	watches *http.Client
 	// transport is that of calls.
-	transport *http.Transport
+	transport *responsehead.Transport
 	// preferred, modulo their number, is the index of the address to try first.
 	preferred atomic.Int64
 	available atomic.Bool
@@ -103,15 +104,15 @@
 
 // newTransport returns a transport that uses HTTP/1 only, so that a call that
 // times out closes its connection.
-func newTransport() *http.Transport {
+func newTransport() *responsehead.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return responsehead.NewTransport(&http.Transport{
 		DialContext:            netmeter.Dial(netmeter.Platform, socket.DialRequests(dialer.DialContext)),
 		MaxIdleConnsPerHost:    maxIdlePerAddress,
 		IdleConnTimeout:        idleTimeout,
 		TLSHandshakeTimeout:    dialTimeout,
 		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
-	}
+	})
 }
 
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -15,6 +15,7 @@
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
 	"bilberryslip.example/bilberryslip/internal/boundedhttp"
 	"bilberryslip.example/bilberryslip/internal/netmeter"
+	"bilberryslip.example/bilberryslip/internal/responsehead"
 	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
@@ -52,7 +53,7 @@
 }
 
 type client struct {
-	transport *http.Transport
+	transport *responsehead.Transport
 	peer      peerv1.Peer
 }
 
@@ -129,14 +130,14 @@
 	if c, ok := p.clients.Get(baseURL); ok {
 		return c
 	}
-	transport := &http.Transport{
+	transport := responsehead.NewTransport(&http.Transport{
 		DialContext:            netmeter.Dial(netmeter.Peers, socket.DialRequests((&net.Dialer{Timeout: dialTimeout}).DialContext)),
 		TLSClientConfig:        p.config.TLS,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
-	}
+	})
 	bounded := &boundedhttp.Transport{Base: transport, Limit: maxResponseBytes}
 	authenticated := &http.Client{Transport: &secretTransport{secret: p.config.Secret, next: bounded}}
 	c := &client{transport: transport, peer: peerv1.NewPeerProtobufClient(baseURL, authenticated)}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -54,8 +53,7 @@
 	}
 	f.Fuzz(func(t *testing.T, sent []byte, filler string) {
 		raw := &recordedConn{sent: bytes.NewReader(sent), filler: filler}
-		bounded := &boundedConn{Conn: raw, left: unbounded}
-		x := &Exchange{conn: &conn{boundedConn: bounded, reader: bufio.NewReaderSize(bounded, readBuffer)}}
+		x := &Exchange{conn: newConn(raw)}
 		err := x.readHeader(&http.Request{Method: http.MethodGet}, func(h http.Header) bool { return h.Get("Request-Id") == "1" })
 		if most := (maxStrayResponses+maxInformational+1)*maxHeadBytes + maxStrayResponses*maxStrayBytes; raw.taken > most {
 			t.Fatalf("%d bytes taken before the response, at most %d", raw.taken, most)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bilberryslip.example/bilberryslip/internal/responsehead"
 )
 
 // maxRequests is how many requests a connection carries, to bound what is kept of them: 8
@@ -17,6 +20,8 @@
 // conn is a connection to an endpoint.
 type conn struct {
 	*boundedConn
+	// heads checks the heads of responses, reader reads from it.
+	heads  *responsehead.Conn
 	reader *bufio.Reader
 	// expires is when the idle connection may no longer be used.
 	expires time.Time
@@ -26,6 +31,18 @@
 	tainted bool
 }
 
+func newConn(raw net.Conn) *conn {
+	bounded := &boundedConn{Conn: raw, left: unbounded}
+	heads := responsehead.NewConn(bounded, false)
+	return &conn{boundedConn: bounded, heads: heads, reader: bufio.NewReaderSize(heads, readBuffer)}
+}
+
+// readHead reads the head of a response to a request.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.bound(PartHead, maxHeadBytes)
+	return c.heads.ReadResponse(c.reader, request)
+}
+
 // recordRequest records that a request is sent on the connection.
 func (c *conn) recordRequest(id string) { c.carried = append(c.carried, xxhash.Sum64String(id)) }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -6,7 +6,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -196,8 +195,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	bounded := &boundedConn{Conn: raw, left: unbounded}
-	return &conn{boundedConn: bounded, reader: bufio.NewReaderSize(bounded, readBuffer)}, false, nil
+	return newConn(raw), false, nil
 }
 
 // maxInlineBody is the largest body, in bytes, that is written before the response
@@ -221,8 +219,7 @@
 func (x *Exchange) readHeader(request *http.Request, belongs func(http.Header) bool) error {
 	informational := 0
 	for strays := 0; strays < maxStrayResponses; {
-		x.conn.bound(PartHead, maxHeadBytes)
-		response, err := http.ReadResponse(x.conn.reader, request)
+		response, err := x.conn.readHead(request)
 		if err != nil {
 			return err
 		}
