Read hosts' answers strictly in the operators' tool as well

bilberryslip showed a state dump under a malformed head as the state of a host: it read by net/http alone, and its connections could take a reset for the end of a body. It uses the transports of the hosts now. The new spec fails before and passes after.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -110,6 +110,20 @@
 		Expect(errOut.String()).To(ContainSubstring("older version"))
 	})
 
+	// Guards against senseless bytes that are shown as the state of a host.
+	It("takes no response with a malformed head for a state dump", func() {
+		dump := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX Oops: 1\r\n\r\n"+`{"stop": {"phase": "serving"}}`)
+				_ = conn.Close()
+			}
+		}))
+		DeferCleanup(dump.Close)
+		Expect(run("", "stop", "--dump", dump.URL)).NotTo(Equal(0))
+		Expect(errOut.String()).To(ContainSubstring("invalid field name"))
+	})
+
 	DescribeTable("maps failures to exit codes", func(failure error, code int, text string) {
 		fake.failure = failure
 		Expect(run(manifest, "apply", "-f", "-")).To(Equal(code))
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -12,6 +12,8 @@
 	"github.com/twitchtv/twirp"
 
 	apiv1 "bilberryslip.example/bilberryslip/api/v1"
+	"bilberryslip.example/bilberryslip/internal/responsehead"
+	"bilberryslip.example/bilberryslip/internal/socket"
 )
 
 // attemptTimeout bounds the attempt at one host.
@@ -23,6 +25,14 @@
 	header http.Header
 }
 
+// newTransport returns a transport that takes neither a malformed head for a response nor a
+// reset for its end.
+func newTransport() http.RoundTripper {
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	base.DialContext = socket.DialRequests(base.DialContext)
+	return responsehead.NewTransport(base)
+}
+
 func newClient(servers []string, tokenFile string) (*client, error) {
 	c := &client{header: make(http.Header)}
 	if tokenFile != "" {
@@ -32,7 +42,7 @@
 		}
 		c.header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
 	}
-	httpClient := &http.Client{Timeout: attemptTimeout}
+	httpClient := &http.Client{Transport: newTransport(), Timeout: attemptTimeout}
 	for _, list := range servers {
 		for _, server := range strings.Split(list, ",") {
 			c.admins = append(c.admins, apiv1.NewAdminProtobufClient(server, httpClient))
--- a/internal/cli/stop.go
+++ b/internal/cli/stop.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return "", nil, &usageFault{err}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := (&http.Client{Transport: newTransport()}).Do(request)
 	if err != nil {
 		return "", nil, errors.Wrapf(err, "read the state dump at %s; the process may have ended", address)
 	}
