--- a/internal/orders/schedule_test.go
+++ b/internal/orders/schedule_test.go
@@ -128,8 +128,8 @@
 type simChange struct {
 	orders   []Order
 	attempts int
-	// awaited is set once the first of the orders was accepted or seems to be. The host waits for the end
-	// of the change until ends, and sees starts of the engine.
+	// awaited is set once the first of the orders is satisfied or being carried out. The host
+	// waits for its end until ends; starts counts the starts of the engine seen before.
 	awaited bool
 	ends    time.Time
 	starts  int
@@ -152,8 +152,9 @@
 	bornKnown bool
 	// crashes, silences, changes and restarts are the probabilities in a step that the
 	// engine crashes, that it sends nothing for a while, that a host becomes the holder, and
-	// that the holder's process starts again and keeps the lease; lates is the share of the orders that are carried out late, latest how late
-	// that may be, and held the share of the changes that begin with a model that is held.
+	// that the holder's process starts again and keeps the lease; lates is the share of the
+	// orders that are carried out late, latest how late that may be, and held the share of
+	// the changes that begin with a model that is held.
 	crashes, silences, changes, restarts, lates, held float64
 	latest                                            time.Duration
 	// forget drops what the former code did not keep: orders without response and loads
