Serve the path monitor in the spec of segments that crash endpoints

Cause: the spec, not the product. A response that breaks off has the path to the service checked; the check whether its endpoint is gone may register its result while that check runs, and is then taken up by the next one, which reach.Monitor.Serve starts within 250 ms. The spec ran no Serve, as hosts do, so that the result was never taken up.

--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -17,6 +17,7 @@
 	"bilberryslip.example/bilberryslip/internal/exchange"
 	"bilberryslip.example/bilberryslip/internal/fleet"
 	"bilberryslip.example/bilberryslip/internal/quarantine"
+	"bilberryslip.example/bilberryslip/internal/reach"
 	"bilberryslip.example/bilberryslip/internal/repeat"
 	"bilberryslip.example/bilberryslip/internal/traffic"
 	"bilberryslip.example/bilberryslip/internal/upstream"
@@ -59,11 +60,17 @@
 		}
 		endpoints := fleet.NewRegistry(fleet.Config{Zone: "z"})
 		held := quarantine.New(nil)
-		reach := exchange.Reachability{Interval: interval}
-		held.SetReachability(reach)
+		reachability := exchange.Reachability{Interval: interval}
+		held.SetReachability(reachability)
+		// Served as in a host: a refused connection that is recorded while a check of the path
+		// runs counts by the next one.
+		paths := reach.New(reach.Config{Targets: func(string) []reach.Target { return nil }})
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go func() { _ = paths.Serve(ctx) }()
 		f := New(Config{
 			Source:    fixedSource{traffic.NewConfig(traffic.Spec{Routes: []traffic.Route{route}, Services: []traffic.Service{{Name: "s"}}})},
-			Endpoints: endpoints, Upstream: upstream.NewPool(), Codec: plainCodec{}, Quarantine: held,
+			Endpoints: endpoints, Upstream: upstream.NewPool(), Codec: plainCodec{}, Quarantine: held, Paths: paths,
 			Retry: repeat.NewBudgets(repeat.BudgetConfig{}, time.Now),
 		})
 		send := func(n int, segments ...string) error {
@@ -84,7 +91,7 @@
 		}
 		held.RecordSurvival([]quarantine.Suspect{quarantine.SegmentOf("system")})
 		Eventually(func() bool {
-			held.SetReachability(reach)
+			held.SetReachability(reachability)
 			_, isHeld := held.Held(quarantine.SegmentOf("bad"))
 			return isHeld
 		}, "2s", interval).Should(BeTrue())
